Add: decisions of a cell: leases, vouches, ends of terms, placement, voters

Cause: the work starts; ownership is the core, so its decisions come first, as free functions over plain structs with the present time as an argument.

Found while testing: with two voters lost at once the driver shrank the set of voters to one that held a dead voter, and the joint set then had no majority for good. Ruled out: lost datagrams (none were cut), a late store (it answered). Cause: two silence thresholds (renewals heard, answers heard) that pass within some tens of milliseconds of each other.

No process runs yet.

--- /dev/null
+++ b/packages/daemon/src/daemon.cpp
@@ -0,0 +1,1 @@
+/** @file daemon.cpp */
--- /dev/null
+++ b/packages/decisions/src/lease_cmd.cpp
@@ -0,0 +1,97 @@
+/** @file lease_cmd.cpp Renewing an instance lease and counting its vouches. */
+#include "lease_func.h"
+#include "record_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+/**
+ * Works out until when a majority of one set of voters vouches.
+ * @param state Lease.
+ * @param voters Set of voters.
+ * @return End of the majority's promises; the clock's epoch if there is no majority.
+ */
+steady_time majorityEnd(const lease_state &state, const std::vector<cell_voter> &voters)
+{
+    std::vector<steady_time> ends;
+    for (const auto &voter : voters) {
+        const auto held = state.vouches.find(voter.id);
+        const bool counts = held != state.vouches.end() && held->second.incarnation == voter.incarnation;
+        ends.push_back(counts ? held->second.until : steady_time{});
+    }
+    if (ends.empty()) {
+        return {};
+    }
+    std::sort(ends.begin(), ends.end(), std::greater<>());
+    return ends[majorityOf(ends.size()) - 1];
+}
+
+} // namespace
+
+std::optional<renew_message> nextRenewal(lease_state &state, const stored_record &stored, const cell_timing &timing,
+                                         steady_time now)
+{
+    const auto *self = findMember(stored.record, state.self);
+    if (now < state.nextRenewal || self == nullptr || self->incarnation != state.incarnation) {
+        return std::nullopt;
+    }
+    state.nextRenewal = now + timing.renewInterval;
+    const sent_renewal sent{state.nextSequence++, self->term, stored.record.config, now};
+    state.sent.push_back(sent);
+    while (state.sent.front().sentAt + timing.vouchPeriod < now) {
+        state.sent.pop_front();
+    }
+    return renew_message{stored.record.id, state.self, state.incarnation, sent.term,
+                         sent.config, sent.sequence, stored.revision};
+}
+
+void takeVouch(lease_state &state, const vouch_message &message, const stored_record &stored,
+               const cell_timing &timing, steady_time now)
+{
+    const auto sent = std::find_if(state.sent.begin(), state.sent.end(),
+                                   [&](const auto &renewal) { return renewal.sequence == message.sequence; });
+    if (sent == state.sent.end() || sent->term != message.term) {
+        return;
+    }
+    state.voterHeard[message.voter] = now;
+    if (message.termRefused) {
+        state.refused = std::max(state.refused, message.term);
+    }
+    if (message.granted) {
+        auto &held = state.vouches[message.voter];
+        const auto until = sent->sentAt + timing.vouchPeriod;
+        if (held.incarnation != message.incarnation || until >= held.until) {
+            held = {message.incarnation, until};
+        }
+    }
+    state.validUntil = std::max(state.validUntil, leaseEnd(state, stored.record));
+}
+
+steady_time leaseEnd(const lease_state &state, const cell_record &record)
+{
+    const auto current = majorityEnd(state, record.voters);
+    if (record.previousVoters.empty()) {
+        return current;
+    }
+    // While the set of voters changes, both sets must vouch.
+    return std::min(current, majorityEnd(state, record.previousVoters));
+}
+
+void noteRecord(lease_state &state, const stored_record &stored)
+{
+    const auto *self = findMember(stored.record, state.self);
+    if (self == nullptr || self->incarnation != state.incarnation) {
+        state.validUntil = {};
+        return;
+    }
+    const bool renewed = !state.sent.empty() && state.sent.back().term == self->term
+        && state.sent.back().config == stored.record.config;
+    if (!renewed) {
+        state.nextRenewal = {}; // A new term or set of voters is vouched for without waiting.
+    }
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/src/message_type.h
@@ -0,0 +1,128 @@
+/** @file message_type.h Control messages between daemons, sent as datagrams. */
+#ifndef MESSAGE_TYPE_H
+#define MESSAGE_TYPE_H
+
+#include "base_type.h"
+
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace quetzalspool {
+
+/** An owner asks a voter to vouch for its term. */
+struct renew_message
+{
+    cell_id cell; ///< Cell of the owner.
+    instance_id owner; ///< Who asks.
+    incarnation_id incarnation; ///< Run of the owner.
+    term_number term; ///< Term to vouch for.
+    config_number config; ///< Set of voters that the owner counts by.
+    std::uint64_t sequence = 0; ///< Tells answers apart.
+    revision_number known; ///< Revision of the cell record that the owner knows.
+};
+
+/** A voter's answer to a renewal. */
+struct vouch_message
+{
+    cell_id cell; ///< Cell of the owner.
+    instance_id voter; ///< Who answers.
+    incarnation_id incarnation; ///< Run of the voter.
+    term_number term; ///< Term it answers for.
+    std::uint64_t sequence = 0; ///< Of the renewal.
+    bool granted = false; ///< Whether it vouches.
+    bool termRefused = false; ///< Whether the term is refused for good.
+    revision_number known; ///< Revision of the cell record that the voter knows.
+};
+
+/** A driver asks a voter to refuse a member's terms for good. */
+struct end_message
+{
+    cell_id cell; ///< Cell of the member.
+    instance_id driver; ///< Who asks.
+    instance_id member; ///< Whose terms end.
+    term_number upTo; ///< Terms up to this one are refused.
+};
+
+/** A voter's answer: it will never vouch for these terms again. */
+struct ended_message
+{
+    cell_id cell; ///< Cell of the member.
+    instance_id voter; ///< Who answers.
+    instance_id member; ///< Whose terms end.
+    term_number upTo; ///< Terms up to this one are refused.
+    milliseconds remaining{0}; ///< How long the voter's last vouch still runs.
+};
+
+/** A driver asks a voter of a previous set to vouch no more under sets of voters before one. */
+struct retire_message
+{
+    cell_id cell; ///< Cell whose voters change.
+    instance_id driver; ///< Who asks.
+    config_number before; ///< Renewals under a smaller number are refused from now on.
+};
+
+/** A voter's answer to a retire request. */
+struct retired_message
+{
+    cell_id cell; ///< Cell whose voters change.
+    instance_id voter; ///< Who answers.
+    config_number before; ///< Renewals under a smaller number are refused.
+    milliseconds remaining{0}; ///< How long the voter's last vouch under a smaller number still runs.
+};
+
+/** A driver asks an owner to give slots back. */
+struct release_message
+{
+    cell_id cell; ///< Cell of the owner.
+    instance_id driver; ///< Who asks.
+    pool_id pool; ///< Pool of the slots.
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> slots; ///< Slot numbers, each with its fence.
+};
+
+/** An owner has given slots back; it never takes them again under these fences. */
+struct released_message
+{
+    cell_id cell; ///< Cell of the owner.
+    instance_id owner; ///< Who answers.
+    pool_id pool; ///< Pool of the slots.
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> slots; ///< Slot numbers, each with its fence.
+};
+
+/** Word that a document has a new revision. */
+struct announce_message
+{
+    instance_id sender; ///< Who has it.
+    std::string key; ///< Key of the document.
+    revision_number revision; ///< Its revision.
+};
+
+/** Summary of all documents of the sender, one hash per bucket of keys. */
+struct digest_message
+{
+    instance_id sender; ///< Who has them.
+    std::vector<std::uint64_t> buckets; ///< Hash of keys and revisions per bucket.
+};
+
+using control_message = std::variant<renew_message, vouch_message, end_message, ended_message, retire_message,
+                                     retired_message, release_message, released_message, announce_message,
+                                     digest_message>;
+
+/**
+ * Encodes a message as MessagePack.
+ * @param message Message.
+ * @return Bytes of one datagram.
+ */
+std::string encodeMessage(const control_message &message);
+
+/**
+ * Decodes a datagram.
+ * @param bytes Bytes received.
+ * @param why Receives the reason if they are no message.
+ * @return The message, or nothing.
+ */
+std::optional<control_message> decodeMessage(std::string_view bytes, last_reason &why);
+
+} // namespace quetzalspool
+
+#endif // MESSAGE_TYPE_H
--- /dev/null
+++ b/packages/decisions/src/plan_cmd.cpp
@@ -0,0 +1,350 @@
+/** @file plan_cmd.cpp Working out the next record of a cell. Each step checks first, then changes the copy. */
+#include "cell_func.h"
+#include "placement_func.h"
+#include "reassign_func.h"
+#include "record_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr milliseconds settleTime{700}; ///< Quiet time after a change of members before slots and voters follow.
+constexpr milliseconds voterChangeInterval{1500}; ///< Least time between two changes of the set of voters.
+
+/** A record that is being changed. */
+struct record_draft
+{
+    cell_record record; ///< The copy.
+    fence_number fence; ///< Fence for every assignment that this write makes.
+    bool changed = false; ///< Whether it differs.
+};
+
+bool settled(const cell_state &state, steady_time now)
+{
+    return now - state.drive.membersChanged >= settleTime;
+}
+
+/** Lists this run, or brings its entry up to date. */
+void planSelf(const cell_state &state, record_draft &draft)
+{
+    auto &record = draft.record;
+    auto *listed = findMember(record, state.self.id);
+    const bool newRun = listed == nullptr || listed->incarnation != state.self.incarnation;
+    if (newRun && state.self.leaving) {
+        return;
+    }
+    const bool needsTerm = newRun || listed->term <= state.lease.refused;
+    if (!needsTerm && listed->target == state.self.target && listed->leaving == state.self.leaving
+        && listed->at == state.self.at) {
+        return;
+    }
+    draft.changed = true;
+    if (newRun) {
+        for (auto *voters : {&record.voters, &record.previousVoters}) {
+            if (auto *voter = findVoter(*voters, state.self.id)) {
+                voter->incarnation = state.self.incarnation;
+                voter->admitted = record.nextNumber++;
+            }
+        }
+    }
+    const auto term = needsTerm ? term_number{record.nextNumber++} : listed->term;
+    if (listed == nullptr) {
+        const auto at = std::find_if(record.members.begin(), record.members.end(),
+                                     [&](const auto &member) { return member.id > state.self.id; });
+        listed = &*record.members.insert(at, state.self);
+    }
+    *listed = state.self;
+    listed->term = term;
+}
+
+/** Makes this run the only voter of a cell that has none yet. */
+void planFirstVoter(const cell_state &state, record_draft &draft)
+{
+    if (!draft.record.voters.empty() || state.self.leaving) {
+        return;
+    }
+    // The admission number precedes the member's term, so that the voter may vouch for it.
+    const auto admitted = draft.record.nextNumber++;
+    draft.record.voters.push_back({state.self.id, state.self.incarnation, admitted, state.self.domain,
+                                   {state.self.at.host, state.self.at.peers}});
+    if (auto *listed = findMember(draft.record, state.self.id)) {
+        listed->term.value = draft.record.nextNumber++;
+    }
+    draft.changed = true;
+}
+
+void planRemovals(const cell_state &state, record_draft &draft, steady_time now)
+{
+    for (const auto &id : endedMembers(state, now)) {
+        std::erase_if(draft.record.members, [&](const auto &member) { return member.id == id; });
+        draft.changed = true;
+    }
+    std::erase_if(draft.record.members, [&](const auto &member) {
+        if (!member.leaving || findVoter(draft.record.voters, member.id) != nullptr
+            || findVoter(draft.record.previousVoters, member.id) != nullptr) {
+            return false;
+        }
+        const auto &pools = draft.record.pools;
+        const bool owns = std::any_of(pools.begin(), pools.end(), [&](const auto &pool) {
+            return std::any_of(pool.second.begin(), pool.second.end(),
+                               [&](const auto &slot) { return slot.owner == member.id; });
+        });
+        draft.changed = draft.changed || !owns;
+        return !owns;
+    });
+}
+
+/** Adds slots that the tables give to this cell and that nobody holds yet. */
+void planAdoption(const cell_state &state, record_draft &draft, steady_time now)
+{
+    if (!settled(state, now)) {
+        return;
+    }
+    for (const auto &[pool, plan] : state.plans) {
+        auto &slots = draft.record.pools[pool];
+        if (slots.empty() && !plan.slots.empty()) {
+            for (const auto &number : plan.slots) {
+                slots.push_back({number, {}, {}});
+            }
+            draft.changed = true;
+        }
+    }
+}
+
+void assign(record_draft &draft, std::vector<slot_assignment> &slots, slot_number number, const instance_id &owner)
+{
+    const auto row = std::find_if(slots.begin(), slots.end(), [&](const auto &slot) { return slot.slot == number; });
+    row->owner = owner;
+    row->fence = draft.fence;
+    draft.changed = true;
+}
+
+void planAssignments(const cell_state &state, record_draft &draft)
+{
+    for (const auto &[slot, release] : state.drive.releases) {
+        const auto *taker = findMember(draft.record, release.to);
+        const auto pool = draft.record.pools.find(slot.pool);
+        if (release.released && pool != draft.record.pools.end()) {
+            const bool usable = taker != nullptr && !taker->leaving && taker->target.pool == slot.pool;
+            assign(draft, pool->second, slot.slot, usable ? taker->id : instance_id{});
+        }
+    }
+    for (auto &[pool, slots] : draft.record.pools) {
+        for (const auto &move : placeUnowned(draft.record.members, pool, slots)) {
+            assign(draft, slots, move.slot, move.to);
+        }
+    }
+}
+
+bool sameVoters(const std::vector<cell_voter> &a, const std::vector<cell_voter> &b)
+{
+    return a.size() == b.size()
+        && std::all_of(a.begin(), a.end(), [&](const auto &voter) { return findVoter(b, voter.id) != nullptr; });
+}
+
+/** Admits the voter from another region anew if it has restarted. */
+void planOutsideRestart(const cell_state &state, record_draft &draft)
+{
+    if (!state.outside) {
+        return;
+    }
+    for (auto *voters : {&draft.record.voters, &draft.record.previousVoters}) {
+        auto *voter = findVoter(*voters, state.outside->id);
+        if (voter != nullptr && voter->incarnation != state.outside->incarnation) {
+            voter->incarnation = state.outside->incarnation;
+            voter->control = state.outside->control;
+            voter->admitted = draft.record.nextNumber++;
+            draft.changed = true;
+        }
+    }
+}
+
+/** Starts a change of voters, or ends the one that is under way. */
+void planVoters(const cell_state &state, record_draft &draft, steady_time now)
+{
+    auto &record = draft.record;
+    if (!record.previousVoters.empty()) {
+        if (retirementOver(state, now)) {
+            record.previousVoters.clear();
+            ++record.config.value;
+            draft.changed = true;
+        }
+        return;
+    }
+    if (!settled(state, now) || now - state.drive.votersChanged < voterChangeInterval) {
+        return;
+    }
+    auto wanted = chooseVoters(state, now);
+    if (wanted.empty() || sameVoters(wanted, record.voters)) {
+        return;
+    }
+    for (auto &voter : wanted) {
+        if (voter.admitted == 0) {
+            voter.admitted = record.nextNumber++;
+        }
+    }
+    record.previousVoters = std::move(record.voters);
+    record.voters = std::move(wanted);
+    ++record.config.value;
+    draft.changed = true;
+}
+
+/** Gives members new terms that every voter may vouch for, after voters were admitted. Slots stay. */
+void planTerms(record_draft &draft)
+{
+    std::uint64_t lastAdmission = 0;
+    for (const auto &voter : allVoters(draft.record)) {
+        lastAdmission = std::max(lastAdmission, voter.admitted);
+    }
+    for (auto &member : draft.record.members) {
+        if (member.term.value < lastAdmission) {
+            member.term.value = draft.record.nextNumber++;
+            draft.changed = true;
+        }
+    }
+}
+
+/** How a voter stands when a new set is chosen. */
+enum class voter_standing {
+    live, ///< It answered lately.
+    doubtful, ///< It has not answered lately, but may be back.
+    gone, ///< It left, is leaving, or has not answered for long.
+};
+
+voter_standing standingOf(const cell_state &state, const cell_voter &voter, steady_time now)
+{
+    const auto *member = findMember(state.stored.record, voter.id);
+    const bool outside = state.outside && state.outside->id == voter.id;
+    if ((member == nullptr && !outside) || (member != nullptr && member->leaving)) {
+        return voter_standing::gone;
+    }
+    if (voter.id == state.self.id) {
+        return voter_standing::live;
+    }
+    const auto heard = state.lease.voterHeard.find(voter.id);
+    const auto last = heard == state.lease.voterHeard.end() ? steady_time{} : heard->second;
+    const auto silence = now - std::max({last, state.drive.observingSince, state.drive.votersChanged});
+    if (silence >= state.timing.voterReplaceDelay) {
+        return voter_standing::gone;
+    }
+    const bool silent = now - last >= state.timing.silenceLimit || (member != nullptr && isSilent(state, *member, now));
+    return silent ? voter_standing::doubtful : voter_standing::live;
+}
+
+/** Takes members as voters, in turns over the failure domains. */
+void spreadOverDomains(const cell_state &state, std::vector<cell_voter> &voters, std::size_t wanted, steady_time now)
+{
+    const auto &record = state.stored.record;
+    while (voters.size() < wanted) {
+        const cell_member *best = nullptr;
+        std::ptrdiff_t bestLoad = 0;
+        for (const auto &member : record.members) {
+            if (member.leaving || isSilent(state, member, now) || findVoter(voters, member.id) != nullptr) {
+                continue;
+            }
+            const auto load = std::count_if(voters.begin(), voters.end(),
+                                            [&](const auto &voter) { return voter.domain == member.domain; });
+            if (best == nullptr || load < bestLoad) {
+                best = &member;
+                bestLoad = load;
+            }
+        }
+        if (best == nullptr) {
+            return;
+        }
+        voters.push_back({best->id, best->incarnation, 0, best->domain, {best->at.host, best->at.peers}});
+    }
+}
+
+} // namespace
+
+bool isSilent(const cell_state &state, const cell_member &member, steady_time now)
+{
+    if (member.id == state.self.id) {
+        return false;
+    }
+    const auto entry = state.vouch.entries.find(member.id);
+    const auto since = state.drive.memberSince.find(member.id);
+    auto last = state.drive.observingSince;
+    last = entry == state.vouch.entries.end() ? last : std::max(last, entry->second.heard);
+    last = since == state.drive.memberSince.end() ? last : std::max(last, since->second.second);
+    return now - last >= state.timing.silenceLimit;
+}
+
+bool drives(const cell_state &state, steady_time now)
+{
+    const auto &record = state.stored.record;
+    if (!state.joins || now < state.vouch.silentUntil) {
+        return false;
+    }
+    for (const auto &voter : record.voters) {
+        const auto *member = findMember(record, voter.id);
+        if (member == nullptr) {
+            continue;
+        }
+        if (voter.id == state.self.id) {
+            return member->incarnation == state.self.incarnation;
+        }
+        if (!isSilent(state, *member, now)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+std::vector<cell_voter> chooseVoters(const cell_state &state, steady_time now)
+{
+    const auto &record = state.stored.record;
+    std::vector<cell_voter> voters;
+    bool outsider = false;
+    for (const auto &voter : record.voters) {
+        const auto standing = standingOf(state, voter, now);
+        if (standing == voter_standing::doubtful) {
+            return record.voters; // A set chosen now could lack a majority from its first moment.
+        }
+        if (standing == voter_standing::live) {
+            voters.push_back(voter);
+            outsider = outsider || findMember(record, voter.id) == nullptr;
+        }
+    }
+    std::size_t candidates = 0;
+    for (const auto &member : record.members) {
+        candidates += !member.leaving && !isSilent(state, member, now) ? 1 : 0;
+    }
+    const bool takeOutsider = state.outside.has_value();
+    auto wanted = std::min(state.timing.voterCount, candidates + (takeOutsider ? 1 : 0));
+    wanted -= wanted % 2 == 0 ? 1 : 0; // An even set tolerates no more losses than one voter fewer.
+    if (voters.size() > wanted) {
+        voters.resize(wanted);
+    }
+    const auto inside = wanted - (takeOutsider && !outsider && wanted >= 3 ? 1 : 0);
+    if (voters.size() > inside) {
+        voters.resize(inside);
+    }
+    spreadOverDomains(state, voters, inside, now);
+    if (inside < wanted) {
+        voters.push_back(
+            {state.outside->id, state.outside->incarnation, 0, state.outside->domain, state.outside->control});
+    }
+    return voters;
+}
+
+std::optional<cell_record> planRecord(cell_state &state, steady_time now)
+{
+    record_draft draft{state.stored.record, {static_cast<std::uint64_t>(state.stored.revision.value) + 1}};
+    planSelf(state, draft);
+    planFirstVoter(state, draft);
+    if (drives(state, now)) {
+        planRemovals(state, draft, now);
+        planAdoption(state, draft, now);
+        planAssignments(state, draft);
+        planOutsideRestart(state, draft);
+        planVoters(state, draft, now);
+        planTerms(draft);
+    }
+    return draft.changed ? std::optional(std::move(draft.record)) : std::nullopt;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/src/vouch_cmd.cpp
@@ -0,0 +1,102 @@
+/** @file vouch_cmd.cpp Promises and refusals of a voter. */
+#include "record_func.h"
+#include "vouch_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+/**
+ * Rounds a remaining time up, so that a promise is never reported as shorter than it is.
+ * @param until End of a promise.
+ * @param now Present time.
+ * @return Whole milliseconds until then, at least zero.
+ */
+milliseconds remainingUntil(steady_time until, steady_time now)
+{
+    return until <= now ? milliseconds(0) : std::chrono::ceil<milliseconds>(until - now);
+}
+
+/**
+ * Checks a renewal against everything that this voter has promised or forgotten.
+ * @param state Voter.
+ * @param message Renewal.
+ * @param entry What it holds about the member.
+ * @return Whether it may vouch.
+ */
+bool mayVouch(const vouch_state &state, const renew_message &message, const vouch_entry &entry)
+{
+    // A term recorded before this run was admitted may have been refused by an earlier run.
+    const bool recordedSince = state.admitted != 0 && message.term.value > state.admitted;
+    return recordedSince && message.term > entry.refusedUpTo && message.config >= state.retiredBefore;
+}
+
+} // namespace
+
+vouch_state startVoter(instance_id self, incarnation_id incarnation, const cell_timing &timing, steady_time now)
+{
+    vouch_state state;
+    state.self = std::move(self);
+    state.incarnation = incarnation;
+    state.silentUntil = now + timing.promisePeriod();
+    return state;
+}
+
+void noteRecord(vouch_state &state, const stored_record &stored)
+{
+    const auto &record = stored.record;
+    for (const auto *voters : {&record.voters, &record.previousVoters}) {
+        const auto *own = findVoter(*voters, state.self);
+        if (own != nullptr && own->incarnation == state.incarnation && own->admitted > state.admitted) {
+            state.admitted = own->admitted;
+            // An earlier run may have promised to vouch no more under earlier sets.
+            state.retiredBefore = std::max(state.retiredBefore, record.config);
+        }
+    }
+}
+
+std::optional<vouch_message> answerRenewal(vouch_state &state, const renew_message &message,
+                                           const stored_record &stored, const cell_timing &timing, steady_time now)
+{
+    if (now < state.silentUntil) {
+        return std::nullopt;
+    }
+    auto &entry = state.entries[message.owner];
+    entry.heard = now;
+    vouch_message answer{message.cell, state.self, state.incarnation, message.term, message.sequence};
+    answer.known = stored.revision;
+    answer.termRefused = message.term <= entry.refusedUpTo;
+    answer.granted = mayVouch(state, message, entry);
+    if (answer.granted) {
+        entry.promisedUntil = std::max(entry.promisedUntil, now + timing.promisePeriod());
+        state.anyPromise = std::max(state.anyPromise, entry.promisedUntil);
+    }
+    return answer;
+}
+
+std::optional<ended_message> answerEnd(vouch_state &state, const end_message &message, steady_time now)
+{
+    if (now < state.silentUntil) {
+        return std::nullopt;
+    }
+    auto &entry = state.entries[message.member];
+    entry.refusedUpTo = std::max(entry.refusedUpTo, message.upTo);
+    return ended_message{message.cell, state.self, message.member, message.upTo,
+                         remainingUntil(entry.promisedUntil, now)};
+}
+
+std::optional<retired_message> answerRetire(vouch_state &state, const retire_message &message, steady_time now)
+{
+    if (now < state.silentUntil) {
+        return std::nullopt;
+    }
+    if (message.before > state.retiredBefore) {
+        state.retiredBefore = message.before;
+        state.oldConfigPromise = state.anyPromise;
+    }
+    return retired_message{message.cell, state.self, state.retiredBefore, remainingUntil(state.oldConfigPromise, now)};
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/tests/cell_world.h
@@ -0,0 +1,330 @@
+/** @file cell_world.h A few daemons of one cell over fake datagrams, a fake store and injected time. */
+#ifndef CELL_WORLD_H
+#define CELL_WORLD_H
+
+#include "cell_func.h"
+#include "lease_func.h"
+#include "record_func.h"
+
+#include <queue>
+#include <random>
+#include <set>
+
+namespace quetzalspool::test {
+
+/** One daemon of the fake cell. */
+struct world_daemon
+{
+    cell_state state; ///< Its decisions.
+    bool alive = true; ///< Whether its process runs.
+    steady_time pausedUntil{}; ///< No step before this moment.
+    std::set<fenced_slot> closing; ///< Slots asked to be drained.
+};
+
+/** An event that happens later. */
+struct world_event
+{
+    steady_time at{}; ///< When.
+    std::uint64_t order = 0; ///< Breaks ties in order of creation.
+    std::function<void()> run; ///< What.
+
+    bool operator<(const world_event &other) const
+    {
+        return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+};
+
+/** The fake cell. */
+class cell_world
+{
+public:
+    explicit cell_world(std::uint64_t seed, std::size_t count, cell_timing timing = {})
+        : timing(timing)
+        , random(seed)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            daemons.push_back({makeState(index)});
+        }
+    }
+
+    /** Lets time pass in steps, checking ownership at each. */
+    void run(milliseconds span)
+    {
+        const auto end = now + span;
+        while (now < end) {
+            now += stepLength;
+            while (!events.empty() && events.top().at <= now) {
+                auto event = events.top();
+                events.pop();
+                event.run();
+            }
+            for (std::size_t index = 0; index < daemons.size(); ++index) {
+                if (runs(index)) {
+                    apply(index, tick(daemons[index].state, now));
+                }
+            }
+            checkOwners();
+        }
+    }
+
+    /** Starts a new run of a daemon that keeps nothing. */
+    void restart(std::size_t index)
+    {
+        ++incarnations;
+        daemons[index] = {makeState(index)};
+    }
+
+    void kill(std::size_t index)
+    {
+        daemons[index].alive = false;
+    }
+
+    void pause(std::size_t index, milliseconds span)
+    {
+        daemons[index].pausedUntil = now + span;
+    }
+
+    /** The daemon that may serve a slot now; a second one is recorded as a violation. */
+    std::vector<std::size_t> owners(slot_number slot) const
+    {
+        std::vector<std::size_t> result;
+        for (std::size_t index = 0; index < daemons.size(); ++index) {
+            const auto &daemon = daemons[index];
+            if (!daemon.alive || daemon.state.lease.validUntil <= now) {
+                continue;
+            }
+            for (const auto &served : servedSlots(daemon.state)) {
+                if (served.slot == slot) {
+                    result.push_back(index);
+                }
+            }
+            for (const auto &closing : daemon.closing) {
+                if (closing.slot == slot) {
+                    result.push_back(index);
+                }
+            }
+        }
+        return result;
+    }
+
+    /** How many slots have a daemon that may serve them. */
+    std::size_t servedCount() const
+    {
+        std::size_t count = 0;
+        for (std::uint32_t slot = 0; slot < slotCount; ++slot) {
+            count += owners({slot}).empty() ? 0 : 1;
+        }
+        return count;
+    }
+
+    /** Runs until all slots are served, or the span is over. */
+    bool runUntilServed(milliseconds span)
+    {
+        const auto end = now + span;
+        while (now < end && servedCount() != slotCount) {
+            run(stepLength);
+        }
+        return servedCount() == slotCount;
+    }
+
+    static instance_id nameOf(std::size_t index)
+    {
+        return {"d" + std::to_string(index)};
+    }
+
+    static constexpr std::uint32_t slotCount = 12;
+    static constexpr milliseconds stepLength{10};
+    cell_timing timing;
+    std::mt19937_64 random;
+    steady_time now{std::chrono::hours(1)};
+    std::vector<world_daemon> daemons;
+    std::set<std::pair<std::size_t, std::size_t>> cuts; ///< Directed pairs that lose all datagrams.
+    double lossRate = 0; ///< Share of datagrams lost.
+    bool storeDown = false; ///< Whether the store answers nothing.
+    double lostAnswerRate = 0; ///< Share of writes whose answer is lost.
+    std::vector<std::string> violations; ///< Moments at which a slot had two owners.
+    stored_record stored; ///< The store's value.
+    std::uint64_t storeWrites = 0; ///< Accepted writes.
+    std::uint64_t storeReads = 0; ///< Reads.
+    std::uint64_t datagrams = 0; ///< Datagrams sent.
+    bool tellOthers = true; ///< Whether a stored record is announced to all others.
+
+    void cut(std::size_t a, std::size_t b)
+    {
+        cuts.insert({a, b});
+        cuts.insert({b, a});
+    }
+
+    void heal()
+    {
+        cuts.clear();
+    }
+
+private:
+    bool runs(std::size_t index) const
+    {
+        return daemons[index].alive && daemons[index].pausedUntil <= now;
+    }
+
+    cell_state makeState(std::size_t index)
+    {
+        cell_member self;
+        self.id = nameOf(index);
+        self.incarnation.value = 1000 + incarnations * 100 + index;
+        self.domain.value = "domain" + std::to_string(index % 2);
+        self.at = {"127.0.0.1", 1, static_cast<std::uint16_t>(index + 1), 1};
+        self.target = {pool_id{"pool"}, {"127.0.0.1", 1}, 12, 100, true};
+        auto state = startCell(cell_id{"cell"}, self, true, timing, now);
+        auto &plan = state.plans[pool_id{"pool"}];
+        for (std::uint32_t slot = 0; slot < slotCount; ++slot) {
+            plan.slots.push_back({slot});
+        }
+        return state;
+    }
+
+    void later(milliseconds delay, std::function<void()> run)
+    {
+        events.push({now + delay, ++order, std::move(run)});
+    }
+
+    milliseconds delay()
+    {
+        return milliseconds(1 + random() % 15);
+    }
+
+    bool chance(double rate)
+    {
+        return std::uniform_real_distribution<>(0, 1)(random) < rate;
+    }
+
+    /** Runs an event at a daemon of the same run, once it is not paused. */
+    void deliver(std::size_t to, incarnation_id incarnation, std::function<void()> run)
+    {
+        auto &daemon = daemons[to];
+        if (!daemon.alive || daemon.state.self.incarnation != incarnation) {
+            return;
+        }
+        if (daemon.pausedUntil > now) {
+            events.push({daemon.pausedUntil, ++order,
+                         [this, to, incarnation, run = std::move(run)] { deliver(to, incarnation, run); }});
+            return;
+        }
+        run();
+    }
+
+    void apply(std::size_t from, cell_actions actions)
+    {
+        for (auto &action : actions) {
+            std::visit([&](auto &typed) { act(from, typed); }, action);
+        }
+    }
+
+    void act(std::size_t from, send_action &send)
+    {
+        ++datagrams;
+        const std::size_t to = send.to.port - 1U;
+        if (cuts.contains({from, to}) || chance(lossRate)) {
+            return;
+        }
+        last_reason why;
+        auto message = decodeMessage(encodeMessage(send.message), why);
+        const endpoint answerTo{"127.0.0.1", static_cast<std::uint16_t>(from + 1)};
+        later(delay(), [this, to, message, answerTo] {
+            deliver(to, daemons[to].state.self.incarnation, [this, to, message, answerTo] {
+                apply(to, takeMessage(daemons[to].state, *message, answerTo, now));
+            });
+        });
+    }
+
+    void act(std::size_t from, write_action &write)
+    {
+        const auto incarnation = daemons[from].state.self.incarnation;
+        later(delay(), [this, from, incarnation, write] {
+            if (storeDown) {
+                answerWrite(from, incarnation, write.record, write_outcome::unclear, {});
+                return;
+            }
+            if (stored.revision != write.expected) {
+                answerWrite(from, incarnation, write.record, write_outcome::conflicted, {});
+                return;
+            }
+            last_reason why;
+            stored = {*parseRecord(formatRecord(write.record), why), {stored.revision.value + 1}};
+            ++storeWrites;
+            announce(from);
+            answerWrite(from, incarnation, write.record,
+                        chance(lostAnswerRate) ? write_outcome::unclear : write_outcome::stored, stored.revision);
+        });
+    }
+
+    void answerWrite(std::size_t to, incarnation_id incarnation, const cell_record &record, write_outcome outcome,
+                     revision_number revision)
+    {
+        later(outcome == write_outcome::unclear ? milliseconds(200) : delay(), [=, this] {
+            deliver(to, incarnation, [=, this] {
+                apply(to, takeWrite(daemons[to].state, record, outcome, revision, now));
+            });
+        });
+    }
+
+    void announce(std::size_t from)
+    {
+        for (std::size_t to = 0; tellOthers && to < daemons.size(); ++to) {
+            if (to == from || cuts.contains({from, to}) || chance(lossRate)) {
+                continue;
+            }
+            later(delay() + delay(), [this, to, value = stored] {
+                deliver(to, daemons[to].state.self.incarnation,
+                        [this, to, value] { takeRecord(daemons[to].state, value, now); });
+            });
+        }
+    }
+
+    void act(std::size_t from, read_action & /*read*/)
+    {
+        const auto incarnation = daemons[from].state.self.incarnation;
+        ++storeReads;
+        later(delay(), [this, from, incarnation] {
+            const bool down = storeDown;
+            const auto value = stored;
+            later(delay(), [=, this] {
+                deliver(from, incarnation, [=, this] {
+                    auto &state = daemons[from].state;
+                    down ? takeReadFailure(state, now) : takeStoreRead(state, value, now);
+                });
+            });
+        });
+    }
+
+    void act(std::size_t from, close_action &close)
+    {
+        daemons[from].closing.insert(close.slot);
+        const auto incarnation = daemons[from].state.self.incarnation;
+        later(delay() + delay(), [this, from, incarnation, slot = close.slot] {
+            deliver(from, incarnation, [this, from, slot] {
+                daemons[from].closing.erase(slot);
+                apply(from, takeDrained(daemons[from].state, slot));
+            });
+        });
+    }
+
+    void checkOwners()
+    {
+        for (std::uint32_t slot = 0; slot < slotCount; ++slot) {
+            const auto found = owners({slot});
+            if (std::set<std::size_t>(found.begin(), found.end()).size() > 1) {
+                violations.push_back("slot " + std::to_string(slot) + " owned by "
+                                     + nameOf(found[0]).value + " and " + nameOf(found[1]).value + " at "
+                                     + std::to_string(now.time_since_epoch().count() / 1000000) + " ms");
+            }
+        }
+    }
+
+    std::priority_queue<world_event> events;
+    std::uint64_t order = 0;
+    std::uint64_t incarnations = 0;
+};
+
+} // namespace quetzalspool::test
+
+#endif // CELL_WORLD_H
--- /dev/null
+++ b/packages/peer/src/peer.cpp
@@ -0,0 +1,1 @@
+/** @file peer.cpp */
--- /dev/null
+++ b/packages/settings/src/settings.cpp
@@ -0,0 +1,1 @@
+/** @file settings.cpp */
--- /dev/null
+++ b/packages/store/src/store.cpp
@@ -0,0 +1,1 @@
+/** @file store.cpp */
--- /dev/null
+++ b/packages/tables/src/tables.cpp
@@ -0,0 +1,1 @@
+/** @file tables.cpp */
--- /dev/null
+++ b/packages/target/src/target.cpp
@@ -0,0 +1,1 @@
+/** @file target.cpp */
--- /dev/null
+++ b/packages/telemetry/src/telemetry.cpp
@@ -0,0 +1,1 @@
+/** @file telemetry.cpp */
