--- /dev/null
+++ b/apps/quetzalspool/load.cpp
@@ -0,0 +1,173 @@
+/** @file load.cpp Open-loop load with a recorded history. */
+#include "load_type.h"
+
+#include "http_client.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+using json = nlohmann::json;
+
+constexpr std::chrono::seconds progressInterval{1};
+
+/** One run. */
+struct load_run
+{
+    const load_options &options; ///< What load to make.
+    asio::io_context context{1}; ///< Runs on one thread.
+    std::shared_ptr<http_pool> pool = makeHttpPool(); ///< Kept connections.
+    std::mt19937_64 random; ///< Keys and kinds.
+    std::ofstream history; ///< Recorded requests.
+    load_result result; ///< Figures.
+    std::uint64_t started = 0; ///< Requests started.
+    std::uint64_t open = 0; ///< Requests under way.
+};
+
+std::int64_t microseconds(steady_time at)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
+}
+
+std::string withKey(std::string path, const std::string &key)
+{
+    const auto at = path.find("{key}");
+    return at == std::string::npos ? path : path.replace(at, 5, key);
+}
+
+void countReply(load_figures &figures, const std::string &outcome, double latencyMs)
+{
+    if (outcome == "answered") {
+        ++figures.answered;
+        figures.latenciesMs.push_back(latencyMs);
+    } else if (outcome == "not-run") {
+        ++figures.notRun;
+    } else if (outcome == "unknown") {
+        ++figures.unknown;
+    } else {
+        ++figures.broken;
+    }
+}
+
+/** Whether an answer belongs to the request: targets of the tests echo its path. */
+bool echoes(const http_reply &reply, const std::string &path)
+{
+    const auto body = json::parse(reply.body.substr(0, reply.body.find('\n')), nullptr, false);
+    return !body.is_object() || !body.contains("path") || body.at("path") == path;
+}
+
+asio::awaitable<void> oneRequest(load_run &run, bool order, std::string key, std::string id, endpoint to)
+{
+    const auto &options = run.options;
+    const auto path = withKey(order && !options.orderPath.empty() ? options.orderPath : options.path, key);
+    http_request request{order ? "POST" : "GET", path, {{"Quetzalspool-Request-Id", id}}, order ? "{}" : ""};
+    last_reason why;
+    const auto startedAt = clock::now();
+    const auto reply = co_await exchange(run.pool, to, std::move(request), options.timeout, why);
+    const auto endedAt = clock::now();
+    auto outcome = reply ? headerOf(reply->headers, "Quetzalspool-Outcome") : std::string("broken");
+    if (reply && outcome.empty()) {
+        outcome = "answered"; // Asked directly, a target sends no outcome.
+    }
+    if (outcome == "answered" && !echoes(*reply, path)) {
+        outcome = "crossed";
+    }
+    const auto latency = std::chrono::duration<double, std::milli>(endedAt - startedAt).count();
+    countReply(order ? run.result.orders : run.result.lookups, outcome, latency);
+    if (run.history.is_open()) {
+        const json line{{"start_us", microseconds(startedAt)},
+                        {"end_us", microseconds(endedAt)},
+                        {"method", order ? "POST" : "GET"},
+                        {"key", key},
+                        {"id", id},
+                        {"to", toString(to)},
+                        {"status", reply ? reply->status : 0},
+                        {"outcome", outcome},
+                        {"reason", reply ? headerOf(reply->headers, "Quetzalspool-Reason") : describe(why)}};
+        run.history << line.dump() << '\n';
+    }
+    --run.open;
+}
+
+asio::awaitable<void> startRequests(load_run &run)
+{
+    const auto &options = run.options;
+    const auto startedAt = clock::now();
+    auto nextProgress = startedAt + progressInterval;
+    const auto total = static_cast<std::uint64_t>(options.rate * static_cast<double>(options.span.count()));
+    asio::steady_timer timer(run.context);
+    for (; run.started < total; ++run.started) {
+        const auto due = startedAt
+            + std::chrono::duration_cast<clock::duration>(
+                             std::chrono::duration<double>(static_cast<double>(run.started) / options.rate));
+        if (due > clock::now()) {
+            timer.expires_at(due);
+            error_code code;
+            co_await timer.async_wait(reporting(code));
+        }
+        const bool order = std::uniform_real_distribution<>(0, 1)(run.random) < options.orderShare;
+        const auto key = "k" + std::to_string(run.random() % options.keys);
+        const auto id = std::to_string(options.seed) + "-" + std::to_string(run.started);
+        ++run.open;
+        asio::co_spawn(run.context,
+                       oneRequest(run, order, key, id, options.callers[run.started % options.callers.size()]),
+                       asio::detached);
+        if (options.progress && clock::now() >= nextProgress) {
+            nextProgress += progressInterval;
+            std::cerr << "started " << run.started << " of " << total << ", under way " << run.open << "\n";
+        }
+    }
+}
+
+double percentile(const std::vector<double> &sorted, double share)
+{
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto at = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return sorted[std::min(at, sorted.size() - 1)];
+}
+
+json toJson(const load_figures &figures)
+{
+    return {{"answered", figures.answered},
+            {"not_run", figures.notRun},
+            {"unknown", figures.unknown},
+            {"broken", figures.broken},
+            {"p50_ms", percentile(figures.latenciesMs, 0.5)},
+            {"p99_ms", percentile(figures.latenciesMs, 0.99)},
+            {"p999_ms", percentile(figures.latenciesMs, 0.999)}};
+}
+
+} // namespace
+
+load_result runLoad(const load_options &options)
+{
+    load_run run{options};
+    run.random.seed(options.seed);
+    if (!options.history.empty()) {
+        run.history.open(options.history);
+    }
+    const auto startedAt = clock::now();
+    asio::co_spawn(run.context, startRequests(run), asio::detached);
+    run.context.run();
+    run.result.seconds = std::chrono::duration<double>(clock::now() - startedAt).count();
+    std::sort(run.result.lookups.latenciesMs.begin(), run.result.lookups.latenciesMs.end());
+    std::sort(run.result.orders.latenciesMs.begin(), run.result.orders.latenciesMs.end());
+    return std::move(run.result);
+}
+
+std::string formatLoad(const load_result &result)
+{
+    return json{{"lookups", toJson(result.lookups)}, {"orders", toJson(result.orders)}, {"seconds", result.seconds}}
+        .dump();
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/apps/quetzalspool/main.cpp
@@ -0,0 +1,120 @@
+/** @file main.cpp The operators' client. */
+#include "client_type.h"
+#include "load_type.h"
+#include "settings_type.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+namespace {
+
+using namespace quetzalspool;
+
+constexpr const char *description =
+    "Operates quetzalspool through the admin port of any daemon.\n"
+    "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | status | "
+    "measures | drain INSTANCE | audit | check SETTINGS | load HOST:PORT...\n"
+    "Exit codes: 0 done, 1 failed, 2 usage or bad file, 3 refused, 4 not yet everywhere or waits for approval, "
+    "5 unclear.";
+
+std::string fromEnvironment(const char *name, const char *fallback)
+{
+    const char *value = std::getenv(name);
+    return value == nullptr ? fallback : value;
+}
+
+/** Runs `load` with the caller ports named on the command line. */
+int load(load_options options, const std::vector<std::string> &words)
+{
+    for (std::size_t at = 1; at < words.size(); ++at) {
+        const auto to = parseEndpoint(words[at]);
+        if (!to) {
+            std::cerr << "quetzalspool: load: " << words[at] << " is no IP address and port\n";
+            return exit_usage;
+        }
+        options.callers.push_back(*to);
+    }
+    if (options.callers.empty()) {
+        std::cerr << "quetzalspool: load: a caller port is expected\n";
+        return exit_usage;
+    }
+    const auto result = runLoad(options);
+    std::cout << formatLoad(result) << "\n";
+    return result.lookups.broken + result.orders.broken > 0 ? exit_failed : exit_good;
+}
+
+} // namespace
+
+/**
+ * Reads the command line and runs the command.
+ * @param argc Number of arguments.
+ * @param argv Arguments.
+ * @return Exit code as the description lists them.
+ */
+int main(int argc, char **argv)
+{
+    TCLAP::CmdLine line(description, ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> daemon("d", "daemon", "Admin port of any daemon (or QUETZALSPOOL_DAEMON).", false,
+                                        fromEnvironment("QUETZALSPOOL_DAEMON", "127.0.0.1:7003"), "HOST:PORT", line);
+    TCLAP::ValueArg<std::string> name("o", "operator", "Operator (or QUETZALSPOOL_OPERATOR).", false,
+                                      fromEnvironment("QUETZALSPOOL_OPERATOR", ""), "NAME", line);
+    TCLAP::ValueArg<std::string> key("k", "key-file", "File with the operator's key (or QUETZALSPOOL_KEY).", false, "",
+                                     "FILE", line);
+    TCLAP::ValueArg<std::string> reason("m", "reason", "Why something is changed.", false, "", "TEXT", line);
+    TCLAP::SwitchArg asJson("j", "json", "Print JSON.", line);
+    TCLAP::SwitchArg wait("w", "wait", "apply: wait until every daemon has the change.", line);
+    TCLAP::SwitchArg dryRun("n", "dry-run", "apply: show the difference only.", line);
+    TCLAP::SwitchArg yes("y", "yes", "apply: do not ask.", line);
+    TCLAP::ValueArg<double> rate("", "rate", "load: requests a second.", false, 100, "N", line);
+    TCLAP::ValueArg<int> seconds("", "seconds", "load: how long.", false, 5, "S", line);
+    TCLAP::ValueArg<std::string> path("", "path", "load: path of lookups, with {key}.", false, "/formulas/{key}",
+                                      "PATH", line);
+    TCLAP::ValueArg<std::string> orderPath("", "order-path", "load: path of orders.", false, "", "PATH", line);
+    TCLAP::ValueArg<double> orders("", "orders", "load: share of orders, 0 to 1.", false, 0, "SHARE", line);
+    TCLAP::ValueArg<int> keys("", "keys", "load: number of keys.", false, 1000, "N", line);
+    TCLAP::ValueArg<int> seed("", "seed", "load: seed.", false, 1, "N", line);
+    TCLAP::ValueArg<std::string> history("", "history", "load: file for a JSON line per request.", false, "", "FILE",
+                                         line);
+    TCLAP::UnlabeledMultiArg<std::string> words("command", "Command and its arguments.", true, "COMMAND", line);
+    line.parse(argc, argv);
+
+    if (words.getValue().front() == "load") {
+        load_options options;
+        options.rate = rate.getValue();
+        options.span = std::chrono::seconds(seconds.getValue());
+        options.path = path.getValue();
+        options.orderPath = orderPath.getValue();
+        options.orderShare = orders.getValue();
+        options.keys = static_cast<std::uint64_t>(std::max(1, keys.getValue()));
+        options.seed = static_cast<std::uint64_t>(seed.getValue());
+        options.history = history.getValue();
+        options.progress = !asJson.getValue();
+        return load(options, words.getValue());
+    }
+    client_options options;
+    const auto at = parseEndpoint(daemon.getValue());
+    if (!at) {
+        std::cerr << "quetzalspool: --daemon must be an IP address and a port\n";
+        return exit_usage;
+    }
+    options.daemon = *at;
+    options.operatorName = name.getValue();
+    options.key = fromEnvironment("QUETZALSPOOL_KEY", "");
+    if (!key.getValue().empty()) {
+        last_reason why;
+        const auto text = readFile(key.getValue(), why);
+        if (!text) {
+            std::cerr << "quetzalspool: " << describe(why) << "\n";
+            return exit_usage;
+        }
+        options.key = text->substr(0, text->find('\n'));
+    }
+    options.reason = reason.getValue();
+    options.json = asJson.getValue();
+    options.wait = wait.getValue();
+    options.dryRun = dryRun.getValue();
+    options.yes = yes.getValue();
+    options.words = words.getValue();
+    return runCommand(options);
+}
--- a/packages/base/src/base_type.h
+++ b/packages/base/src/base_type.h
@@ -14,7 +14,7 @@
 namespace quetzalspool {
 
 /** A distinct type around a plain value, so that one kind of identifier is never passed for another. */
-template<typename Tag, typename Value>
+template <typename Tag, typename Value>
 struct strong_id
 {
     Value value{}; ///< The plain value.
@@ -28,7 +28,7 @@
  * @param id Identifier.
  * @return The stream.
  */
-template<typename Tag, typename Value>
+template <typename Tag, typename Value>
 std::ostream &operator<<(std::ostream &out, const strong_id<Tag, Value> &id)
 {
     return out << id.value;
@@ -102,7 +102,7 @@
 
 } // namespace quetzalspool
 
-template<typename Tag, typename Value>
+template <typename Tag, typename Value>
 struct std::hash<quetzalspool::strong_id<Tag, Value>>
 {
     /**
--- /dev/null
+++ b/packages/base/src/toml_reader.h
@@ -0,0 +1,155 @@
+/** @file toml_reader.h Checked reading of TOML tables, with reasons that name file and line. */
+#ifndef TOML_READER_H
+#define TOML_READER_H
+
+#include "base_type.h"
+
+#include <set>
+#include <toml++/toml.h>
+#include <vector>
+
+namespace quetzalspool {
+
+/** Reads the members of one TOML table and notes the first thing that is wrong. */
+struct toml_reader
+{
+    const toml::table &table; ///< Table being read.
+    std::string file; ///< Name of the file, for reasons.
+    last_reason &why; ///< Receives the first reason.
+    bool good = true; ///< Whether nothing was wrong so far.
+    std::set<std::string> known; ///< Members asked for.
+};
+
+/**
+ * Notes that something is wrong, unless something was before.
+ * @param reader Reader.
+ * @param at Where in the file.
+ * @param text What was expected.
+ */
+inline void refuse(toml_reader &reader, const toml::source_region &at, const std::string &text)
+{
+    if (reader.good) {
+        reader.good = false;
+        failed(reader.why, "check", reader.file + ":" + std::to_string(at.begin.line), text);
+    }
+}
+
+/**
+ * Reads a member of a given type.
+ * @param reader Reader.
+ * @param name Member.
+ * @param expected Words for the type, for reasons.
+ * @param fallback Value if the member is absent and not required.
+ * @param required Whether it must be present.
+ * @return The value.
+ */
+template <typename Value>
+Value readMember(toml_reader &reader, const std::string &name, const char *expected, Value fallback, bool required)
+{
+    reader.known.insert(name);
+    const auto *node = reader.table.get(name);
+    if (node == nullptr) {
+        if (required) {
+            refuse(reader, reader.table.source(), "\"" + name + "\" is required: " + expected);
+        }
+        return fallback;
+    }
+    const auto value = node->value_exact<Value>();
+    if (!value) {
+        refuse(reader, node->source(), "\"" + name + "\" must be " + expected);
+        return fallback;
+    }
+    return *value;
+}
+
+/**
+ * Reads a string.
+ * @param reader Reader.
+ * @param name Member.
+ * @param fallback Value if absent; empty optional if it is required.
+ * @return The value.
+ */
+inline std::string readString(toml_reader &reader, const std::string &name, std::optional<std::string> fallback = {})
+{
+    return readMember<std::string>(reader, name, "a string", fallback.value_or(""), !fallback.has_value());
+}
+
+/**
+ * Reads a truth value.
+ * @param reader Reader.
+ * @param name Member.
+ * @param fallback Value if absent.
+ * @return The value.
+ */
+inline bool readBool(toml_reader &reader, const std::string &name, bool fallback)
+{
+    return readMember<bool>(reader, name, "true or false", fallback, false);
+}
+
+/**
+ * Reads a whole number within bounds.
+ * @param reader Reader.
+ * @param name Member.
+ * @param least Least value allowed.
+ * @param most Greatest value allowed.
+ * @param fallback Value if absent; empty optional if it is required.
+ * @return The value.
+ */
+inline std::int64_t readNumber(toml_reader &reader, const std::string &name, std::int64_t least, std::int64_t most,
+                               std::optional<std::int64_t> fallback = {})
+{
+    const auto range = std::to_string(least) + " to " + std::to_string(most);
+    const auto value = readMember<std::int64_t>(reader, name, ("a whole number from " + range).c_str(),
+                                                fallback.value_or(least), !fallback.has_value());
+    if (value < least || value > most) {
+        refuse(reader, reader.table.get(name) == nullptr ? reader.table.source() : reader.table.get(name)->source(),
+               "\"" + name + "\" must be from " + range);
+        return least;
+    }
+    return value;
+}
+
+/**
+ * Reads a list of strings.
+ * @param reader Reader.
+ * @param name Member.
+ * @param fallback Value if absent.
+ * @return The value.
+ */
+inline std::vector<std::string> readStrings(toml_reader &reader, const std::string &name,
+                                            std::vector<std::string> fallback = {})
+{
+    reader.known.insert(name);
+    const auto *node = reader.table.get(name);
+    if (node == nullptr) {
+        return fallback;
+    }
+    std::vector<std::string> values;
+    const auto *list = node->as_array();
+    for (std::size_t index = 0; list != nullptr && index < list->size(); ++index) {
+        if (const auto value = (*list)[index].value_exact<std::string>()) {
+            values.push_back(*value);
+        }
+    }
+    if (list == nullptr || values.size() != list->size()) {
+        refuse(reader, node->source(), "\"" + name + "\" must be a list of strings");
+    }
+    return values;
+}
+
+/**
+ * Refuses members that nobody asked for.
+ * @param reader Reader, after all members were read.
+ */
+inline void refuseUnknown(toml_reader &reader)
+{
+    for (const auto &[name, node] : reader.table) {
+        if (!reader.known.contains(std::string(name.str()))) {
+            refuse(reader, name.source(), "unknown key \"" + std::string(name.str()) + "\"");
+        }
+    }
+}
+
+} // namespace quetzalspool
+
+#endif // TOML_READER_H
--- a/packages/charts/src/chart_type.h
+++ b/packages/charts/src/chart_type.h
@@ -27,7 +27,8 @@
 };
 
 /** The embedded chart files. */
-enum class chart_file {
+enum class chart_file
+{
     outcome, ///< Outcome of one request.
     member, ///< Life of a member of a cell.
     reassignment, ///< Ending a silent member's term.
--- /dev/null
+++ b/packages/daemon/src/admin.cpp
@@ -0,0 +1,328 @@
+/** @file admin.cpp The HTTP end for operators, metrics and the target beside the daemon. */
+#include "admin.h"
+
+#include "catalog_func.h"
+#include "control.h"
+#include "edits.h"
+#include "lease_func.h"
+#include "placement_func.h"
+#include "record_func.h"
+#include "routing_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds askTimeout{800}; ///< Bound on asking another daemon's admin port.
+
+/** Reads one parameter of a query. */
+std::string queryOf(const std::string &path, const std::string &name)
+{
+    auto at = path.find('?');
+    while (at != std::string::npos) {
+        const auto end = path.find('&', at + 1);
+        const auto pair = path.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+        if (pair.starts_with(name + "=")) {
+            return pair.substr(name.size() + 1);
+        }
+        at = end;
+    }
+    return {};
+}
+
+http_reply announceTarget(control_state &control, const std::string &body)
+{
+    const auto from = json::parse(body, nullptr, false);
+    target_facts facts;
+    try {
+        facts.pool.value = from.at("pool").get<std::string>();
+        const auto address = parseEndpoint(from.at("address").get<std::string>());
+        if (!address) {
+            return jsonReply(400, R"({"reason":"address must be an IP address and a port"})");
+        }
+        facts.address = *address;
+        facts.slots = from.at("slots");
+        facts.connections = from.at("connections");
+        facts.checksGrants = from.value("checks_grants", false);
+    } catch (const json::exception &error) {
+        return jsonReply(400, json{{"reason", error.what()}}.dump());
+    }
+    takeAnnouncement(control, facts, clock::now());
+    return jsonReply(200, "{}");
+}
+
+/** What one daemon says about itself. */
+json selfStatus(control_state &control)
+{
+    const auto &cell = ownCell(control);
+    const auto view = control.shared->routing.load();
+    const auto now = clock::now();
+    const auto lease = std::chrono::duration_cast<milliseconds>(cell.lease.validUntil - now).count();
+    return {{"instance", control.shared->settings.instance.value},
+            {"state", embeddedChart(chart_file::member).states[cell.life]},
+            {"tables_revision", view->tables.value},
+            {"documents", control.catalog.documents.size()},
+            {"summary", std::to_string(summaryOf(control.catalog))},
+            {"slots_owned", control.publishedSlots.size()},
+            {"lease_ms", std::max<std::int64_t>(lease, 0)},
+            {"store_went_back", control.store.restored},
+            {"watching", control.watching}};
+}
+
+json membersToJson(const routing_view &view)
+{
+    auto list = json::array();
+    for (const auto &entry : view.cells) {
+        for (const auto &member : entry.second->members) {
+            std::size_t owned = 0;
+            for (const auto &pool : entry.second->pools) {
+                for (const auto &owner : pool.second.owners) {
+                    owned += owner.member >= 0
+                            && entry.second->members[static_cast<std::size_t>(owner.member)].id == member.id
+                        ? 1
+                        : 0;
+                }
+            }
+            list.push_back({{"instance", member.id.value},
+                            {"cell", entry.first.value},
+                            {"region", member.region.value},
+                            {"failure_domain", member.domain.value},
+                            {"pool", member.target.pool.value},
+                            {"term", member.term.value},
+                            {"leaving", member.leaving},
+                            {"slots_owned", owned},
+                            {"admin", member.at.host + ":" + std::to_string(member.at.admin)}});
+        }
+    }
+    return list;
+}
+
+json cellsToJson(control_state &control)
+{
+    auto list = json::array();
+    for (const auto &[key, known] : control.catalog.documents) {
+        last_reason why;
+        if (!key.starts_with("cells/")) {
+            continue;
+        }
+        if (const auto record = parseRecord(*known.value, why)) {
+            auto voters = json::array();
+            for (const auto &voter : record->voters) {
+                voters.push_back(voter.id.value);
+            }
+            list.push_back({{"cell", record->id.value},
+                            {"revision", known.revision.value},
+                            {"config", record->config.value},
+                            {"members", record->members.size()},
+                            {"voters", voters},
+                            {"voters_changing", !record->previousVoters.empty()}});
+        }
+    }
+    return list;
+}
+
+/** Asks one daemon for its own status; the reason stands in place of it if it does not answer. */
+asio::awaitable<json> askStatus(std::shared_ptr<http_pool> pool, endpoint at, std::string instance)
+{
+    last_reason why;
+    http_request request{"GET", "/v1/self", {}, ""};
+    const auto reply = co_await exchange(pool, at, std::move(request), askTimeout, why);
+    json status{{"instance", instance}, {"state", "unanswered"}, {"reason", describe(why)}};
+    if (reply) {
+        status = json::parse(reply->body, nullptr, false);
+    }
+    co_return status;
+}
+
+/** Asks all daemons at once. */
+asio::awaitable<json> askAll(control_state &control)
+{
+    const auto view = control.shared->routing.load();
+    auto answers = std::make_shared<json>(json::array());
+    auto open = std::make_shared<std::size_t>(0);
+    const auto pool = control.store.pool;
+    for (const auto &entry : view->cells) {
+        for (const auto &member : entry.second->members) {
+            if (member.id == control.shared->settings.instance) {
+                answers->push_back(selfStatus(control));
+                continue;
+            }
+            ++*open;
+            auto ask = [answers, open, pool](endpoint at, std::string instance) -> asio::awaitable<void> {
+                auto status = co_await askStatus(pool, at, instance);
+                answers->push_back(std::move(status));
+                --*open;
+            };
+            asio::co_spawn(
+                control.context,
+                [ask, at = endpoint{member.at.host, member.at.admin}, instance = member.id.value] {
+                    return ask(at, instance);
+                },
+                asio::detached);
+        }
+    }
+    while (*open > 0) {
+        co_await sleepFor(milliseconds(5));
+    }
+    co_return *answers;
+}
+
+asio::awaitable<http_reply> statusReply(control_state &control)
+{
+    auto daemons = co_await askAll(control);
+    const auto view = control.shared->routing.load();
+    auto lagging = json::array();
+    for (const auto &status : daemons) {
+        if (status.value("tables_revision", std::int64_t(-1)) < view->tables.value) {
+            lagging.push_back(status.value("instance", ""));
+        }
+    }
+    co_return jsonReply(200,
+                        json{{"tables_revision", view->tables.value},
+                             {"instances", membersToJson(*view)},
+                             {"cells", cellsToJson(control)},
+                             {"daemons", std::move(daemons)},
+                             {"lagging", lagging}}
+                            .dump());
+}
+
+http_reply showReply(control_state &control)
+{
+    auto rows = json::array();
+    for (const auto &[key, known] : control.catalog.documents) {
+        auto row = json::parse(*known.value, nullptr, false);
+        if (!key.starts_with("cells/") && !row.value("removed", false)) {
+            rows.push_back({{"key", key}, {"revision", known.revision.value}, {"row", std::move(row)}});
+        }
+    }
+    return jsonReply(200, rows.dump());
+}
+
+http_reply ownerReply(control_state &control, const std::string &path)
+{
+    const auto view = control.shared->routing.load();
+    const pool_id name{queryOf(path, "pool")};
+    const auto key = queryOf(path, "key");
+    const auto pool = view->pools.find(name);
+    if (pool == view->pools.end() || !pool->second.row.keyed) {
+        return jsonReply(404, R"({"reason":"no such pool, or it is not divided by key"})");
+    }
+    const auto slot = slotOf(key, pool->second.row.slots);
+    const auto owner = findOwner(*view, name, slot);
+    json body{{"pool", name.value}, {"key", key}, {"slot", slot.value}, {"owner", nullptr}};
+    if (owner) {
+        body["owner"] = owner->member->id.value;
+        body["fence"] = owner->fence.value;
+        body["revision"] = owner->revision.value;
+        body["failure_domain"] = owner->member->domain.value;
+        body["callers"] = owner->member->at.host + ":" + std::to_string(owner->member->at.callers);
+    }
+    return jsonReply(200, body.dump());
+}
+
+http_reply measuresReply(control_state &control)
+{
+    auto pools = json::array();
+    for (const auto &[key, known] : control.catalog.documents) {
+        last_reason why;
+        if (!key.starts_with("cells/")) {
+            continue;
+        }
+        const auto record = parseRecord(*known.value, why);
+        for (const auto &[pool, slots] : record ? record->pools : decltype(record->pools)()) {
+            std::size_t unowned = 0;
+            for (const auto &slot : slots) {
+                unowned += findMember(*record, slot.owner) == nullptr ? 1 : 0;
+            }
+            pools.push_back({{"cell", record->id.value},
+                             {"pool", pool.value},
+                             {"slots", slots.size()},
+                             {"unowned", unowned},
+                             {"imbalance", imbalanceOf(record->members, pool, slots)}});
+        }
+    }
+    return jsonReply(200, pools.dump());
+}
+
+/** Asks the daemon beside an instance to leave. */
+asio::awaitable<http_reply> drainReply(control_state &control, std::string body)
+{
+    const auto from = json::parse(body, nullptr, false);
+    const auto name = from.is_object() ? from.value("instance", "") : std::string();
+    const auto view = control.shared->routing.load();
+    for (const auto &entry : view->cells) {
+        for (const auto &member : entry.second->members) {
+            if (member.id.value != name) {
+                continue;
+            }
+            last_reason why;
+            const endpoint at{member.at.host, member.at.admin};
+            http_request request{"POST", "/v1/leave", {}, "{}"};
+            const auto reply = co_await exchange(control.store.pool, at, std::move(request), askTimeout, why);
+            co_return reply ? *reply : jsonReply(504, json{{"reason", describe(why)}}.dump());
+        }
+    }
+    co_return jsonReply(404, R"({"reason":"no such instance"})");
+}
+
+http_reply leaveReply(control_state &control)
+{
+    beginLeaving(control);
+    return jsonReply(200, R"({"state":"leaving"})");
+}
+
+} // namespace
+
+asio::awaitable<http_reply> answerAdmin(control_state &control, http_request request)
+{
+    const auto path = request.path.substr(0, request.path.find('?'));
+    const bool post = request.method == "POST";
+    if (post && path == "/v1/announce") {
+        co_return announceTarget(control, request.body);
+    }
+    if (path == "/v1/self") {
+        co_return jsonReply(200, selfStatus(control).dump());
+    }
+    if (path == "/v1/status") {
+        co_return co_await statusReply(control);
+    }
+    if (path == "/v1/show") {
+        co_return showReply(control);
+    }
+    if (path == "/v1/owner") {
+        co_return ownerReply(control, request.path);
+    }
+    if (path == "/v1/measures") {
+        co_return measuresReply(control);
+    }
+    if (path == "/v1/audit") {
+        co_return co_await listStored(control, "audit/");
+    }
+    if (path == "/v1/proposals") {
+        co_return co_await listStored(control, "proposals/");
+    }
+    if (post && path == "/v1/apply") {
+        co_return co_await applyEdit(control, std::move(request.body));
+    }
+    if (post && path == "/v1/approve") {
+        co_return co_await approveEdit(control, std::move(request.body));
+    }
+    if (post && path == "/v1/drain") {
+        co_return co_await drainReply(control, std::move(request.body));
+    }
+    if (post && path == "/v1/leave") {
+        co_return leaveReply(control);
+    }
+    if (path == "/metrics") {
+        co_return http_reply{
+            200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics(*control.shared->numbers)};
+    }
+    co_return jsonReply(404, R"({"reason":"no such path"})");
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/caller_request.cpp
@@ -0,0 +1,124 @@
+/** @file caller_request.cpp Checking a caller's request against its route. */
+#include "caller_request.h"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/ip/network_v4.hpp>
+#include <boost/asio/ip/network_v6.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::size_t maxKeyBytes = 512;
+constexpr std::size_t maxIdBytes = 128;
+
+int hexDigit(char c)
+{
+    if (c >= '0' && c <= '9') {
+        return c - '0';
+    }
+    const char low = static_cast<char>(c | 0x20);
+    return low >= 'a' && low <= 'f' ? low - 'a' + 10 : -1;
+}
+
+/** The segment of a path with an index, without the query. */
+std::optional<std::string_view> segmentOf(std::string_view path, std::uint32_t index)
+{
+    path = path.substr(0, path.find('?'));
+    for (std::uint32_t at = 0; !path.empty(); ++at) {
+        path.remove_prefix(1);
+        const auto end = std::min(path.find('/'), path.size());
+        if (at == index) {
+            return path.substr(0, end);
+        }
+        path.remove_prefix(end);
+    }
+    return std::nullopt;
+}
+
+bool inNetwork(const asio::ip::address &address, const std::string &network)
+{
+    error_code code;
+    const bool whole = network.find('/') == std::string::npos;
+    if (address.is_v4()) {
+        const auto net = asio::ip::make_network_v4(whole ? network + "/32" : network, code);
+        return !code && asio::ip::network_v4(address.to_v4(), net.prefix_length()).canonical() == net.canonical();
+    }
+    const auto net = asio::ip::make_network_v6(whole ? network + "/128" : network, code);
+    return !code && asio::ip::network_v6(address.to_v6(), net.prefix_length()).canonical() == net.canonical();
+}
+
+} // namespace
+
+std::optional<std::string> percentDecode(std::string_view text)
+{
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        if (text[at] != '%') {
+            out += text[at];
+            continue;
+        }
+        if (at + 2 >= text.size() || hexDigit(text[at + 1]) < 0 || hexDigit(text[at + 2]) < 0) {
+            return std::nullopt;
+        }
+        out += static_cast<char>(hexDigit(text[at + 1]) * 16 + hexDigit(text[at + 2]));
+        at += 2;
+    }
+    return out;
+}
+
+std::optional<std::string> findKey(const route_row &route, const http_request &request, caller_refusal &refused)
+{
+    if (route.keyFrom == key_source::none) {
+        return std::string();
+    }
+    std::optional<std::string> key;
+    if (route.keyFrom == key_source::header) {
+        key = headerOf(request.headers, route.keyHeader);
+    } else if (const auto segment = segmentOf(request.path, route.keySegment)) {
+        key = percentDecode(*segment);
+    }
+    if (!key || key->empty() || key->size() > maxKeyBytes) {
+        refused = {400, "missing-or-bad-key"};
+        return std::nullopt;
+    }
+    return key;
+}
+
+bool mayUse(const route_row &route, const std::string &address)
+{
+    error_code code;
+    const auto from = asio::ip::make_address(address, code);
+    return route.callers.empty()
+        || (!code && std::any_of(route.callers.begin(), route.callers.end(), [&](const auto &network) {
+               return inNetwork(from, network);
+           }));
+}
+
+routed_request makeRouted(const route_row &route, http_request http, std::string key, const std::string &freshId,
+                          steady_time now)
+{
+    routed_request request;
+    const auto &methods = route.idempotentMethods;
+    request.idempotent = std::find(methods.begin(), methods.end(), http.method) != methods.end();
+    request.kind = request.idempotent ? request_class::lookup : route.kind;
+    request.pool = route.pool;
+    request.key = std::move(key);
+    auto deadline = route.deadline;
+    const auto wanted = std::atoll(headerOf(http.headers, "Quetzalspool-Deadline-Ms").c_str());
+    if (wanted > 0) {
+        deadline = std::min(deadline, milliseconds(wanted));
+    }
+    request.deadline = now + deadline;
+    auto id = headerOf(http.headers, "Quetzalspool-Request-Id");
+    id = id.empty() ? headerOf(http.headers, "Idempotency-Key") : id;
+    const bool given = !id.empty() && id.size() <= maxIdBytes;
+    request.id = given ? request.pool.value + "/" + request.key + "/" + id : freshId;
+    std::erase_if(http.headers,
+                  [](const auto &header) { return boost::algorithm::istarts_with(header.first, "quetzalspool-"); });
+    request.http = std::move(http);
+    return request;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/control.cpp
@@ -0,0 +1,298 @@
+/** @file control.cpp The control thread: time, datagrams, actions of cells. */
+#include "control.h"
+
+#include "admission_func.h"
+#include "cell_func.h"
+#include "log_func.h"
+#include "record_func.h"
+#include "spread.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds tickInterval{20}; ///< Between two ticks of the cells.
+constexpr milliseconds targetSilence{6000}; ///< A target that announces nothing for this long is gone.
+
+void act(control_state &control, const cell_id & /*cell*/, send_action &send)
+{
+    sendDatagram(control, send.to, send.message);
+}
+
+void act(control_state &control, const cell_id &cell, write_action &write)
+{
+    asio::co_spawn(control.context, writeRecord(control, cell, std::move(write)), asio::detached);
+}
+
+void act(control_state &control, const cell_id &cell, read_action & /*read*/)
+{
+    asio::co_spawn(control.context, readRecord(control, cell), asio::detached);
+}
+
+void act(control_state &control, const cell_id & /*cell*/, close_action &close)
+{
+    const std::lock_guard lock(control.shared->admission.mutex);
+    closeSlot(control.shared->admission.admission, close.slot);
+    control.closing.push_back(close.slot);
+}
+
+/** Reports slots that have no request in flight any more. */
+void reportDrained(control_state &control)
+{
+    std::vector<fenced_slot> drained;
+    {
+        const std::lock_guard lock(control.shared->admission.mutex);
+        std::erase_if(control.closing, [&](const auto &slot) {
+            const bool done = isDrained(control.shared->admission.admission, slot);
+            if (done) {
+                drained.push_back(slot);
+            }
+            return done;
+        });
+    }
+    for (const auto &slot : drained) {
+        auto &cell = ownCell(control);
+        perform(control, cell.id, takeDrained(cell, slot));
+    }
+}
+
+void setControlGauges(control_state &control)
+{
+    auto &numbers = *control.shared->numbers;
+    setGauge(numbers, "control_datagrams_sent", static_cast<double>(control.datagramsSent));
+    setGauge(numbers, "control_datagrams_received", static_cast<double>(control.datagramsReceived));
+    setGauge(numbers, "control_datagram_bytes", static_cast<double>(control.datagramBytes));
+    setGauge(numbers, "control_stream_bytes", static_cast<double>(bytesCarried(*control.peers)));
+    setGauge(numbers, "store_calls", static_cast<double>(control.store.calls));
+    setGauge(numbers, "store_went_back", control.store.restored ? 1 : 0);
+    setGauge(numbers, "documents", static_cast<double>(control.catalog.documents.size()));
+    setGauge(numbers, "slots_owned", static_cast<double>(control.publishedSlots.size()));
+    setGauge(numbers, "link_body_bytes", static_cast<double>(control.shared->linkBytes.load()));
+}
+
+asio::awaitable<void> tickLoop(control_state &control)
+{
+    asio::steady_timer timer(control.context);
+    for (;;) {
+        const auto now = clock::now();
+        for (auto &[id, cell] : control.cells) {
+            perform(control, id, tick(cell, now));
+        }
+        reportDrained(control);
+        publishOwnership(control);
+        advanceGate(control.shared->admission, now);
+        gossip(control, now);
+        if (control.targetHeard != steady_time{} && now - control.targetHeard > targetSilence) {
+            logEvent(log_level::warn, "target-silent");
+            takeAnnouncement(control, {}, steady_time{});
+        }
+        setControlGauges(control);
+        timer.expires_after(tickInterval);
+        error_code code;
+        co_await timer.async_wait(reporting(code));
+    }
+}
+
+/** The cell that a message is about, or null if this daemon has no part in it. */
+cell_state *cellOf(control_state &control, const control_message &message)
+{
+    return std::visit(
+        [&](const auto &typed) -> cell_state * {
+            if constexpr (requires { typed.cell; }) {
+                const auto found = control.cells.find(typed.cell);
+                return found == control.cells.end() ? nullptr : &found->second;
+            } else {
+                return nullptr;
+            }
+        },
+        message);
+}
+
+/** A lagging record shows in a renewal or vouch: the other daemon has a newer one. */
+void noteKnown(control_state &control, const cell_state &cell, const control_message &message, const endpoint &from)
+{
+    revision_number known;
+    if (const auto *renewal = std::get_if<renew_message>(&message)) {
+        known = renewal->known;
+    } else if (const auto *vouch = std::get_if<vouch_message>(&message)) {
+        known = vouch->known;
+    }
+    if (known > cell.stored.revision) {
+        takeAnnounce(control, {{}, "cells/" + cell.id.value, known}, from);
+    }
+}
+
+void takeDatagram(control_state &control, std::string_view bytes, const endpoint &from)
+{
+    ++control.datagramsReceived;
+    control.datagramBytes += bytes.size();
+    last_reason why;
+    const auto message = decodeMessage(bytes, why);
+    if (!message) {
+        logEvent(log_level::debug, "bad-datagram", {{"peer", toString(from)}, {"reason", why.text}});
+        return;
+    }
+    if (const auto *announce = std::get_if<announce_message>(&*message)) {
+        takeAnnounce(control, *announce, from);
+    } else if (const auto *digest = std::get_if<digest_message>(&*message)) {
+        takeDigest(control, *digest, from);
+    } else if (auto *cell = cellOf(control, *message)) {
+        noteKnown(control, *cell, *message, from);
+        perform(control, cell->id, takeMessage(*cell, *message, from, clock::now()));
+        publishOwnership(control);
+    }
+}
+
+asio::awaitable<void> receiveLoop(control_state &control)
+{
+    for (;;) {
+        udp::endpoint from;
+        error_code code;
+        const auto length =
+            co_await control.socket.async_receive_from(asio::buffer(control.received), from, reporting(code));
+        if (code == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!code) {
+            takeDatagram(control, {control.received.data(), length}, {from.address().to_string(), from.port()});
+        }
+    }
+}
+
+cell_member makeSelf(const daemon_shared &shared)
+{
+    cell_member self;
+    self.id = shared.settings.instance;
+    self.incarnation = shared.incarnation;
+    self.region = shared.settings.region;
+    self.domain = shared.settings.domain;
+    self.at = {shared.settings.host, shared.settings.callersPort, shared.settings.peersPort, shared.settings.adminPort};
+    return self;
+}
+
+/** Grace of a pool's new owner, for targets that check no grants. */
+milliseconds graceOf(const control_state &control)
+{
+    if (control.shared->admission.checksGrants) {
+        return milliseconds(0);
+    }
+    const auto view = control.shared->routing.load();
+    const auto &cell = control.cells.at(control.shared->settings.cell);
+    const auto pool = view->pools.find(cell.self.target.pool);
+    return pool == view->pools.end() ? milliseconds(0) : pool->second.row.takeoverGrace;
+}
+
+} // namespace
+
+bool startControl(control_state &control, last_reason &why)
+{
+    const auto &settings = control.shared->settings;
+    control.startedAt = clock::now();
+    control.store = makeStoreClient(settings.store);
+    control.peers = makePeerClient(control.context.get_executor());
+    const auto at = resolved<udp>({settings.host, settings.peersPort});
+    error_code code;
+    control.socket.open(at.protocol(), code);
+    if (!code) {
+        control.socket.bind(at, code);
+    }
+    if (code) {
+        failed(why, "bind the control socket", settings.host + ":" + std::to_string(settings.peersPort),
+               code.message());
+        return false;
+    }
+    control.cells.emplace(settings.cell,
+                          startCell(settings.cell, makeSelf(*control.shared), true, {}, control.startedAt));
+    asio::co_spawn(control.context, receiveLoop(control), asio::detached);
+    asio::co_spawn(control.context, tickLoop(control), asio::detached);
+    asio::co_spawn(control.context, loadDocuments(control), asio::detached);
+    asio::co_spawn(control.context, watchStore(control), asio::detached);
+    return true;
+}
+
+cell_state &ownCell(control_state &control)
+{
+    return control.cells.at(control.shared->settings.cell);
+}
+
+void perform(control_state &control, const cell_id &cell, cell_actions actions)
+{
+    for (auto &action : actions) {
+        std::visit([&](auto &typed) { act(control, cell, typed); }, action);
+    }
+}
+
+void sendDatagram(control_state &control, const endpoint &to, const control_message &message)
+{
+    const auto bytes = encodeMessage(message);
+    error_code code;
+    // A datagram that can't be sent at once is lost like any other.
+    control.socket.send_to(asio::buffer(bytes), resolved<udp>(to), 0, code);
+    ++control.datagramsSent;
+    control.datagramBytes += bytes.size();
+}
+
+void publishOwnership(control_state &control)
+{
+    auto &cell = ownCell(control);
+    auto &at = control.shared->admission;
+    auto served = servedSlots(cell);
+    const auto grace = graceOf(control);
+    const std::lock_guard lock(at.mutex);
+    at.admission.leaseUntil = cell.lease.validUntil;
+    if (served != control.publishedSlots) {
+        setServed(at.admission, served, cell.lease.validUntil, grace, clock::now());
+        control.publishedSlots = std::move(served);
+    }
+}
+
+void takeAnnouncement(control_state &control, const target_facts &facts, steady_time now)
+{
+    auto &cell = ownCell(control);
+    const bool changed = cell.self.target != facts;
+    cell.self.target = facts;
+    control.targetHeard = now;
+    if (!changed) {
+        return;
+    }
+    logEvent(log_level::info, "target-announced",
+             {{"pool", facts.pool.value}, {"target", toString(facts.address)}, {"slots", std::to_string(facts.slots)}});
+    const auto view = control.shared->routing.load();
+    const auto pool = view->pools.find(facts.pool);
+    auto &at = control.shared->admission;
+    const std::lock_guard lock(at.mutex);
+    at.target = facts.address;
+    at.checksGrants = facts.checksGrants;
+    at.admission.hasTarget = !facts.pool.value.empty();
+    at.admission.announcedAt = now;
+    at.admission.limits.concurrency = std::max<std::uint32_t>(1, std::min(facts.slots, facts.connections));
+    if (pool != view->pools.end()) {
+        at.admission.limits.queue = pool->second.row.queue;
+    }
+}
+
+void beginLeaving(control_state &control)
+{
+    if (control.stopping) {
+        return;
+    }
+    control.stopping = true;
+    logEvent(log_level::info, "leaving");
+    {
+        const std::lock_guard lock(control.shared->admission.mutex);
+        control.shared->admission.admission.leaving = true;
+    }
+    requestStop(ownCell(control));
+}
+
+bool hasLeft(const control_state &control)
+{
+    const auto &cell = control.cells.at(control.shared->settings.cell);
+    return embeddedChart(chart_file::member).states[cell.life] == "left";
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/documents.cpp
@@ -0,0 +1,81 @@
+/** @file documents.cpp Exchange of documents between daemons, as MessagePack. */
+#include "documents.h"
+
+#include "catalog_func.h"
+#include "peer_wire.h"
+
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using document_row = std::tuple<std::string, std::int64_t, std::string>; ///< Key, revision, value on the wire.
+
+template <typename Value>
+std::string pack(const Value &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+template <typename Value>
+std::optional<Value> unpack(const std::string &body)
+{
+    try {
+        return msgpack::unpack(body.data(), body.size()).get().as<Value>();
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::optional<std::string> answerDocuments(const catalog_state &catalog, const peer_request &request)
+{
+    if (request.path == comparePath) {
+        const auto buckets = unpack<std::vector<std::uint64_t>>(request.body);
+        return buckets ? std::optional(pack(differing(catalog, *buckets))) : std::nullopt;
+    }
+    const auto keys = unpack<std::vector<std::string>>(request.body);
+    if (request.path != fetchPath || !keys) {
+        return std::nullopt;
+    }
+    std::vector<document_row> rows;
+    for (const auto &key : *keys) {
+        const auto found = catalog.documents.find(key);
+        if (found != catalog.documents.end()) {
+            rows.emplace_back(key, found->second.revision.value, *found->second.value);
+        }
+    }
+    return pack(rows);
+}
+
+peer_request compareRequest(const catalog_state &catalog)
+{
+    return {comparePath, {}, pack(std::vector<std::uint64_t>(catalog.buckets.begin(), catalog.buckets.end()))};
+}
+
+std::vector<std::pair<std::string, std::int64_t>> readComparison(const std::string &body)
+{
+    return unpack<std::vector<std::pair<std::string, std::int64_t>>>(body).value_or(
+        std::vector<std::pair<std::string, std::int64_t>>());
+}
+
+peer_request fetchRequest(const std::vector<std::string> &keys)
+{
+    return {fetchPath, {}, pack(keys)};
+}
+
+std::vector<document> readDocuments(const std::string &body)
+{
+    std::vector<document> documents;
+    for (auto &[key, revision, value] : unpack<std::vector<document_row>>(body).value_or(std::vector<document_row>())) {
+        documents.push_back({key, {revision}, std::make_shared<const std::string>(std::move(value))});
+    }
+    return documents;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/entry.cpp
@@ -0,0 +1,327 @@
+/** @file entry.cpp The end that callers talk to. */
+#include "entry.h"
+
+#include "caller_request.h"
+#include "forward.h"
+#include "http_convert.h"
+#include "log_func.h"
+#include "routing_func.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr std::uint32_t headerLimit = 16 * 1024; ///< Bytes of a caller's headers.
+constexpr std::chrono::seconds idleTimeout{75}; ///< A connection without a request is closed after this long.
+constexpr std::chrono::seconds readTimeout{30}; ///< Bound on receiving one request.
+
+/** One caller's connection. */
+struct caller_connection
+{
+    explicit caller_connection(tcp::socket socket)
+        : stream(std::move(socket))
+    { }
+
+    beast::tcp_stream stream; ///< Transport.
+    beast::flat_buffer buffer; ///< Bytes read ahead.
+    std::string address; ///< IP address of the caller.
+    bool keepAlive = true; ///< Whether another request may follow.
+    bool chunked = false; ///< Whether the present answer is chunked.
+    bool broken = false; ///< Whether an answer broke off or could not be written.
+    bool headOnly = false; ///< Whether the present answer has no body by its method.
+};
+
+/** Whether the caller has closed its end. Looks without reading. */
+bool callerGone(caller_connection &connection)
+{
+    error_code code;
+    char byte = 0;
+    auto &socket = connection.stream.socket();
+    socket.non_blocking(true, code);
+    const auto length = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return connection.broken || (length == 0 && code != asio::error::would_block);
+}
+
+asio::awaitable<bool> writeHead(std::shared_ptr<caller_connection> connection, unsigned status,
+                                std::vector<http_header> headers, std::optional<std::uint64_t> length,
+                                steady_time until)
+{
+    http::response<http::empty_body> message;
+    message.result(status);
+    message.version(11);
+    message.keep_alive(connection->keepAlive);
+    for (const auto &[name, value] : headers) {
+        message.insert(name, value);
+    }
+    message.set("Quetzalspool-Outcome", "answered");
+    const bool bodiless = status == 204 || status == 304 || status < 200;
+    connection->chunked = !length && !bodiless;
+    if (length) {
+        message.content_length(*length);
+    } else if (!bodiless) {
+        message.chunked(true);
+    }
+    connection->stream.expires_at(until);
+    error_code code;
+    http::response_serializer<http::empty_body> serializer{message};
+    co_await http::async_write_header(connection->stream, serializer, reporting(code));
+    connection->broken = connection->broken || code;
+    co_return !code;
+}
+
+asio::awaitable<bool> writePart(std::shared_ptr<caller_connection> connection, std::string part, steady_time until)
+{
+    if (connection->headOnly) {
+        co_return true;
+    }
+    error_code code;
+    connection->stream.expires_at(until);
+    if (connection->chunked) {
+        co_await asio::async_write(connection->stream, http::make_chunk(asio::buffer(part)), reporting(code));
+    } else {
+        co_await asio::async_write(connection->stream, asio::buffer(part), reporting(code));
+    }
+    connection->broken = connection->broken || code;
+    co_return !code;
+}
+
+std::shared_ptr<answer_sink> sinkTo(const std::shared_ptr<caller_connection> &connection, steady_time until)
+{
+    auto sink = std::make_shared<answer_sink>();
+    sink->head = [connection, until](unsigned status, std::vector<http_header> headers,
+                                     std::optional<std::uint64_t> length) {
+        return writeHead(connection, status, std::move(headers), length, until);
+    };
+    sink->part = [connection, until](std::string part) { return writePart(connection, std::move(part), until); };
+    sink->end = [connection](bool whole) { connection->broken = connection->broken || !whole; };
+    sink->abandoned = [connection] { return callerGone(*connection); };
+    return sink;
+}
+
+asio::awaitable<void> writeReply(std::shared_ptr<caller_connection> connection, http_reply reply)
+{
+    http::response<http::string_body> message;
+    message.result(reply.status);
+    message.version(11);
+    message.keep_alive(connection->keepAlive);
+    for (const auto &[name, value] : reply.headers) {
+        message.insert(name, value);
+    }
+    message.body() = std::move(reply.body);
+    message.prepare_payload();
+    if (connection->headOnly) {
+        message.body().clear();
+    }
+    connection->stream.expires_after(readTimeout);
+    error_code code;
+    co_await http::async_write(connection->stream, message, reporting(code));
+    connection->broken = connection->broken || code;
+}
+
+unsigned statusOf(const request_outcome &outcome)
+{
+    if (outcome.result == attempt_result::not_run) {
+        return 503;
+    }
+    return outcome.text == "duplicate" ? 409 : 504;
+}
+
+/** The reply for a request that got no answer from a target. */
+http_reply replyFor(const request_outcome &outcome)
+{
+    const nlohmann::json body{
+        {"outcome", nameOf(outcome.result)}, {"reason", outcome.text}, {"retry_after_ms", outcome.retryAfter.count()}};
+    auto reply = jsonReply(statusOf(outcome), body.dump() + "\n");
+    reply.headers.emplace_back("Quetzalspool-Outcome", nameOf(outcome.result));
+    reply.headers.emplace_back("Quetzalspool-Reason", outcome.text);
+    if (outcome.result == attempt_result::not_run) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(std::max(outcome.retryAfter, milliseconds(1)));
+        reply.headers.emplace_back("Retry-After", std::to_string(seconds.count()));
+        reply.headers.emplace_back("Quetzalspool-Retry-After-Ms", std::to_string(outcome.retryAfter.count()));
+    }
+    return reply;
+}
+
+http_reply refusalReply(const caller_refusal &refused)
+{
+    const nlohmann::json body{{"outcome", "not-run"}, {"reason", refused.reason}};
+    auto reply = jsonReply(refused.status, body.dump() + "\n");
+    reply.headers.emplace_back("Quetzalspool-Outcome", "not-run");
+    reply.headers.emplace_back("Quetzalspool-Reason", refused.reason);
+    return reply;
+}
+
+void countOutcome(daemon_shared &shared, const std::string &outcome, const std::string &reason)
+{
+    countMetric(*shared.numbers, "requests_total{outcome=\"" + outcome + "\",reason=\"" + reason + "\"}");
+}
+
+using caller_parser = http::request_parser<http::string_body>;
+
+/** Reads the body within the route's limit. */
+asio::awaitable<bool> readBody(std::shared_ptr<caller_connection> connection, std::shared_ptr<caller_parser> parser,
+                               std::uint64_t limit, caller_refusal &refused)
+{
+    error_code code;
+    parser->body_limit(limit);
+    const auto length = parser->content_length();
+    if (length && *length > limit) {
+        refused = {413, "body-too-large"};
+        co_return false;
+    }
+    if (beast::iequals(parser->get()[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> go{http::status::continue_, 11};
+        co_await http::async_write(connection->stream, go, reporting(code));
+    }
+    co_await http::async_read(connection->stream, connection->buffer, *parser, reporting(code));
+    if (code) {
+        refused =
+            code == http::error::body_limit ? caller_refusal{413, "body-too-large"} : caller_refusal{400, "bad-body"};
+    }
+    co_return !code;
+}
+
+/** Checks everything that can be checked before the body, reads it, and finds the key. */
+asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
+                                                             std::shared_ptr<caller_connection> connection,
+                                                             std::shared_ptr<caller_parser> parser,
+                                                             caller_refusal &refused)
+{
+    const auto view = thread.shared->routing.load();
+    const std::string path(parser->get().target());
+    const auto *found = findRoute(*view, path);
+    if (found == nullptr) {
+        refused = {404, "no-route"};
+        co_return std::nullopt;
+    }
+    const auto route = *found;
+    if (!mayUse(route, connection->address)) {
+        refused = {403, "caller-not-allowed"};
+        co_return std::nullopt;
+    }
+    const bool read = co_await readBody(connection, parser, route.maxBody, refused);
+    if (!read) {
+        connection->keepAlive = false;
+        co_return std::nullopt;
+    }
+    auto message = parser->release();
+    http_request request{std::string(message.method_string()), path, copyHeaders(message), std::move(message.body())};
+    auto key = findKey(route, request, refused);
+    if (!key) {
+        co_return std::nullopt;
+    }
+    const auto freshId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
+    co_return makeRouted(route, std::move(request), std::move(*key), freshId, clock::now());
+}
+
+/** Serves one request whose headers have been read. */
+asio::awaitable<void> serveRequest(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                                   std::shared_ptr<caller_parser> parser)
+{
+    const auto startedAt = clock::now();
+    caller_refusal refused;
+    auto request = co_await acceptRequest(thread, connection, parser, refused);
+    if (!request) {
+        countOutcome(*thread.shared, "not-run", refused.reason);
+        auto reply = refusalReply(refused);
+        // Unread parts of the request would be taken for the next one.
+        connection->keepAlive = connection->keepAlive && parser->is_done();
+        co_await writeReply(connection, std::move(reply));
+        co_return;
+    }
+    connection->headOnly = request->http.method == "HEAD";
+    const auto sink = sinkTo(connection, request->deadline);
+    const auto outcome = co_await routeRequest(thread, std::move(*request), sink);
+    if (outcome.result != attempt_result::answered && !connection->broken) {
+        auto reply = replyFor(outcome);
+        co_await writeReply(connection, std::move(reply));
+    } else if (outcome.result == attempt_result::answered && outcome.whole && connection->chunked
+               && !connection->headOnly && !connection->broken) {
+        error_code code;
+        co_await asio::async_write(connection->stream, http::make_chunk_last(), reporting(code));
+        connection->broken = connection->broken || code;
+    }
+    countOutcome(*thread.shared, nameOf(outcome.result), outcome.text);
+    observeDuration(*thread.shared->numbers, "request_seconds",
+                    std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - startedAt));
+}
+
+/** Closes a connection; a broken answer is reset, so that nobody takes its end for a whole one. */
+void closeConnection(caller_connection &connection)
+{
+    error_code ignored;
+    auto &socket = connection.stream.socket();
+    if (connection.broken) {
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    } else {
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    socket.close(ignored);
+}
+
+asio::awaitable<void> refuseFraming(std::shared_ptr<caller_connection> connection, error_code code)
+{
+    connection->keepAlive = false;
+    const bool tooLong = code == http::error::header_limit;
+    auto reply = refusalReply(tooLong ? caller_refusal{431, "headers-too-large"}
+                                      : caller_refusal{400, "bad-request: " + code.message()});
+    co_await writeReply(connection, std::move(reply));
+}
+
+asio::awaitable<void> serveCaller(traffic_thread &thread, tcp::socket socket)
+{
+    auto connection = std::make_shared<caller_connection>(std::move(socket));
+    error_code code;
+    connection->stream.socket().set_option(tcp::no_delay(true), code);
+    const auto remote = connection->stream.socket().remote_endpoint(code);
+    connection->address = remote.address().to_string();
+    while (connection->keepAlive && !connection->broken) {
+        const auto parser = std::make_shared<caller_parser>();
+        parser->header_limit(headerLimit);
+        connection->stream.expires_after(idleTimeout);
+        co_await http::async_read_header(connection->stream, connection->buffer, *parser, reporting(code));
+        if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
+            break;
+        }
+        if (code) {
+            co_await refuseFraming(connection, code);
+            break;
+        }
+        connection->stream.expires_after(readTimeout);
+        connection->keepAlive = parser->get().keep_alive() && !thread.shared->leaving;
+        connection->headOnly = parser->get().method() == http::verb::head;
+        ++thread.shared->requestsOpen;
+        co_await serveRequest(thread, connection, parser);
+        --thread.shared->requestsOpen;
+    }
+    closeConnection(*connection);
+}
+
+} // namespace
+
+asio::awaitable<void> acceptCallers(traffic_thread &thread)
+{
+    const auto acceptor = thread.callers;
+    while (acceptor->is_open()) {
+        error_code code;
+        auto socket = co_await acceptor->async_accept(reporting(code));
+        if (!code) {
+            asio::co_spawn(thread.context, serveCaller(thread, std::move(socket)), asio::detached);
+        } else if (code == asio::error::operation_aborted) {
+            break;
+        } else {
+            co_await sleepFor(milliseconds(10));
+        }
+    }
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/forward.cpp
@@ -0,0 +1,321 @@
+/** @file forward.cpp Bringing a request to the right target. */
+#include "forward.h"
+
+#include "balance_func.h"
+#include "documents.h"
+#include "local_run.h"
+#include "log_func.h"
+#include "peer_wire.h"
+#include "routing_func.h"
+
+#include <set>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds connectTimeout{400}; ///< Bound on connecting to another daemon.
+constexpr milliseconds cancelTimeout{300}; ///< Bound on asking whether an attempt was handed over.
+constexpr milliseconds ownerCheck{100}; ///< Between two looks whether the awaited owner is still the owner.
+constexpr milliseconds noOwnerRetry{1000}; ///< When to come back if no owner is known.
+
+/** One request while it is being tried. */
+struct route_state
+{
+    std::shared_ptr<routed_request> request; ///< Request.
+    std::shared_ptr<answer_sink> sink; ///< Where the answer goes.
+    std::set<instance_id> tried; ///< Targets already tried, for pools not divided by key.
+    std::uint32_t attempts = 0; ///< Attempts made.
+    milliseconds waited{0}; ///< Waits between attempts.
+};
+
+/** Where the next attempt goes. */
+struct route_choice
+{
+    std::shared_ptr<const routing_view> view; ///< Keeps the member alive.
+    const cell_member *member = nullptr; ///< Daemon beside the target; null if there is none.
+    std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
+    bool known = false; ///< Whether the pool is in the tables.
+};
+
+std::string makeToken(traffic_thread &thread)
+{
+    static const char digits[] = "0123456789abcdef";
+    std::string token(24, '0');
+    for (auto &digit : token) {
+        digit = digits[thread.random() % 16];
+    }
+    return token;
+}
+
+route_choice chooseOwner(traffic_thread &thread, const route_state &state)
+{
+    route_choice choice;
+    choice.view = thread.shared->routing.load();
+    const auto &request = *state.request;
+    const auto pool = choice.view->pools.find(request.pool);
+    choice.known = pool != choice.view->pools.end();
+    if (!choice.known) {
+        return choice;
+    }
+    if (pool->second.row.keyed) {
+        const auto slot = slotOf(request.key, pool->second.row.slots);
+        if (const auto owner = findOwner(*choice.view, request.pool, slot)) {
+            choice.member = owner->member;
+            choice.slot = fenced_slot{request.pool, slot, owner->fence};
+        }
+        return choice;
+    }
+    const auto &settings = thread.shared->settings;
+    choice.member = chooseTarget(thread.balance, membersOf(*choice.view, request.pool), state.tried,
+                                 {settings.region, settings.domain}, thread.random, clock::now());
+    return choice;
+}
+
+/** Whether the slot of an attempt has another owner by now. */
+bool ownerChanged(const traffic_thread &thread, const routed_request &request)
+{
+    if (!request.slot) {
+        return false;
+    }
+    const auto view = thread.shared->routing.load();
+    const auto owner = findOwner(*view, request.pool, request.slot->slot);
+    return owner && owner->fence != request.slot->fence;
+}
+
+/** Asks the daemon that got an attempt to cancel it, and tells whether that proves that it did not run. */
+asio::awaitable<bool> provedCancelled(traffic_thread &thread, endpoint to,
+                                      std::shared_ptr<const routed_request> request)
+{
+    peer_request ask{cancelPath, {{"qs-id", request->id}, {"qs-attempt", request->attempt}}, ""};
+    const auto opened = co_await openCall(thread.client, to, std::move(ask), cancelTimeout);
+    if (!opened.call) {
+        co_return false;
+    }
+    const auto reply = co_await readWhole(opened.call, clock::now() + cancelTimeout);
+    co_return reply && reply->status == 200 && headerOf(reply->headers, "qs-cancelled") == "1";
+}
+
+/** Waits for the head of an answer, as long as waiting can help. */
+asio::awaitable<std::optional<peer_head>> awaitHead(traffic_thread &thread, std::shared_ptr<peer_call> call,
+                                                    std::shared_ptr<const routed_request> request,
+                                                    std::shared_ptr<answer_sink> sink)
+{
+    for (;;) {
+        const auto now = clock::now();
+        auto head = co_await readHead(call, std::min(now + ownerCheck, request->deadline));
+        if (head) {
+            co_return head;
+        }
+        const bool over = failureOf(*call) == peer_failure::not_processed || clock::now() >= request->deadline;
+        if (over || ownerChanged(thread, *request) || sink->abandoned() || isClosed(*call)) {
+            co_return std::nullopt;
+        }
+    }
+}
+
+/** Passes an answer from another daemon on. */
+asio::awaitable<request_outcome> passAnswer(std::shared_ptr<peer_call> call, peer_head head,
+                                            std::shared_ptr<const routed_request> request,
+                                            std::shared_ptr<answer_sink> sink)
+{
+    request_outcome outcome{attempt_result::answered, refusal::none, "target"};
+    std::optional<std::uint64_t> length;
+    std::vector<http_header> headers;
+    for (auto &header : head.headers) {
+        if (header.first == "qs-length") {
+            length = static_cast<std::uint64_t>(std::atoll(header.second.c_str()));
+        } else if (!header.first.starts_with("qs-")) {
+            headers.push_back(std::move(header));
+        }
+    }
+    bool wanted = co_await sink->head(head.status, std::move(headers), length);
+    while (wanted) {
+        auto part = co_await readPart(call, request->deadline);
+        if (!part) {
+            break;
+        }
+        if (part->empty()) {
+            outcome.whole = true;
+            break;
+        }
+        wanted = co_await sink->part(std::move(*part));
+    }
+    if (!outcome.whole) {
+        abandonCall(*call);
+    }
+    sink->end(outcome.whole);
+    co_return outcome;
+}
+
+/** One attempt through another daemon. */
+asio::awaitable<request_outcome> attemptRemote(traffic_thread &thread, endpoint to,
+                                               std::shared_ptr<const routed_request> request,
+                                               std::shared_ptr<answer_sink> sink)
+{
+    auto message = toPeer(*request, clock::now());
+    const auto opened = co_await openCall(thread.client, to, std::move(message), connectTimeout);
+    if (!opened.call) {
+        request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetry};
+        outcome.reachedOwner = false;
+        co_return outcome;
+    }
+    auto head = co_await awaitHead(thread, opened.call, request, sink);
+    if (head) {
+        auto outcome = outcomeFrom(head->headers);
+        if (outcome.result == attempt_result::answered) {
+            co_return co_await passAnswer(opened.call, std::move(*head), request, sink);
+        }
+        co_return outcome;
+    }
+    request_outcome outcome{attempt_result::unknown, refusal::none, "daemon-lost"};
+    if (failureOf(*opened.call) == peer_failure::not_processed) {
+        outcome = {attempt_result::not_run, refusal::leaving, "daemon-leaving", milliseconds(100)};
+        co_return outcome;
+    }
+    abandonCall(*opened.call);
+    if (!request->idempotent) {
+        const bool proved = co_await provedCancelled(thread, to, request);
+        if (proved) {
+            outcome = {attempt_result::not_run, refusal::leaving, "cancelled-before-hand-over", milliseconds(100)};
+        }
+    }
+    co_return outcome;
+}
+
+/** One attempt at the chosen member. */
+asio::awaitable<request_outcome> attemptAt(traffic_thread &thread, const cell_member member,
+                                           std::shared_ptr<const routed_request> request,
+                                           std::shared_ptr<answer_sink> sink)
+{
+    const auto startedAt = clock::now();
+    noteStart(thread.balance, member.id);
+    request_outcome outcome;
+    if (member.id == thread.shared->settings.instance) {
+        outcome = co_await runLocally(*thread.shared, thread.targets, request, sink);
+    } else {
+        const endpoint to{member.at.host, member.at.peers};
+        outcome = co_await attemptRemote(thread, to, request, sink);
+        if (member.region != thread.shared->settings.region) {
+            thread.shared->linkBytes += request->http.body.size();
+        }
+    }
+    const auto now = clock::now();
+    noteEnd(thread.balance, member.id, outcome.result == attempt_result::answered,
+            std::chrono::duration_cast<milliseconds>(now - startedAt), now);
+    co_return outcome;
+}
+
+retry_question questionOf(const route_state &state, const request_outcome &outcome)
+{
+    retry_question question;
+    question.result = outcome.result;
+    question.reason = outcome.reason;
+    question.reachedOwner = outcome.reachedOwner;
+    question.idempotent = state.request->idempotent;
+    question.keyed = !state.request->key.empty();
+    question.attempts = state.attempts;
+    question.waited = state.waited;
+    question.deadline = state.request->deadline;
+    return question;
+}
+
+} // namespace
+
+asio::awaitable<request_outcome> routeRequest(traffic_thread &thread, routed_request request,
+                                              std::shared_ptr<answer_sink> sink)
+{
+    route_state state;
+    state.request = std::make_shared<routed_request>(std::move(request));
+    state.sink = std::move(sink);
+    earnBudget(thread.budget, thread.retryLimits);
+    for (;;) {
+        ++state.attempts;
+        const auto choice = chooseOwner(thread, state);
+        request_outcome outcome{attempt_result::not_run, refusal::none, choice.known ? "no-owner" : "no-pool",
+                                noOwnerRetry};
+        outcome.reachedOwner = false;
+        if (choice.member != nullptr) {
+            // Each attempt is an object of its own: an abandoned one may still be read by its watcher.
+            state.request = std::make_shared<routed_request>(*state.request);
+            state.request->attempt = makeToken(thread);
+            state.request->slot = choice.slot;
+            state.tried.insert(choice.member->id);
+            const auto member = *choice.member;
+            outcome = co_await attemptAt(thread, member, state.request, state.sink);
+        }
+        if (outcome.result == attempt_result::answered || state.sink->abandoned()) {
+            co_return outcome;
+        }
+        const auto answer = decideRetry(questionOf(state, outcome), thread.budget, thread.retryLimits, clock::now());
+        if (!answer.again) {
+            co_return outcome;
+        }
+        countMetric(*thread.shared->numbers, "retries_total");
+        if (answer.wait.count() > 0) {
+            state.waited += answer.wait;
+            co_await sleepFor(answer.wait);
+        }
+    }
+}
+
+namespace {
+
+/** A sink that passes an answer back to another daemon. */
+std::shared_ptr<answer_sink> sinkTo(const std::shared_ptr<peer_responder> &responder)
+{
+    auto sink = std::make_shared<answer_sink>();
+    sink->head = [responder](unsigned status, std::vector<http_header> headers,
+                             std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
+        sendHead(*responder, status, answerHeaders(headers, length));
+        co_return !isAbandoned(*responder);
+    };
+    sink->part = [responder](std::string part) { return sendPart(responder, std::move(part)); };
+    sink->end = [responder](bool whole) { whole ? endAnswer(*responder) : breakAnswer(*responder); };
+    sink->abandoned = [responder] { return isAbandoned(*responder); };
+    return sink;
+}
+
+asio::awaitable<void> answerRun(traffic_thread &thread, peer_request message, std::shared_ptr<peer_responder> responder)
+{
+    auto request = fromPeer(std::move(message), clock::now());
+    request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
+    if (request) {
+        const auto held = std::make_shared<routed_request>(std::move(*request));
+        outcome = co_await runLocally(*thread.shared, thread.targets, held, sinkTo(responder));
+    }
+    if (outcome.result != attempt_result::answered) {
+        sendHead(*responder, 200, outcomeHeaders(outcome));
+        endAnswer(*responder);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
+                                 std::shared_ptr<peer_responder> responder)
+{
+    if (request.path == runPath) {
+        ++thread.shared->requestsOpen;
+        co_await answerRun(thread, std::move(request), responder);
+        --thread.shared->requestsOpen;
+        co_return;
+    }
+    if (request.path == cancelPath) {
+        const bool proved =
+            cancelLocally(*thread.shared, headerOf(request.headers, "qs-id"), headerOf(request.headers, "qs-attempt"));
+        sendHead(*responder, 200, {{"qs-cancelled", proved ? "1" : "0"}});
+        endAnswer(*responder);
+        co_return;
+    }
+    const auto body = answerDocuments(*thread.shared->catalog.load(), request);
+    sendHead(*responder, body ? 200 : 400, {});
+    if (body) {
+        co_await sendPart(responder, *body);
+    }
+    endAnswer(*responder);
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/forward.h
@@ -0,0 +1,32 @@
+/** @file forward.h Bringing a request to the right target: here, or through the daemon beside it. */
+#ifndef FORWARD_H
+#define FORWARD_H
+
+#include "outcome_type.h"
+#include "traffic_base.h"
+
+namespace quetzalspool {
+
+/**
+ * Tries a request until it is answered, or nothing more may be tried.
+ * @param thread Traffic thread.
+ * @param request Request; pool, key, class and deadline are set.
+ * @param sink Where the answer goes.
+ * @return How it ended.
+ */
+asio::awaitable<request_outcome> routeRequest(traffic_thread &thread, routed_request request,
+                                              std::shared_ptr<answer_sink> sink);
+
+/**
+ * Answers another daemon's request.
+ * @param thread Traffic thread.
+ * @param request Request.
+ * @param responder Where the answer goes.
+ * @return An awaitable.
+ */
+asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
+                                 std::shared_ptr<peer_responder> responder);
+
+} // namespace quetzalspool
+
+#endif // FORWARD_H
--- /dev/null
+++ b/packages/daemon/src/gate.h
@@ -0,0 +1,35 @@
+/** @file gate.h Admission beside the target, shared by the traffic threads and the control thread. */
+#ifndef GATE_H
+#define GATE_H
+
+#include "admission_base.h"
+#include "ledger_base.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+
+namespace quetzalspool {
+
+/** Admission and ledger under one lock. Nothing waits while it is held. */
+struct gate
+{
+    std::mutex mutex; ///< Guards all members.
+    admission_state admission; ///< Limits, queue, open slots.
+    ledger_state ledger; ///< Requests that must not run twice.
+    std::map<std::uint64_t, std::function<void(const admission_verdict &)>> waiters; ///< Called once decided.
+    std::uint64_t nextId = 1; ///< Number of the next request.
+    endpoint target; ///< Address of the target.
+    bool checksGrants = false; ///< Whether the target refuses older fences.
+};
+
+/**
+ * Decides about waiting requests and tells them.
+ * @param at Gate.
+ * @param now Present time.
+ */
+void advanceGate(gate &at, steady_time now);
+
+} // namespace quetzalspool
+
+#endif // GATE_H
--- /dev/null
+++ b/packages/daemon/src/local_run.cpp
@@ -0,0 +1,280 @@
+/** @file local_run.cpp Running a request at the target beside this daemon. */
+#include "local_run.h"
+
+#include "admission_func.h"
+#include "ledger_func.h"
+#include "log_func.h"
+#include "wake_event.h"
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds connectTimeout{500}; ///< Bound on connecting to the target beside this daemon.
+constexpr milliseconds abandonCheck{100}; ///< Between two looks whether the caller still waits.
+constexpr milliseconds unreachableRetry{1000}; ///< When to come back if the target can't be reached.
+
+request_outcome notRun(refusal reason, milliseconds retryAfter)
+{
+    return {attempt_result::not_run, reason, nameOf(reason), retryAfter};
+}
+
+/** A verdict that another thread delivers to a waiting coroutine. */
+struct verdict_box
+{
+    explicit verdict_box(const asio::any_io_executor &executor)
+        : changed(executor)
+    { }
+
+    std::optional<admission_verdict> verdict; ///< Set once, on the waiter's thread.
+    wake_event changed; ///< Wakes the waiter.
+};
+
+/** Enters a request that must not run twice; returns the outcome that ends it, if any. */
+std::optional<request_outcome> enterLedger(daemon_shared &shared, const routed_request &request)
+{
+    const std::lock_guard lock(shared.admission.mutex);
+    switch (enterRequest(shared.admission.ledger, request.id, request.attempt, clock::now())) {
+    case ledger_verdict::fresh:
+        return std::nullopt;
+    case ledger_verdict::cancelled:
+        return notRun(refusal::cancelled, milliseconds(0));
+    case ledger_verdict::full:
+        return notRun(refusal::overloaded, unreachableRetry);
+    default:
+        // An earlier copy is under way or has run: nothing can be said about that one here.
+        return request_outcome{attempt_result::unknown, refusal::none, "duplicate"};
+    }
+}
+
+void leaveLedger(daemon_shared &shared, const routed_request &request, ledger_stage stage)
+{
+    if (!request.idempotent) {
+        const std::lock_guard lock(shared.admission.mutex);
+        advanceRequest(shared.admission.ledger, request.id, request.attempt, stage);
+    }
+}
+
+/** Waits in the queue until admitted, refused, or abandoned by the caller. */
+asio::awaitable<admission_verdict> awaitVerdict(daemon_shared &shared, admission_request asked,
+                                                std::shared_ptr<verdict_box> box, std::shared_ptr<answer_sink> sink)
+{
+    while (!box->verdict) {
+        co_await box->changed.waitUntil(clock::now() + abandonCheck);
+        if (!box->verdict && sink->abandoned()) {
+            const std::lock_guard lock(shared.admission.mutex);
+            auto &queue = shared.admission.admission.queue;
+            const auto before = queue.size();
+            std::erase_if(queue, [&](const auto &waiting) { return waiting.request.id == asked.id; });
+            if (queue.size() != before) {
+                shared.admission.waiters.erase(asked.id);
+                co_return admission_verdict{false, false, refusal::cancelled, milliseconds(0)};
+            }
+        }
+    }
+    co_return *box->verdict;
+}
+
+/** Asks admission; a queued request gets its verdict through the box. */
+admission_verdict askAdmission(daemon_shared &shared, admission_request &asked, const std::shared_ptr<verdict_box> &box)
+{
+    const std::lock_guard lock(shared.admission.mutex);
+    asked.id = shared.admission.nextId++;
+    const auto verdict = admit(shared.admission.admission, asked, clock::now());
+    if (verdict.queued) {
+        shared.admission.waiters[asked.id] = [box](const admission_verdict &decided) {
+            asio::post(box->changed.executor, [box, decided] {
+                box->verdict = decided;
+                box->changed.wake();
+            });
+        };
+    }
+    return verdict;
+}
+
+/** The last check before hand-over, together with the ledger, in one step. */
+refusal passHandOver(daemon_shared &shared, const routed_request &request, const admission_request &asked)
+{
+    const std::lock_guard lock(shared.admission.mutex);
+    const auto reason = checkHandOver(shared.admission.admission, asked, clock::now());
+    if (reason != refusal::none || request.idempotent) {
+        return reason;
+    }
+    return advanceRequest(shared.admission.ledger, request.id, request.attempt, ledger_stage::handed_over)
+        ? refusal::none
+        : refusal::cancelled;
+}
+
+http_request withGrant(const routed_request &request)
+{
+    auto out = request.http;
+    const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - clock::now());
+    out.headers.emplace_back("Quetzalspool-Request-Id", request.id);
+    out.headers.emplace_back("Quetzalspool-Deadline-Ms", std::to_string(left.count()));
+    out.headers.emplace_back("Quetzalspool-Pool", request.pool.value);
+    if (request.slot) {
+        out.headers.emplace_back("Quetzalspool-Key", request.key);
+        out.headers.emplace_back("Quetzalspool-Slot", std::to_string(request.slot->slot.value));
+        out.headers.emplace_back("Quetzalspool-Fence", std::to_string(request.slot->fence.value));
+    }
+    return out;
+}
+
+/** Passes the body on. Returns whether it was whole and wanted to its end. */
+asio::awaitable<bool> passBody(std::shared_ptr<target_exchange> exchange, std::shared_ptr<answer_sink> sink,
+                               steady_time deadline, last_reason &why)
+{
+    for (;;) {
+        auto part = co_await readTargetPart(exchange, deadline, why);
+        if (!part) {
+            co_return false;
+        }
+        if (part->empty()) {
+            co_return true;
+        }
+        const bool wanted = co_await sink->part(std::move(*part));
+        if (!wanted) {
+            co_return false;
+        }
+    }
+}
+
+/** Breaks the exchange off when the caller gives up, which cancels the work at the target. */
+asio::awaitable<void> watchCaller(std::shared_ptr<target_exchange> exchange, std::shared_ptr<answer_sink> sink,
+                                  std::shared_ptr<bool> done)
+{
+    while (!*done) {
+        co_await sleepFor(abandonCheck);
+        if (!*done && sink->abandoned()) {
+            cancelTarget(*exchange);
+            co_return;
+        }
+    }
+}
+
+/** Everything from hand-over to the end of the answer. */
+asio::awaitable<request_outcome> exchangeWithTarget(std::shared_ptr<const routed_request> request,
+                                                    std::shared_ptr<target_exchange> exchange,
+                                                    std::shared_ptr<answer_sink> sink, bool &progress)
+{
+    last_reason why;
+    auto granted = withGrant(*request);
+    const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
+    std::optional<target_head> head;
+    if (sent) {
+        head = co_await readTargetHead(exchange, request->deadline, why);
+    }
+    if (!head) {
+        logEvent(log_level::warn, "target-lost", {{"id", request->id}, {"reason", describe(why)}});
+        co_return request_outcome{attempt_result::unknown, refusal::none, "target-lost"};
+    }
+    progress = true;
+    if (!head->notRun.empty()) {
+        co_return request_outcome{attempt_result::not_run, refusal::none, "target-refused-" + head->notRun,
+                                  milliseconds(200)};
+    }
+    const bool wanted = co_await sink->head(head->status, std::move(head->headers), head->length);
+    bool whole = false;
+    if (wanted) {
+        whole = co_await passBody(exchange, sink, request->deadline, why);
+    }
+    sink->end(whole);
+    request_outcome outcome{attempt_result::answered, refusal::none, "target"};
+    outcome.whole = whole;
+    co_return outcome;
+}
+
+/** The chart's event for the end of an admitted request. */
+std::string_view endEvent(const request_outcome &outcome, const outcome_track &track)
+{
+    const bool handedOver = embeddedChart(chart_file::outcome).states[track.state] == "handed_over";
+    switch (outcome.result) {
+    case attempt_result::answered:
+        return "answer";
+    case attempt_result::unknown:
+        return "lose";
+    default:
+        return handedOver ? "target_refused" : "refuse";
+    }
+}
+
+/** Everything from admission on. */
+asio::awaitable<request_outcome> runAdmitted(daemon_shared &shared, std::shared_ptr<target_client> targets,
+                                             std::shared_ptr<const routed_request> request, admission_request asked,
+                                             std::shared_ptr<answer_sink> sink)
+{
+    endpoint address;
+    {
+        const std::lock_guard lock(shared.admission.mutex);
+        address = shared.admission.target;
+    }
+    last_reason why;
+    outcome_track track;
+    track.take("admit");
+    request_outcome outcome = notRun(refusal::no_target, unreachableRetry);
+    bool progress = false;
+    const auto startedAt = clock::now();
+    const auto exchange = co_await openTarget(targets, address, !request->idempotent, connectTimeout, why);
+    if (exchange) {
+        const auto reason = passHandOver(shared, *request, asked);
+        if (reason == refusal::none) {
+            track.take("hand_over");
+            const auto done = std::make_shared<bool>(false);
+            asio::co_spawn(co_await asio::this_coro::executor, watchCaller(exchange, sink, done), asio::detached);
+            outcome = co_await exchangeWithTarget(request, exchange, sink, progress);
+            *done = true;
+        } else {
+            outcome = notRun(reason, milliseconds(100));
+        }
+        closeTarget(*targets, exchange);
+    }
+    {
+        const std::lock_guard lock(shared.admission.mutex);
+        const auto now = clock::now();
+        finish(shared.admission.admission, asked, progress, std::chrono::duration_cast<milliseconds>(now - startedAt),
+               now);
+    }
+    advanceGate(shared.admission, clock::now());
+    track.take(endEvent(outcome, track));
+    co_return outcome;
+}
+
+} // namespace
+
+asio::awaitable<request_outcome> runLocally(daemon_shared &shared, std::shared_ptr<target_client> targets,
+                                            std::shared_ptr<const routed_request> request,
+                                            std::shared_ptr<answer_sink> sink)
+{
+    if (!request->idempotent) {
+        auto ended = enterLedger(shared, *request);
+        if (ended) {
+            co_return *ended;
+        }
+    }
+    const auto box = std::make_shared<verdict_box>(co_await asio::this_coro::executor);
+    admission_request asked{0, request->slot, request->kind, request->deadline};
+    auto verdict = askAdmission(shared, asked, box);
+    if (verdict.queued) {
+        verdict = co_await awaitVerdict(shared, asked, box, sink);
+    }
+    if (!verdict.admitted) {
+        leaveLedger(shared, *request, ledger_stage::refused);
+        co_return notRun(verdict.refused, verdict.retryAfter);
+    }
+    const auto outcome = co_await runAdmitted(shared, targets, request, asked, sink);
+    if (outcome.result != attempt_result::unknown) {
+        leaveLedger(shared, *request,
+                    outcome.result == attempt_result::answered ? ledger_stage::answered : ledger_stage::refused);
+    }
+    co_return outcome;
+}
+
+bool cancelLocally(daemon_shared &shared, const std::string &id, const std::string &attempt)
+{
+    const std::lock_guard lock(shared.admission.mutex);
+    return cancelRequest(shared.admission.ledger, id, attempt, clock::now());
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/outcome.cpp
@@ -0,0 +1,28 @@
+/** @file outcome.cpp Following a request through the outcome chart. */
+#include "outcome_type.h"
+
+#include <cassert>
+
+namespace quetzalspool {
+
+void outcome_track::take(std::string_view event)
+{
+    const auto &chart = embeddedChart(chart_file::outcome);
+    const auto next = step(chart, state, eventNamed(chart, event));
+    assert(next.has_value());
+    state = *next;
+}
+
+const char *nameOf(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::answered:
+        return "answered";
+    case attempt_result::not_run:
+        return "not-run";
+    default:
+        return "unknown";
+    }
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/outcome_type.h
@@ -0,0 +1,70 @@
+/** @file outcome_type.h What is said about a request at its end, and how it passes between daemons. */
+#ifndef OUTCOME_TYPE_H
+#define OUTCOME_TYPE_H
+
+#include "asio_type.h"
+#include "chart_type.h"
+#include "http_type.h"
+#include "retry_type.h"
+
+#include <functional>
+
+namespace quetzalspool {
+
+/** A request on its way through a daemon. */
+struct routed_request
+{
+    http_request http; ///< Method, path, headers and whole body.
+    std::string id; ///< Request id, the same for all attempts.
+    std::string attempt; ///< Token of this attempt.
+    pool_id pool; ///< Pool.
+    std::string key; ///< Key, for keyed pools.
+    std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
+    request_class kind = request_class::lookup; ///< Class.
+    bool idempotent = false; ///< Whether it may run more than once.
+    steady_time deadline{}; ///< When the caller no longer waits.
+};
+
+/** The end of an attempt or a request. */
+struct request_outcome
+{
+    attempt_result result = attempt_result::not_run; ///< Answered, not run, or unknown.
+    refusal reason = refusal::none; ///< Why the owner refused it.
+    std::string text; ///< Reason in one word or a few, for the caller.
+    milliseconds retryAfter{0}; ///< When to come back, after not run.
+    bool reachedOwner = true; ///< Whether the other daemon could be reached.
+    bool whole = false; ///< Whether the answer was passed on whole.
+};
+
+/** Where an answer goes. Belongs to one thread. */
+struct answer_sink
+{
+    std::function<asio::awaitable<bool>(unsigned, std::vector<http_header>, std::optional<std::uint64_t>)>
+        head; ///< Takes status, headers and length; returns false if nobody wants the answer any more.
+    std::function<asio::awaitable<bool>(std::string)> part; ///< Takes a part of the body.
+    std::function<void(bool)> end; ///< Takes whether the answer was whole.
+    std::function<bool()> abandoned; ///< Tells whether nobody waits any more.
+};
+
+/** Follows one request through the outcome chart. */
+struct outcome_track
+{
+    chart_state state = 0; ///< State in the chart.
+
+    /**
+     * Takes an event that the chart must allow here.
+     * @param event Name of the event.
+     */
+    void take(std::string_view event);
+};
+
+/**
+ * Words for an outcome, as the header gives them.
+ * @param result Result.
+ * @return "answered", "not-run" or "unknown".
+ */
+const char *nameOf(attempt_result result);
+
+} // namespace quetzalspool
+
+#endif // OUTCOME_TYPE_H
--- /dev/null
+++ b/packages/daemon/src/peer_wire.cpp
@@ -0,0 +1,124 @@
+/** @file peer_wire.cpp Requests and outcomes as headers between daemons. */
+#include "peer_wire.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::string_view ownPrefix = "qs-"; ///< Headers of this protocol; all others are the caller's.
+constexpr const char *passedPrefix = "qs-h-"; ///< In front of a caller's header, so that none can pass for ours.
+
+std::string lower(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+std::int64_t numberOf(const std::vector<http_header> &headers, const char *name)
+{
+    return std::atoll(headerOf(headers, name).c_str());
+}
+
+std::vector<http_header> passedHeaders(const std::vector<http_header> &headers)
+{
+    std::vector<http_header> passed;
+    for (const auto &[name, value] : headers) {
+        if (name.starts_with(passedPrefix)) {
+            passed.emplace_back(name.substr(std::string_view(passedPrefix).size()), value);
+        }
+    }
+    return passed;
+}
+
+} // namespace
+
+peer_request toPeer(const routed_request &request, steady_time now)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now);
+    peer_request out{runPath,
+                     {{"qs-method", request.http.method},
+                      {"qs-path", request.http.path},
+                      {"qs-id", request.id},
+                      {"qs-attempt", request.attempt},
+                      {"qs-pool", request.pool.value},
+                      {"qs-class", request.kind == request_class::order ? "order" : "lookup"},
+                      {"qs-idempotent", request.idempotent ? "1" : "0"},
+                      {"qs-deadline-ms", std::to_string(left.count())}},
+                     request.http.body};
+    if (request.slot) {
+        out.headers.emplace_back("qs-key", request.key);
+        out.headers.emplace_back("qs-slot", std::to_string(request.slot->slot.value));
+        out.headers.emplace_back("qs-fence", std::to_string(request.slot->fence.value));
+    }
+    for (const auto &[name, value] : request.http.headers) {
+        out.headers.emplace_back(passedPrefix + lower(name), value);
+    }
+    return out;
+}
+
+std::optional<routed_request> fromPeer(peer_request request, steady_time now)
+{
+    routed_request in;
+    in.http = {headerOf(request.headers, "qs-method"), headerOf(request.headers, "qs-path"),
+               passedHeaders(request.headers), std::move(request.body)};
+    in.id = headerOf(request.headers, "qs-id");
+    in.attempt = headerOf(request.headers, "qs-attempt");
+    in.pool.value = headerOf(request.headers, "qs-pool");
+    in.kind = headerOf(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
+    in.idempotent = headerOf(request.headers, "qs-idempotent") == "1";
+    in.deadline = now + milliseconds(numberOf(request.headers, "qs-deadline-ms"));
+    const auto fence = headerOf(request.headers, "qs-fence");
+    if (!fence.empty()) {
+        in.key = headerOf(request.headers, "qs-key");
+        in.slot = fenced_slot{in.pool,
+                              {static_cast<std::uint32_t>(numberOf(request.headers, "qs-slot"))},
+                              {static_cast<std::uint64_t>(numberOf(request.headers, "qs-fence"))}};
+    }
+    if (in.http.method.empty() || in.http.path.empty() || in.id.empty() || in.attempt.empty()) {
+        return std::nullopt;
+    }
+    return in;
+}
+
+std::vector<http_header> outcomeHeaders(const request_outcome &outcome)
+{
+    return {{"qs-outcome", nameOf(outcome.result)},
+            {"qs-reason", std::to_string(static_cast<int>(outcome.reason))},
+            {"qs-text", outcome.text},
+            {"qs-retry-ms", std::to_string(outcome.retryAfter.count())}};
+}
+
+request_outcome outcomeFrom(const std::vector<http_header> &headers)
+{
+    request_outcome outcome;
+    const auto name = headerOf(headers, "qs-outcome");
+    outcome.result = name == "answered" ? attempt_result::answered
+        : name == "not-run"             ? attempt_result::not_run
+                                        : attempt_result::unknown;
+    const auto reason = numberOf(headers, "qs-reason");
+    if (reason > 0 && reason <= static_cast<std::int64_t>(refusal::cancelled)) {
+        outcome.reason = static_cast<refusal>(reason);
+    }
+    outcome.text = headerOf(headers, "qs-text");
+    outcome.retryAfter = milliseconds(numberOf(headers, "qs-retry-ms"));
+    return outcome;
+}
+
+std::vector<http_header> answerHeaders(const std::vector<http_header> &headers, std::optional<std::uint64_t> length)
+{
+    std::vector<http_header> out{{"qs-outcome", "answered"}};
+    if (length) {
+        out.emplace_back("qs-length", std::to_string(*length));
+    }
+    for (const auto &[name, value] : headers) {
+        auto key = lower(name);
+        if (!key.starts_with(ownPrefix)) {
+            out.emplace_back(std::move(key), value);
+        }
+    }
+    return out;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/peer_wire.h
@@ -0,0 +1,55 @@
+/** @file peer_wire.h How requests and outcomes are written as headers between daemons. */
+#ifndef PEER_WIRE_H
+#define PEER_WIRE_H
+
+#include "outcome_type.h"
+#include "peer_type.h"
+
+namespace quetzalspool {
+
+constexpr const char *runPath = "/run"; ///< Run a request at the target beside you.
+constexpr const char *cancelPath = "/cancel"; ///< Cancel an attempt unless it was handed over.
+constexpr const char *comparePath = "/documents/compare"; ///< Which documents differ.
+constexpr const char *fetchPath = "/documents/fetch"; ///< Send these documents.
+
+/**
+ * Writes a request for the daemon beside its target.
+ * @param request Request.
+ * @param now Present time, to turn the deadline into what is left of it.
+ * @return Message.
+ */
+peer_request toPeer(const routed_request &request, steady_time now);
+
+/**
+ * Reads a request that another daemon sent.
+ * @param request Message.
+ * @param now Present time.
+ * @return The request, or nothing if headers are missing.
+ */
+std::optional<routed_request> fromPeer(peer_request request, steady_time now);
+
+/**
+ * Writes an outcome without an answer.
+ * @param outcome Outcome.
+ * @return Headers.
+ */
+std::vector<http_header> outcomeHeaders(const request_outcome &outcome);
+
+/**
+ * Reads an outcome from the head of an answer.
+ * @param headers Headers.
+ * @return The outcome; unknown if there is none.
+ */
+request_outcome outcomeFrom(const std::vector<http_header> &headers);
+
+/**
+ * Turns a target's headers into those of the answer between daemons.
+ * @param headers Headers.
+ * @param length Bytes of the body, if known.
+ * @return Headers, names in lower case.
+ */
+std::vector<http_header> answerHeaders(const std::vector<http_header> &headers, std::optional<std::uint64_t> length);
+
+} // namespace quetzalspool
+
+#endif // PEER_WIRE_H
--- /dev/null
+++ b/packages/daemon/src/shared_base.h
@@ -0,0 +1,35 @@
+/** @file shared_base.h What the threads of a daemon share. */
+#ifndef SHARED_BASE_H
+#define SHARED_BASE_H
+
+#include "catalog_base.h"
+#include "gate.h"
+#include "metrics_func.h"
+#include "routing_base.h"
+#include "settings_type.h"
+
+#include <atomic>
+#include <memory>
+
+namespace quetzalspool {
+
+/** An immutable copy of all documents, for answering other daemons. */
+using catalog_snapshot = std::shared_ptr<const catalog_state>;
+
+/** Shared state. Views are replaced whole; traffic threads never wait for the control thread. */
+struct daemon_shared
+{
+    daemon_settings settings; ///< Settings.
+    incarnation_id incarnation; ///< This run.
+    std::atomic<std::shared_ptr<const routing_view>> routing; ///< Present view.
+    std::atomic<catalog_snapshot> catalog; ///< Present documents.
+    gate admission; ///< Admission beside the target.
+    std::shared_ptr<metrics> numbers = makeMetrics(); ///< Metrics.
+    std::atomic<bool> leaving = false; ///< Whether a planned stop is under way.
+    std::atomic<std::uint64_t> requestsOpen = 0; ///< Callers' requests and peers' requests under way.
+    std::atomic<std::uint64_t> linkBytes = 0; ///< Body bytes exchanged with other regions.
+};
+
+} // namespace quetzalspool
+
+#endif // SHARED_BASE_H
--- /dev/null
+++ b/packages/daemon/src/spread.cpp
@@ -0,0 +1,388 @@
+/** @file spread.cpp Spreading documents: from the store, to and from other daemons. */
+#include "spread.h"
+
+#include "catalog_func.h"
+#include "cell_func.h"
+#include "control.h"
+#include "documents.h"
+#include "log_func.h"
+#include "record_func.h"
+#include "routing_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds gossipInterval{1000}; ///< Between two digests.
+constexpr milliseconds peerTimeout{1500}; ///< Bound on comparing or fetching.
+constexpr milliseconds loadRetry{500}; ///< Between two attempts to read all documents.
+constexpr milliseconds watchRetry{300}; ///< Between two looks whether to watch.
+constexpr std::size_t fanOut = 4; ///< Daemons of the own region that hear of a new document from here.
+constexpr std::uint64_t farShare = 10; ///< One digest in so many goes to another region.
+constexpr std::string_view cellPrefix = "cells/";
+
+/** Documents that are spread; guards, proposals and the audit trail stay in the store. */
+bool isSpread(const std::string &key)
+{
+    return key.starts_with(cellPrefix) || key.starts_with("routes/") || key.starts_with("pools/")
+        || key.starts_with("rules/");
+}
+
+/** All other daemons in the present view, split by region. */
+struct known_daemons
+{
+    std::vector<endpoint> near; ///< Own region.
+    std::map<region_id, std::vector<endpoint>> far; ///< Other regions.
+};
+
+known_daemons daemonsOf(const control_state &control)
+{
+    known_daemons known;
+    const auto view = control.shared->routing.load();
+    for (const auto &entry : view->cells) {
+        for (const auto &member : entry.second->members) {
+            if (member.id == control.shared->settings.instance) {
+                continue;
+            }
+            auto &list = member.region == control.shared->settings.region ? known.near : known.far[member.region];
+            list.push_back({member.at.host, member.at.peers});
+        }
+    }
+    return known;
+}
+
+document_source sourceOf(const control_state &control, const endpoint &from)
+{
+    const auto known = daemonsOf(control);
+    return std::find(known.near.begin(), known.near.end(), from) != known.near.end() ? document_source::own_region
+                                                                                     : document_source::other_region;
+}
+
+/** Tells others of a new document: some of this region, and one of each other region if it came from the store. */
+void announce(control_state &control, const document &taken, document_source source)
+{
+    const announce_message message{control.shared->settings.instance, taken.key, taken.revision};
+    auto known = daemonsOf(control);
+    std::shuffle(known.near.begin(), known.near.end(), control.random);
+    known.near.resize(std::min(known.near.size(), fanOut));
+    for (const auto &to : known.near) {
+        sendDatagram(control, to, message);
+    }
+    if (source == document_source::store) {
+        for (const auto &[region, list] : known.far) {
+            sendDatagram(control, list[control.random() % list.size()], message);
+        }
+    }
+}
+
+/** Tells the members and voters of the own cell of its new record at once, since they act on it. */
+void announceToCell(control_state &control, const document &taken, const cell_record &record)
+{
+    const announce_message message{control.shared->settings.instance, taken.key, taken.revision};
+    std::set<endpoint> told;
+    for (const auto &member : record.members) {
+        told.insert({member.at.host, member.at.peers});
+    }
+    for (const auto &voter : allVoters(record)) {
+        told.insert(voter.control);
+    }
+    told.erase({control.shared->settings.host, control.shared->settings.peersPort});
+    for (const auto &to : told) {
+        sendDatagram(control, to, message);
+    }
+}
+
+/** Gives the own cell its slots and rules, and a candidate for its voter from another region. */
+void updatePlans(control_state &control, const routing_view &view)
+{
+    auto &cell = ownCell(control);
+    cell.plans.clear();
+    for (auto &[pool, plan] : plansOf(view, cell.id)) {
+        cell.plans[pool] = {std::move(plan.first), plan.second};
+    }
+    const cell_member *candidate = nullptr;
+    for (const auto &entry : view.cells) {
+        for (const auto &member : entry.second->members) {
+            const bool usable = member.region != control.shared->settings.region && !member.leaving;
+            const bool kept = cell.outside && cell.outside->id == member.id;
+            if (usable && (candidate == nullptr || kept)) {
+                candidate = &member;
+            }
+        }
+    }
+    cell.outside = candidate == nullptr
+        ? std::nullopt
+        : std::optional(outside_candidate{
+            candidate->id, candidate->incarnation, candidate->domain, {candidate->at.host, candidate->at.peers}});
+}
+
+/** Hands a cell record to the cell, and takes part in a foreign cell that lists this daemon as a voter. */
+void updateCell(control_state &control, const document &taken)
+{
+    last_reason why;
+    const auto record = parseRecord(*taken.value, why);
+    if (!record) {
+        return;
+    }
+    const auto &self = control.shared->settings.instance;
+    const bool votes = findVoter(record->voters, self) != nullptr || findVoter(record->previousVoters, self) != nullptr;
+    if (!control.cells.contains(record->id) && votes) {
+        control.cells.emplace(record->id, startCell(record->id, ownCell(control).self, false, {}, control.startedAt));
+    }
+    const auto cell = control.cells.find(record->id);
+    if (cell != control.cells.end()) {
+        takeRecord(cell->second, {*record, taken.revision}, clock::now());
+        publishOwnership(control);
+    }
+}
+
+asio::awaitable<void> fetchFrom(control_state &control, endpoint from)
+{
+    auto &pending = control.fetches[from];
+    pending.running = true;
+    while (!pending.keys.empty()) {
+        const std::vector<std::string> keys(pending.keys.begin(), pending.keys.end());
+        pending.keys.clear();
+        auto request = fetchRequest(keys);
+        const auto opened = co_await openCall(control.peers, from, std::move(request), peerTimeout);
+        if (!opened.call) {
+            break;
+        }
+        const auto reply = co_await readWhole(opened.call, clock::now() + peerTimeout);
+        if (!reply) {
+            break;
+        }
+        const auto source = sourceOf(control, from);
+        for (auto &fetched : readDocuments(reply->body)) {
+            takeFrom(control, std::move(fetched), source);
+        }
+    }
+    pending.keys.clear();
+    pending.running = false;
+}
+
+void startFetch(control_state &control, const endpoint &from, const std::vector<std::string> &keys)
+{
+    auto &pending = control.fetches[from];
+    pending.keys.insert(keys.begin(), keys.end());
+    if (!pending.running && !pending.keys.empty()) {
+        pending.running = true;
+        asio::co_spawn(control.context, fetchFrom(control, from), asio::detached);
+    }
+}
+
+asio::awaitable<void> compareQuietly(control_state &control, endpoint with)
+{
+    co_await compareWith(control, with);
+}
+
+} // namespace
+
+bool takeFrom(control_state &control, document offered, document_source source)
+{
+    const auto view = control.shared->routing.load();
+    const auto known = control.catalog.documents.find(offered.key);
+    if (known != control.catalog.documents.end() && known->second.revision >= offered.revision) {
+        if (known->second.revision > offered.revision) {
+            ++control.catalog.refusedOlder;
+        }
+        return false;
+    }
+    last_reason why;
+    auto next = withDocument(*view, offered, why);
+    if (!next) {
+        logEvent(log_level::error, "document-refused", {{"key", offered.key}, {"reason", describe(why)}});
+        countMetric(*control.shared->numbers, "documents_refused_total");
+        return false;
+    }
+    takeDocument(control.catalog, offered);
+    control.shared->catalog.store(std::make_shared<const catalog_state>(control.catalog));
+    const auto published = std::make_shared<const routing_view>(std::move(*next));
+    control.shared->routing.store(published);
+    updatePlans(control, *published);
+    if (offered.key.starts_with(cellPrefix)) {
+        updateCell(control, offered);
+    }
+    announce(control, offered, source);
+    logEvent(log_level::debug, "document-taken",
+             {{"key", offered.key}, {"revision", std::to_string(offered.revision.value)}});
+    return true;
+}
+
+void takeAnnounce(control_state &control, const announce_message &message, const endpoint &from)
+{
+    const auto known = control.catalog.documents.find(message.key);
+    if (known == control.catalog.documents.end() || known->second.revision < message.revision) {
+        startFetch(control, from, {message.key});
+    }
+}
+
+void takeDigest(control_state &control, const digest_message &message, const endpoint &from)
+{
+    control.heardFrom[message.sender] = {{}, clock::now()};
+    if (message.buckets.size() == 1 && message.buckets.front() != summaryOf(control.catalog)) {
+        asio::co_spawn(control.context, compareQuietly(control, from), asio::detached);
+    }
+}
+
+void gossip(control_state &control, steady_time now)
+{
+    if (now < control.nextGossip) {
+        return;
+    }
+    control.nextGossip = now + gossipInterval;
+    auto known = daemonsOf(control);
+    auto *list = &known.near;
+    if (!known.far.empty() && (known.near.empty() || control.random() % farShare == 0)) {
+        list = &std::next(known.far.begin(), static_cast<std::ptrdiff_t>(control.random() % known.far.size()))->second;
+    }
+    if (!list->empty()) {
+        const digest_message message{control.shared->settings.instance, {summaryOf(control.catalog)}};
+        sendDatagram(control, (*list)[control.random() % list->size()], message);
+    }
+}
+
+asio::awaitable<bool> compareWith(control_state &control, endpoint with)
+{
+    auto request = compareRequest(control.catalog);
+    const auto opened = co_await openCall(control.peers, with, std::move(request), peerTimeout);
+    if (!opened.call) {
+        co_return false;
+    }
+    const auto reply = co_await readWhole(opened.call, clock::now() + peerTimeout);
+    if (!reply) {
+        co_return false;
+    }
+    startFetch(control, with, wantedFrom(control.catalog, readComparison(reply->body)));
+    co_return true;
+}
+
+void takeStored(control_state &control, const stored_value &value)
+{
+    const auto key = value.key.substr(std::string_view(storePrefix).size());
+    if (key.starts_with("refs/")) {
+        control.guards[key] = std::max(control.guards[key], value.revision);
+    }
+    if (isSpread(key)) {
+        takeFrom(control, {key, value.revision, std::make_shared<const std::string>(value.value)},
+                 document_source::store);
+    }
+}
+
+asio::awaitable<void> loadDocuments(control_state &control)
+{
+    for (;;) {
+        last_reason why;
+        const auto all = co_await readRange(control.store, storePrefix, false, why);
+        if (all) {
+            control.storeAnswered = clock::now();
+            for (const auto &value : all->values) {
+                takeStored(control, value);
+            }
+            co_return;
+        }
+        logEvent(log_level::warn, "store-unanswered", {{"reason", describe(why)}});
+        for (const auto &seed : control.shared->settings.seeds) {
+            co_await compareWith(control, seed);
+        }
+        co_await sleepFor(loadRetry);
+    }
+}
+
+asio::awaitable<void> watchStore(control_state &control)
+{
+    for (;;) {
+        co_await sleepFor(watchRetry);
+        if (!drives(ownCell(control), clock::now())) {
+            continue;
+        }
+        last_reason why;
+        const auto all = co_await readRange(control.store, storePrefix, false, why);
+        if (!all) {
+            if (control.store.restored) {
+                logEvent(log_level::error, "store-went-back", {{"reason", describe(why)}});
+            }
+            continue;
+        }
+        control.storeAnswered = clock::now();
+        for (const auto &value : all->values) {
+            takeStored(control, value);
+        }
+        control.watching = true;
+        std::function<bool(std::vector<watch_event>)> onEvents = [&control](std::vector<watch_event> events) {
+            for (const auto &event : events) {
+                if (event.removed) {
+                    logEvent(log_level::error, "store-key-deleted", {{"key", event.value.key}});
+                } else {
+                    takeStored(control, event.value);
+                }
+            }
+            return drives(ownCell(control), clock::now());
+        };
+        const revision_number next{all->revision.value + 1};
+        co_await watchPrefix(control.store, storePrefix, next, onEvents, why);
+        control.watching = false;
+    }
+}
+
+asio::awaitable<void> readRecord(control_state &control, cell_id cell)
+{
+    last_reason why;
+    const auto key = std::string(storePrefix) + std::string(cellPrefix) + cell.value;
+    const auto result = co_await readRange(control.store, key, true, why);
+    auto &state = control.cells.at(cell);
+    const auto now = clock::now();
+    if (!result) {
+        logEvent(log_level::debug, "record-unread", {{"reason", describe(why)}});
+        takeReadFailure(state, now);
+        co_return;
+    }
+    control.storeAnswered = now;
+    stored_record stored;
+    stored.record.id = cell;
+    if (!result->values.empty()) {
+        const auto record = parseRecord(result->values.front().value, why);
+        if (!record) {
+            logEvent(log_level::error, "record-damaged", {{"reason", describe(why)}});
+            takeReadFailure(state, now);
+            co_return;
+        }
+        stored = {*record, result->values.front().revision};
+        takeStored(control, result->values.front());
+    }
+    takeStoreRead(state, stored, now);
+}
+
+asio::awaitable<void> writeRecord(control_state &control, cell_id cell, write_action write)
+{
+    last_reason why;
+    const auto key = std::string(storePrefix) + std::string(cellPrefix) + cell.value;
+    const auto value = formatRecord(write.record);
+    txn_request request{{{key, write.expected}}, {{key, value}}};
+    const auto result = co_await commit(control.store, std::move(request), why);
+    auto &state = control.cells.at(cell);
+    const auto now = clock::now();
+    if (!result) {
+        logEvent(log_level::warn, "write-unclear", {{"cell", cell.value}, {"reason", describe(why)}});
+        perform(control, cell, takeWrite(state, write.record, write_outcome::unclear, {}, now));
+        co_return;
+    }
+    control.storeAnswered = now;
+    if (!result->succeeded) {
+        perform(control, cell, takeWrite(state, write.record, write_outcome::conflicted, {}, now));
+        co_return;
+    }
+    const document stored{"cells/" + cell.value, result->revision, std::make_shared<const std::string>(value)};
+    perform(control, cell, takeWrite(state, write.record, write_outcome::stored, result->revision, now));
+    announceToCell(control, stored, write.record);
+    takeFrom(control, stored, document_source::store);
+    publishOwnership(control);
+    logEvent(log_level::info, "record-written",
+             {{"cell", cell.value}, {"revision", std::to_string(result->revision.value)}});
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/spread.h
@@ -0,0 +1,97 @@
+/** @file spread.h Spreading documents: from the store, to and from other daemons. */
+#ifndef SPREAD_H
+#define SPREAD_H
+
+#include "control_base.h"
+
+namespace quetzalspool {
+
+/** Where a document came from, which decides to whom it is announced. */
+enum class document_source
+{
+    store, ///< Read, watched or written here.
+    own_region, ///< From a daemon of this region.
+    other_region, ///< From a daemon of another region.
+};
+
+/**
+ * Takes a document, if it is newer, and announces it.
+ * @param control Control state.
+ * @param offered Document.
+ * @param source Where it came from.
+ * @return Whether it was taken.
+ */
+bool takeFrom(control_state &control, document offered, document_source source);
+
+/**
+ * Takes word of a document from another daemon.
+ * @param control Control state.
+ * @param message Announcement.
+ * @param from Who sent it.
+ */
+void takeAnnounce(control_state &control, const announce_message &message, const endpoint &from);
+
+/**
+ * Takes another daemon's digest; if it differs, the documents are compared.
+ * @param control Control state.
+ * @param message Digest.
+ * @param from Who sent it.
+ */
+void takeDigest(control_state &control, const digest_message &message, const endpoint &from);
+
+/**
+ * Sends a digest to another daemon now and then.
+ * @param control Control state.
+ * @param now Present time.
+ */
+void gossip(control_state &control, steady_time now);
+
+/**
+ * Reads all documents at the start, from the store or, if it is out, from the seeds.
+ * @param control Control state.
+ * @return An awaitable.
+ */
+asio::awaitable<void> loadDocuments(control_state &control);
+
+/**
+ * Watches the store while this daemon drives its cell.
+ * @param control Control state.
+ * @return An awaitable.
+ */
+asio::awaitable<void> watchStore(control_state &control);
+
+/**
+ * Reads a cell's record for a read action.
+ * @param control Control state.
+ * @param cell Cell.
+ * @return An awaitable.
+ */
+asio::awaitable<void> readRecord(control_state &control, cell_id cell);
+
+/**
+ * Writes a cell's record for a write action.
+ * @param control Control state.
+ * @param cell Cell.
+ * @param write Action.
+ * @return An awaitable.
+ */
+asio::awaitable<void> writeRecord(control_state &control, cell_id cell, write_action write);
+
+/**
+ * Takes one value of the store into the catalog.
+ * @param control Control state.
+ * @param value Value with its full key.
+ */
+void takeStored(control_state &control, const stored_value &value);
+
+/**
+ * Compares all documents with another daemon and takes what is newer there.
+ * @param control Control state.
+ * @param with Peer port of the other daemon.
+ * @return Whether it answered.
+ */
+asio::awaitable<bool> compareWith(control_state &control, endpoint with);
+
+} // namespace quetzalspool
+
+#endif // SPREAD_H
--- /dev/null
+++ b/packages/decisions/src/admission_base.h
@@ -0,0 +1,89 @@
+/** @file admission_base.h Admission beside one target: concurrency, queue, open slots, evidence about its health. */
+#ifndef ADMISSION_BASE_H
+#define ADMISSION_BASE_H
+
+#include "cell_base.h"
+#include "row_type.h"
+
+#include <map>
+
+namespace quetzalspool {
+
+/** Limits of admission. */
+struct admission_limits
+{
+    std::uint32_t concurrency = 1; ///< Requests the target works on at once.
+    std::uint32_t queue = 16; ///< Requests that may wait.
+    milliseconds warmUp{5000}; ///< A target that just announced itself gets its full share after this long.
+    milliseconds stallLimit{2000}; ///< A busy target that finishes nothing for this long is taken as frozen.
+};
+
+/** What admission must know about one request. */
+struct admission_request
+{
+    std::uint64_t id = 0; ///< Unique within this daemon.
+    std::optional<fenced_slot> slot; ///< Slot and fence for keyed pools.
+    request_class kind = request_class::lookup; ///< Orders go first.
+    steady_time deadline{}; ///< When the caller no longer waits.
+};
+
+/** Why a request was refused. All of these prove that it did not run. */
+enum class refusal
+{
+    none, ///< It was not refused.
+    not_owner, ///< This daemon does not own the slot under that fence.
+    moving, ///< The slot is being given back.
+    no_lease, ///< The instance lease has run out.
+    no_target, ///< No target has announced itself.
+    overloaded, ///< The queue is full, or the predicted wait passes the deadline.
+    stalled, ///< The target finishes nothing.
+    leaving, ///< The target is being drained.
+    too_late, ///< The deadline passed in the queue.
+    cancelled, ///< The caller gave up before hand-over.
+};
+
+/** What became of a request at admission. */
+struct admission_verdict
+{
+    bool admitted = false; ///< It may be handed over now.
+    bool queued = false; ///< It waits.
+    refusal refused = refusal::none; ///< Why it was refused.
+    milliseconds retryAfter{0}; ///< When to come back, if it was refused.
+};
+
+/** A slot that this daemon serves or is giving back. */
+struct open_slot
+{
+    fence_number fence; ///< Fence of the assignment.
+    std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
+    bool closed = false; ///< Whether new requests are refused.
+    steady_time opensAt{}; ///< No request before this moment, for a takeover grace.
+};
+
+/** A request that waits. */
+struct waiting_request
+{
+    admission_request request; ///< Request.
+    steady_time since{}; ///< When it came.
+};
+
+/** Admission beside one target. */
+struct admission_state
+{
+    admission_limits limits; ///< Limits.
+    bool hasTarget = false; ///< Whether a target has announced itself.
+    bool leaving = false; ///< Whether the target is being drained.
+    steady_time leaseUntil{}; ///< End of the instance lease.
+    steady_time announcedAt{}; ///< When the target first announced itself in this run.
+    std::map<std::pair<pool_id, slot_number>, open_slot> slots; ///< Slots served, by pool and number.
+    std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
+    std::vector<waiting_request> queue; ///< Requests that wait, in order of class and deadline.
+    steady_time lastProgress{}; ///< Last time a request finished, or the target became busy.
+    bool probing = false; ///< Whether only one request at a time is tried, after a stall.
+    double serviceMs = 5.0; ///< Smoothed service time in milliseconds.
+    std::map<refusal, std::uint64_t> refusals; ///< Refusals by reason, for metrics.
+};
+
+} // namespace quetzalspool
+
+#endif // ADMISSION_BASE_H
--- /dev/null
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -0,0 +1,264 @@
+/** @file admission_cmd.cpp Admission beside one target. */
+#include "admission_func.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr double warmUpStart = 0.25; ///< Share of the concurrency that a cold target gets at once.
+constexpr double serviceSmoothing = 0.1; ///< Weight of the newest service time.
+constexpr milliseconds movingRetry{50}; ///< When to come back for a slot that moves.
+constexpr milliseconds ownerRetry{200}; ///< When to come back if another owner is to be found.
+constexpr milliseconds leastRetry{20}; ///< Shortest wait that a refusal names.
+constexpr milliseconds mostRetry{5000}; ///< Longest wait that a refusal names.
+
+/** Requests that may be in flight now: fewer while the target is cold or was stalled. */
+std::uint32_t concurrencyNow(const admission_state &state, steady_time now)
+{
+    if (state.probing) {
+        return 1;
+    }
+    const auto warm =
+        std::chrono::duration<double>(now - state.announcedAt) / std::chrono::duration<double>(state.limits.warmUp);
+    const auto share = std::clamp(warmUpStart + (1 - warmUpStart) * warm, warmUpStart, 1.0);
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(state.limits.concurrency * share)));
+}
+
+/** Time that a request with so many before it is expected to wait. */
+milliseconds predictedWait(const admission_state &state, std::size_t before, steady_time now)
+{
+    const auto rounds = static_cast<double>(before + 1) / concurrencyNow(state, now);
+    return milliseconds(std::llround(rounds * state.serviceMs));
+}
+
+milliseconds clampRetry(milliseconds wait)
+{
+    return std::clamp(wait, leastRetry, mostRetry);
+}
+
+admission_verdict refuse(admission_state &state, refusal reason, milliseconds retryAfter)
+{
+    ++state.refusals[reason];
+    return {false, false, reason, retryAfter};
+}
+
+refusal checkSlot(const admission_state &state, const admission_request &request, steady_time now)
+{
+    if (!request.slot) {
+        return refusal::none;
+    }
+    const auto found = state.slots.find({request.slot->pool, request.slot->slot});
+    if (found == state.slots.end() || found->second.fence != request.slot->fence) {
+        return refusal::not_owner;
+    }
+    if (found->second.closed || now < found->second.opensAt) {
+        return refusal::moving;
+    }
+    return now < state.leaseUntil ? refusal::none : refusal::no_lease;
+}
+
+/** Whether a busy target has finished nothing for too long. */
+bool isStalled(const admission_state &state, steady_time now)
+{
+    return state.inFlight > 0 && now - state.lastProgress > state.limits.stallLimit;
+}
+
+refusal checkAll(const admission_state &state, const admission_request &request, steady_time now)
+{
+    if (!state.hasTarget) {
+        return refusal::no_target;
+    }
+    if (const auto reason = checkSlot(state, request, now); reason != refusal::none) {
+        return reason;
+    }
+    if (now >= request.deadline) {
+        return refusal::too_late;
+    }
+    // A keyed slot is closed by its own release; other work stops when the target leaves.
+    if (state.leaving && !request.slot) {
+        return refusal::leaving;
+    }
+    return isStalled(state, now) ? refusal::stalled : refusal::none;
+}
+
+milliseconds retryFor(const admission_state &state, refusal reason)
+{
+    switch (reason) {
+    case refusal::moving:
+        return movingRetry;
+    case refusal::not_owner:
+    case refusal::no_lease:
+    case refusal::leaving:
+        return ownerRetry;
+    case refusal::stalled:
+        return state.limits.stallLimit;
+    default:
+        return clampRetry(milliseconds(std::llround(state.serviceMs)));
+    }
+}
+
+void start(admission_state &state, const admission_request &request, steady_time now)
+{
+    if (state.inFlight == 0) {
+        state.lastProgress = now;
+    }
+    ++state.inFlight;
+    if (request.slot) {
+        ++state.slots[{request.slot->pool, request.slot->slot}].inFlight;
+    }
+}
+
+bool goesBefore(const admission_request &a, const admission_request &b)
+{
+    const auto rank = [](const admission_request &request) { return request.kind == request_class::order ? 0 : 1; };
+    return std::pair(rank(a), a.deadline) < std::pair(rank(b), b.deadline);
+}
+
+admission_verdict enqueue(admission_state &state, const admission_request &request, steady_time now)
+{
+    const auto at = std::find_if(state.queue.begin(), state.queue.end(),
+                                 [&](const auto &other) { return goesBefore(request, other.request); });
+    const auto before = static_cast<std::size_t>(at - state.queue.begin());
+    const auto wait = predictedWait(state, before, now);
+    const bool fits = now + wait + milliseconds(std::llround(state.serviceMs)) <= request.deadline;
+    if (state.queue.size() >= state.limits.queue || !fits) {
+        return refuse(state, refusal::overloaded, clampRetry(predictedWait(state, state.queue.size(), now)));
+    }
+    state.queue.insert(at, {request, now});
+    return {false, true};
+}
+
+} // namespace
+
+admission_verdict admit(admission_state &state, const admission_request &request, steady_time now)
+{
+    if (const auto reason = checkAll(state, request, now); reason != refusal::none) {
+        return refuse(state, reason, retryFor(state, reason));
+    }
+    if (state.inFlight < concurrencyNow(state, now) && state.queue.empty()) {
+        start(state, request, now);
+        return {true};
+    }
+    return enqueue(state, request, now);
+}
+
+refusal checkHandOver(const admission_state &state, const admission_request &request, steady_time now)
+{
+    if (now >= request.deadline) {
+        return refusal::too_late;
+    }
+    if (!request.slot) {
+        return refusal::none;
+    }
+    const auto found = state.slots.find({request.slot->pool, request.slot->slot});
+    // A slot that closed after admission still waits for this request, so closing is no reason.
+    if (found == state.slots.end() || found->second.fence != request.slot->fence) {
+        return refusal::not_owner;
+    }
+    return now < state.leaseUntil ? refusal::none : refusal::no_lease;
+}
+
+void finish(admission_state &state, const admission_request &request, bool progress, milliseconds service,
+            steady_time now)
+{
+    assert(state.inFlight > 0);
+    --state.inFlight;
+    if (request.slot) {
+        const auto found = state.slots.find({request.slot->pool, request.slot->slot});
+        if (found != state.slots.end() && found->second.inFlight > 0) {
+            --found->second.inFlight;
+        }
+    }
+    if (progress) {
+        state.serviceMs += serviceSmoothing * (static_cast<double>(service.count()) - state.serviceMs);
+        state.serviceMs = std::max(state.serviceMs, 0.1);
+        state.lastProgress = now;
+        state.probing = false;
+    } else if (now - state.lastProgress > state.limits.stallLimit) {
+        state.probing = true;
+    }
+}
+
+std::vector<decided_request> advanceQueue(admission_state &state, steady_time now)
+{
+    std::vector<decided_request> decided;
+    std::erase_if(state.queue, [&](const waiting_request &waiting) {
+        const auto reason = checkAll(state, waiting.request, now);
+        if (reason != refusal::none) {
+            decided.push_back({waiting.request.id, refuse(state, reason, retryFor(state, reason))});
+        }
+        return reason != refusal::none;
+    });
+    while (!state.queue.empty() && state.inFlight < concurrencyNow(state, now)) {
+        start(state, state.queue.front().request, now);
+        decided.push_back({state.queue.front().request.id, {true}});
+        state.queue.erase(state.queue.begin());
+    }
+    return decided;
+}
+
+void setServed(admission_state &state, const std::vector<fenced_slot> &served, steady_time leaseUntil,
+               milliseconds grace, steady_time now)
+{
+    state.leaseUntil = leaseUntil;
+    std::map<std::pair<pool_id, slot_number>, open_slot> next;
+    for (const auto &slot : served) {
+        const auto known = state.slots.find({slot.pool, slot.slot});
+        const bool same = known != state.slots.end() && known->second.fence == slot.fence;
+        next[{slot.pool, slot.slot}] = same ? known->second : open_slot{slot.fence, 0, false, now + grace};
+    }
+    // A slot being given back stays until its requests are over.
+    for (const auto &[key, slot] : state.slots) {
+        if (slot.closed && slot.inFlight > 0) {
+            next.try_emplace(key, slot);
+        }
+    }
+    state.slots = std::move(next);
+}
+
+void closeSlot(admission_state &state, const fenced_slot &slot)
+{
+    const auto found = state.slots.find({slot.pool, slot.slot});
+    if (found != state.slots.end() && found->second.fence == slot.fence) {
+        found->second.closed = true;
+    }
+}
+
+bool isDrained(const admission_state &state, const fenced_slot &slot)
+{
+    const auto found = state.slots.find({slot.pool, slot.slot});
+    return found == state.slots.end() || found->second.fence != slot.fence || found->second.inFlight == 0;
+}
+
+const char *nameOf(refusal reason)
+{
+    switch (reason) {
+    case refusal::none:
+        return "none";
+    case refusal::not_owner:
+        return "not-owner";
+    case refusal::moving:
+        return "moving";
+    case refusal::no_lease:
+        return "no-lease";
+    case refusal::no_target:
+        return "no-target";
+    case refusal::overloaded:
+        return "overloaded";
+    case refusal::stalled:
+        return "target-stalled";
+    case refusal::leaving:
+        return "leaving";
+    case refusal::too_late:
+        return "deadline-passed";
+    case refusal::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/src/admission_func.h
@@ -0,0 +1,88 @@
+/** @file admission_func.h Decisions of admission. */
+#ifndef ADMISSION_FUNC_H
+#define ADMISSION_FUNC_H
+
+#include "admission_base.h"
+
+namespace quetzalspool {
+
+/**
+ * Decides about a new request.
+ * @param state Admission.
+ * @param request Request.
+ * @param now Present time.
+ * @return Admitted, queued, or refused with when to come back.
+ */
+admission_verdict admit(admission_state &state, const admission_request &request, steady_time now);
+
+/**
+ * Checks once more right before hand-over: a paused process may have lost its lease since admission.
+ * @param state Admission.
+ * @param request Admitted request.
+ * @param now Present time.
+ * @return Why it must not be handed over, or refusal::none.
+ */
+refusal checkHandOver(const admission_state &state, const admission_request &request, steady_time now);
+
+/**
+ * Notes that an admitted request is over.
+ * @param state Admission.
+ * @param request Request.
+ * @param progress Whether the target answered.
+ * @param service How long the target worked on it.
+ * @param now Present time.
+ */
+void finish(admission_state &state, const admission_request &request, bool progress, milliseconds service,
+            steady_time now);
+
+/** A waiting request that is decided. */
+struct decided_request
+{
+    std::uint64_t id = 0; ///< Request.
+    admission_verdict verdict; ///< Admitted or refused.
+};
+
+/**
+ * Decides about waiting requests: those that can be admitted, and those that must be given up.
+ * @param state Admission.
+ * @param now Present time.
+ * @return Decided requests; they no longer wait.
+ */
+std::vector<decided_request> advanceQueue(admission_state &state, steady_time now);
+
+/**
+ * Takes the slots that the cell's record and this daemon's releases allow.
+ * @param state Admission.
+ * @param served Slots to be open.
+ * @param leaseUntil End of the instance lease.
+ * @param grace Wait before the first request of a slot that was taken over from another owner.
+ * @param now Present time.
+ */
+void setServed(admission_state &state, const std::vector<fenced_slot> &served, steady_time leaseUntil,
+               milliseconds grace, steady_time now);
+
+/**
+ * Closes a slot for new requests.
+ * @param state Admission.
+ * @param slot Slot.
+ */
+void closeSlot(admission_state &state, const fenced_slot &slot);
+
+/**
+ * Tells whether a closed slot has no request in flight.
+ * @param state Admission.
+ * @param slot Slot.
+ * @return Whether it is drained.
+ */
+bool isDrained(const admission_state &state, const fenced_slot &slot);
+
+/**
+ * Names a reason, as it stands in answers and metrics.
+ * @param reason Reason.
+ * @return Its name.
+ */
+const char *nameOf(refusal reason);
+
+} // namespace quetzalspool
+
+#endif // ADMISSION_FUNC_H
--- /dev/null
+++ b/packages/decisions/src/balance_func.h
@@ -0,0 +1,54 @@
+/** @file balance_func.h Decisions of the choice among targets. */
+#ifndef BALANCE_FUNC_H
+#define BALANCE_FUNC_H
+
+#include "balance_base.h"
+#include "record_base.h"
+
+#include <random>
+#include <set>
+
+namespace quetzalspool {
+
+/** Where the choosing daemon stands. */
+struct balance_place
+{
+    region_id region; ///< Region.
+    domain_id domain; ///< Failure domain.
+};
+
+/**
+ * Chooses a target: of the nearest failure domain that has a usable one, the better of two picked at random.
+ * A target in another region is chosen only if none of this region is usable.
+ * @param state Evidence.
+ * @param members Targets of the pool.
+ * @param tried Targets already tried for this request.
+ * @param place Where the chooser stands.
+ * @param random Source of random numbers.
+ * @param now Present time.
+ * @return The target, or null if none is left.
+ */
+const cell_member *chooseTarget(const balance_state &state, const std::vector<const cell_member *> &members,
+                                const std::set<instance_id> &tried, const balance_place &place, std::mt19937_64 &random,
+                                steady_time now);
+
+/**
+ * Notes that a request goes to a target.
+ * @param state Evidence.
+ * @param target Target.
+ */
+void noteStart(balance_state &state, const instance_id &target);
+
+/**
+ * Notes how a request ended.
+ * @param state Evidence.
+ * @param target Target.
+ * @param good Whether the target answered.
+ * @param took Time it took.
+ * @param now Present time.
+ */
+void noteEnd(balance_state &state, const instance_id &target, bool good, milliseconds took, steady_time now);
+
+} // namespace quetzalspool
+
+#endif // BALANCE_FUNC_H
--- a/packages/decisions/src/cell_base.h
+++ b/packages/decisions/src/cell_base.h
@@ -134,7 +134,8 @@
 using cell_actions = std::vector<cell_action>;
 
 /** How a write ended. */
-enum class write_outcome {
+enum class write_outcome
+{
     stored, ///< Acknowledged by the store.
     conflicted, ///< The revision had changed.
     unclear, ///< No answer: it may or may not be stored.
--- a/packages/decisions/src/cell_cmd.cpp
+++ b/packages/decisions/src/cell_cmd.cpp
@@ -295,8 +295,9 @@
     known->second = true;
     const auto asker = state.releaseAskers.find(slot);
     if (asker != state.releaseAskers.end()) {
-        actions.push_back(send_action{
-            asker->second, released_message{state.id, state.self.id, slot.pool, {{slot.slot.value, slot.fence.value}}}});
+        actions.push_back(
+            send_action{asker->second,
+                        released_message{state.id, state.self.id, slot.pool, {{slot.slot.value, slot.fence.value}}}});
     }
     return actions;
 }
--- a/packages/decisions/src/lease_cmd.cpp
+++ b/packages/decisions/src/lease_cmd.cpp
@@ -44,12 +44,12 @@
     while (state.sent.front().sentAt + timing.vouchPeriod < now) {
         state.sent.pop_front();
     }
-    return renew_message{stored.record.id, state.self, state.incarnation, sent.term,
-                         sent.config, sent.sequence, stored.revision};
+    return renew_message{stored.record.id, state.self,    state.incarnation, sent.term,
+                         sent.config,      sent.sequence, stored.revision};
 }
 
-void takeVouch(lease_state &state, const vouch_message &message, const stored_record &stored,
-               const cell_timing &timing, steady_time now)
+void takeVouch(lease_state &state, const vouch_message &message, const stored_record &stored, const cell_timing &timing,
+               steady_time now)
 {
     const auto sent = std::find_if(state.sent.begin(), state.sent.end(),
                                    [&](const auto &renewal) { return renewal.sequence == message.sequence; });
@@ -87,8 +87,8 @@
         state.validUntil = {};
         return;
     }
-    const bool renewed = !state.sent.empty() && state.sent.back().term == self->term
-        && state.sent.back().config == stored.record.config;
+    const bool renewed =
+        !state.sent.empty() && state.sent.back().term == self->term && state.sent.back().config == stored.record.config;
     if (!renewed) {
         state.nextRenewal = {}; // A new term or set of voters is vouched for without waiting.
     }
--- /dev/null
+++ b/packages/decisions/src/ledger_base.h
@@ -0,0 +1,42 @@
+/** @file ledger_base.h Requests that must not run twice, as the daemon beside the target remembers them. */
+#ifndef LEDGER_BASE_H
+#define LEDGER_BASE_H
+
+#include "base_type.h"
+
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace quetzalspool {
+
+/** How far a remembered request has come. */
+enum class ledger_stage
+{
+    entered, ///< Known here, not handed over.
+    handed_over, ///< Given to the target.
+    answered, ///< The target answered.
+    refused, ///< Proved not run; the same id may come again.
+};
+
+/** One remembered request. */
+struct ledger_entry
+{
+    ledger_stage stage = ledger_stage::entered; ///< How far it has come.
+    std::string attempt; ///< Token of the attempt that entered it last.
+    steady_time until{}; ///< Remembered until then, counted from when it was entered.
+};
+
+/** The remembered requests, and the attempts that must not run. */
+struct ledger_state
+{
+    milliseconds window{120000}; ///< How long a request is remembered.
+    std::size_t capacity = 65536; ///< Requests and attempts remembered at most; beyond it, orders are refused.
+    std::unordered_map<std::string, ledger_entry> entries; ///< By request id.
+    std::unordered_set<std::string> cancelled; ///< Tokens of attempts that must not run.
+    std::deque<std::pair<steady_time, std::string>> order; ///< Ids and tokens by end of their window.
+};
+
+} // namespace quetzalspool
+
+#endif // LEDGER_BASE_H
--- a/packages/decisions/src/message.cpp
+++ b/packages/decisions/src/message.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /** A field as it is written. Strong identifiers and durations are written as their plain values. */
-template<typename Field>
+template <typename Field>
 decltype(auto) plain(Field &field)
 {
     if constexpr (requires { field.value; }) {
@@ -22,7 +22,7 @@
 }
 
 /** Calls a function with references to all fields of a message, in wire order. */
-template<typename Message, typename Use>
+template <typename Message, typename Use>
 auto withFields(Message &message, Use use)
 {
     using kind = std::remove_const_t<Message>;
@@ -50,7 +50,7 @@
     }
 }
 
-template<typename Field>
+template <typename Field>
 void packField(msgpack::packer<msgpack::sbuffer> &packer, const Field &field)
 {
     if constexpr (std::is_same_v<Field, milliseconds>) {
@@ -60,7 +60,7 @@
     }
 }
 
-template<typename Field>
+template <typename Field>
 void unpackField(const msgpack::object &from, Field &field)
 {
     if constexpr (std::is_same_v<Field, milliseconds>) {
@@ -70,7 +70,7 @@
     }
 }
 
-template<typename Message>
+template <typename Message>
 control_message unpackMessage(const msgpack::object_array &array)
 {
     Message message;
@@ -84,7 +84,7 @@
     return message;
 }
 
-template<std::size_t... Kinds>
+template <std::size_t... Kinds>
 control_message unpackKind(std::size_t kind, const msgpack::object_array &array, std::index_sequence<Kinds...>)
 {
     using unpacker = control_message (*)(const msgpack::object_array &);
@@ -123,8 +123,7 @@
             return failed(why, "decode a control message", "", "not an array");
         }
         const auto kind = object.via.array.ptr[0].as<std::size_t>();
-        return unpackKind(kind, object.via.array,
-                          std::make_index_sequence<std::variant_size_v<control_message>>());
+        return unpackKind(kind, object.via.array, std::make_index_sequence<std::variant_size_v<control_message>>());
     } catch (const std::exception &error) {
         return failed(why, "decode a control message", "", error.what());
     }
--- a/packages/decisions/src/message_type.h
+++ b/packages/decisions/src/message_type.h
@@ -104,9 +104,9 @@
     std::vector<std::uint64_t> buckets; ///< Hash of keys and revisions per bucket.
 };
 
-using control_message = std::variant<renew_message, vouch_message, end_message, ended_message, retire_message,
-                                     retired_message, release_message, released_message, announce_message,
-                                     digest_message>;
+using control_message =
+    std::variant<renew_message, vouch_message, end_message, ended_message, retire_message, retired_message,
+                 release_message, released_message, announce_message, digest_message>;
 
 /**
  * Encodes a message as MessagePack.
--- a/packages/decisions/src/placement.cpp
+++ b/packages/decisions/src/placement.cpp
@@ -36,11 +36,11 @@
     share_table table;
     double weight = 0;
     for (const auto &member : members) {
-        if (member.target.pool == pool) {
-            const double own = member.leaving ? 0 : std::max<std::uint32_t>(member.target.slots, 1);
-            weight += own;
-            table.rows.push_back({member.id, own, 0});
-        }
+        // A member without a target of the pool must own nothing, but what it owns is its own until it gives it back.
+        const bool able = member.target.pool == pool && !member.leaving;
+        const double own = able ? std::max<std::uint32_t>(member.target.slots, 1) : 0;
+        weight += own;
+        table.rows.push_back({member.id, own, 0});
     }
     std::sort(table.rows.begin(), table.rows.end(), [](const auto &a, const auto &b) { return a.id < b.id; });
     for (std::size_t row = 0; row < table.rows.size(); ++row) {
--- a/packages/decisions/src/placement_func.h
+++ b/packages/decisions/src/placement_func.h
@@ -34,7 +34,8 @@
  * @param weights Cells with their weights.
  * @return For each slot, the index of its cell in weights; empty if no weight is positive.
  */
-std::vector<std::size_t> divideSlots(std::uint32_t slots, const std::vector<std::pair<cell_id, std::uint32_t>> &weights);
+std::vector<std::size_t> divideSlots(std::uint32_t slots,
+                                     const std::vector<std::pair<cell_id, std::uint32_t>> &weights);
 
 /**
  * Measures imbalance: the greatest load of a member over its fair share, less one.
--- a/packages/decisions/src/placement_type.h
+++ b/packages/decisions/src/placement_type.h
@@ -7,7 +7,8 @@
 namespace quetzalspool {
 
 /** What a customer weighs most in one pool. */
-enum class placement_aim {
+enum class placement_aim
+{
     unavailable_time, ///< Slots leave a slow or overloaded target soon.
     churn, ///< Slots stay where they are unless the imbalance is large.
 };
--- a/packages/decisions/src/plan_cmd.cpp
+++ b/packages/decisions/src/plan_cmd.cpp
@@ -67,7 +67,10 @@
     }
     // The admission number precedes the member's term, so that the voter may vouch for it.
     const auto admitted = draft.record.nextNumber++;
-    draft.record.voters.push_back({state.self.id, state.self.incarnation, admitted, state.self.domain,
+    draft.record.voters.push_back({state.self.id,
+                                   state.self.incarnation,
+                                   admitted,
+                                   state.self.domain,
                                    {state.self.at.host, state.self.at.peers}});
     if (auto *listed = findMember(draft.record, state.self.id)) {
         listed->term.value = draft.record.nextNumber++;
@@ -207,7 +210,8 @@
 }
 
 /** How a voter stands when a new set is chosen. */
-enum class voter_standing {
+enum class voter_standing
+{
     live, ///< It answered lately.
     doubtful, ///< It has not answered lately, but may be back.
     gone, ///< It left, is leaving, or has not answered for long.
--- a/packages/decisions/src/reassign_cmd.cpp
+++ b/packages/decisions/src/reassign_cmd.cpp
@@ -36,13 +36,13 @@
     if (voters.empty()) {
         return true;
     }
-    const auto count = std::count_if(voters.begin(), voters.end(),
-                                     [&](const auto &voter) { return named.contains(voter.id); });
+    const auto count =
+        std::count_if(voters.begin(), voters.end(), [&](const auto &voter) { return named.contains(voter.id); });
     return static_cast<std::size_t>(count) >= majorityOf(voters.size());
 }
 
 /** Sends one request to all voters of a set; the daemon's own voter answers in place. */
-template<typename Message, typename Answer, typename Take>
+template <typename Message, typename Answer, typename Take>
 void askVoters(cell_state &state, const std::vector<cell_voter> &voters, const Message &message, Answer answer,
                Take take, cell_actions &actions, steady_time now)
 {
@@ -220,10 +220,12 @@
         const endpoint to{owner->at.host, owner->at.peers};
         for (std::size_t first = 0; first < slots.size(); first += slotsPerMessage) {
             const auto last = std::min(slots.size(), first + slotsPerMessage);
-            actions.push_back(send_action{
-                to, release_message{state.id, state.self.id, key.second,
-                                    {slots.begin() + static_cast<std::ptrdiff_t>(first),
-                                     slots.begin() + static_cast<std::ptrdiff_t>(last)}}});
+            actions.push_back(send_action{to,
+                                          release_message{state.id,
+                                                          state.self.id,
+                                                          key.second,
+                                                          {slots.begin() + static_cast<std::ptrdiff_t>(first),
+                                                           slots.begin() + static_cast<std::ptrdiff_t>(last)}}});
         }
     }
 }
--- a/packages/decisions/src/record.cpp
+++ b/packages/decisions/src/record.cpp
@@ -15,6 +15,7 @@
     return {{"id", member.id.value},
             {"incarnation", member.incarnation.value},
             {"term", member.term.value},
+            {"region", member.region.value},
             {"domain", member.domain.value},
             {"host", member.at.host},
             {"ports", {member.at.callers, member.at.peers, member.at.admin}},
@@ -32,6 +33,7 @@
     member.id.value = from.at("id").get<std::string>();
     member.incarnation.value = from.at("incarnation");
     member.term.value = from.at("term");
+    member.region.value = from.at("region").get<std::string>();
     member.domain.value = from.at("domain").get<std::string>();
     member.at = {from.at("host"), from.at("ports").at(0), from.at("ports").at(1), from.at("ports").at(2)};
     member.target.pool.value = from.at("pool").get<std::string>();
@@ -98,7 +100,7 @@
     return slots;
 }
 
-template<typename Rows>
+template <typename Rows>
 auto *findById(Rows &rows, const instance_id &id)
 {
     const auto found = std::find_if(rows.begin(), rows.end(), [&](const auto &row) { return row.id == id; });
--- a/packages/decisions/src/record_base.h
+++ b/packages/decisions/src/record_base.h
@@ -15,6 +15,7 @@
     instance_id id; ///< Name of the instance.
     incarnation_id incarnation; ///< Run of the daemon that joined.
     term_number term; ///< Its current instance lease.
+    region_id region; ///< Region it stands in.
     domain_id domain; ///< Failure domain it stands in.
     daemon_endpoints at; ///< Where it listens.
     target_facts target; ///< Target beside it.
--- /dev/null
+++ b/packages/decisions/src/routing.cpp
@@ -0,0 +1,181 @@
+/** @file routing.cpp Routing views. */
+#include "placement_func.h"
+#include "record_func.h"
+#include "routing_func.h"
+#include "row_func.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::string_view cellPrefix = "cells/";
+
+std::shared_ptr<const cell_view> makeCellView(const cell_record &record, revision_number revision)
+{
+    auto view = std::make_shared<cell_view>();
+    view->id = record.id;
+    view->revision = revision;
+    view->members = record.members;
+    std::unordered_map<instance_id, std::int32_t> indexOf;
+    for (std::size_t index = 0; index < record.members.size(); ++index) {
+        indexOf[record.members[index].id] = static_cast<std::int32_t>(index);
+    }
+    for (const auto &[pool, slots] : record.pools) {
+        auto &run = view->pools[pool];
+        run.first = slots.empty() ? 0 : slots.front().slot.value;
+        for (const auto &slot : slots) {
+            const auto found = indexOf.find(slot.owner);
+            run.owners.push_back({found == indexOf.end() ? -1 : found->second, slot.fence});
+        }
+    }
+    return view;
+}
+
+pool_view makePoolView(const pool_row &row)
+{
+    pool_view view{row, {}};
+    std::vector<std::pair<cell_id, std::uint32_t>> weights;
+    for (const auto &home : row.homes) {
+        weights.emplace_back(home.cell, home.weight);
+    }
+    const auto cells = row.keyed ? divideSlots(row.slots, weights) : std::vector<std::size_t>();
+    for (std::size_t home = 0; home < weights.size(); ++home) {
+        const auto end = std::upper_bound(cells.begin(), cells.end(), home);
+        view.ends.push_back(static_cast<std::uint32_t>(end - cells.begin()));
+    }
+    return view;
+}
+
+void setRoute(routing_view &view, const std::string &key, const table_row &row)
+{
+    std::erase_if(view.routes, [&](const auto &route) { return "routes/" + route.name == key; });
+    if (const auto *route = std::get_if<route_row>(&row)) {
+        view.routes.push_back(*route);
+        std::sort(view.routes.begin(), view.routes.end(), [](const auto &a, const auto &b) {
+            return std::pair(b.prefix.size(), a.name) < std::pair(a.prefix.size(), b.name);
+        });
+    }
+}
+
+void setPool(routing_view &view, const std::string &key, const table_row &row)
+{
+    if (const auto *pool = std::get_if<pool_row>(&row)) {
+        view.pools[pool->name] = makePoolView(*pool);
+    } else {
+        view.pools.erase(pool_id{key.substr(std::string_view("pools/").size())});
+    }
+}
+
+/** Whether a prefix matches at the end of a path segment. */
+bool matches(std::string_view path, std::string_view prefix)
+{
+    return path.starts_with(prefix)
+        && (prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/'
+            || path[prefix.size()] == '?');
+}
+
+} // namespace
+
+std::optional<routing_view> withDocument(const routing_view &old, const document &changed, last_reason &why)
+{
+    auto view = old;
+    if (changed.key.starts_with(cellPrefix)) {
+        const auto record = parseRecord(*changed.value, why);
+        if (!record) {
+            return std::nullopt;
+        }
+        view.cells[record->id] = makeCellView(*record, changed.revision);
+        return view;
+    }
+    const auto row = parseRow(changed.key, *changed.value, why);
+    if (!row || !checkRow(changed.key, *row, why)) {
+        return std::nullopt;
+    }
+    if (changed.key.starts_with("routes/")) {
+        setRoute(view, changed.key, *row);
+    } else if (changed.key.starts_with("pools/")) {
+        setPool(view, changed.key, *row);
+    } else if (const auto *rules = std::get_if<rules_row>(&*row)) {
+        view.rules = *rules;
+    }
+    view.tables = std::max(view.tables, changed.revision);
+    return view;
+}
+
+const route_row *findRoute(const routing_view &view, std::string_view path)
+{
+    const auto found = std::find_if(view.routes.begin(), view.routes.end(),
+                                    [&](const auto &route) { return matches(path, route.prefix); });
+    return found == view.routes.end() ? nullptr : &*found;
+}
+
+slot_number slotOf(std::string_view key, std::uint32_t slots)
+{
+    return {static_cast<std::uint32_t>(XXH3_64bits(key.data(), key.size()) % slots)};
+}
+
+std::optional<slot_owner> findOwner(const routing_view &view, const pool_id &pool, slot_number slot)
+{
+    const auto row = view.pools.find(pool);
+    if (row == view.pools.end()) {
+        return std::nullopt;
+    }
+    const auto &ends = row->second.ends;
+    const auto home = std::upper_bound(ends.begin(), ends.end(), slot.value) - ends.begin();
+    if (static_cast<std::size_t>(home) >= ends.size()) {
+        return std::nullopt;
+    }
+    const auto cell = view.cells.find(row->second.row.homes[static_cast<std::size_t>(home)].cell);
+    if (cell == view.cells.end()) {
+        return std::nullopt;
+    }
+    const auto run = cell->second->pools.find(pool);
+    if (run == cell->second->pools.end() || slot.value < run->second.first
+        || slot.value - run->second.first >= run->second.owners.size()) {
+        return std::nullopt;
+    }
+    const auto &entry = run->second.owners[slot.value - run->second.first];
+    if (entry.member < 0) {
+        return std::nullopt;
+    }
+    return slot_owner{&cell->second->members[static_cast<std::size_t>(entry.member)], entry.fence,
+                      cell->second->revision};
+}
+
+std::vector<const cell_member *> membersOf(const routing_view &view, const pool_id &pool)
+{
+    std::vector<const cell_member *> members;
+    for (const auto &entry : view.cells) {
+        for (const auto &member : entry.second->members) {
+            if (member.target.pool == pool) {
+                members.push_back(&member);
+            }
+        }
+    }
+    return members;
+}
+
+std::map<pool_id, std::pair<std::vector<slot_number>, placement_rules>> plansOf(const routing_view &view,
+                                                                                const cell_id &cell)
+{
+    std::map<pool_id, std::pair<std::vector<slot_number>, placement_rules>> plans;
+    for (const auto &[name, pool] : view.pools) {
+        for (std::size_t home = 0; home < pool.ends.size(); ++home) {
+            if (pool.row.homes[home].cell != cell) {
+                continue;
+            }
+            auto &[slots, rules] = plans[name];
+            for (auto slot = home == 0 ? 0 : pool.ends[home - 1]; slot < pool.ends[home]; ++slot) {
+                slots.push_back({slot});
+            }
+            rules.aim = pool.row.weighsChurn ? placement_aim::churn : placement_aim::unavailable_time;
+            rules.movesAtOnce = pool.row.movesAtOnce;
+        }
+    }
+    return plans;
+}
+
+} // namespace quetzalspool
--- a/packages/decisions/tests/cell_world.h
+++ b/packages/decisions/tests/cell_world.h
@@ -261,9 +261,8 @@
                      revision_number revision)
     {
         later(outcome == write_outcome::unclear ? milliseconds(200) : delay(), [=, this] {
-            deliver(to, incarnation, [=, this] {
-                apply(to, takeWrite(daemons[to].state, record, outcome, revision, now));
-            });
+            deliver(to, incarnation,
+                    [=, this] { apply(to, takeWrite(daemons[to].state, record, outcome, revision, now)); });
         });
     }
 
@@ -313,8 +312,8 @@
         for (std::uint32_t slot = 0; slot < slotCount; ++slot) {
             const auto found = owners({slot});
             if (std::set<std::size_t>(found.begin(), found.end()).size() > 1) {
-                violations.push_back("slot " + std::to_string(slot) + " owned by "
-                                     + nameOf(found[0]).value + " and " + nameOf(found[1]).value + " at "
+                violations.push_back("slot " + std::to_string(slot) + " owned by " + nameOf(found[0]).value + " and "
+                                     + nameOf(found[1]).value + " at "
                                      + std::to_string(now.time_since_epoch().count() / 1000000) + " ms");
             }
         }
--- /dev/null
+++ b/packages/http/src/asio_type.h
@@ -0,0 +1,64 @@
+/** @file asio_type.h The parts of Asio that coroutines use, under short names. */
+#ifndef ASIO_TYPE_H
+#define ASIO_TYPE_H
+
+#include "base_type.h"
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace quetzalspool {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using udp = asio::ip::udp;
+using boost::system::error_code;
+
+/**
+ * Makes a completion token that reports errors through a code.
+ * @param code Receives the error.
+ * @return The token.
+ */
+inline auto reporting(error_code &code)
+{
+    return asio::redirect_error(asio::use_awaitable, code);
+}
+
+/**
+ * Waits for a while.
+ * @param span How long.
+ * @return An awaitable.
+ */
+inline asio::awaitable<void> sleepFor(milliseconds span)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, span);
+    error_code code;
+    co_await timer.async_wait(reporting(code));
+}
+
+/**
+ * Turns an endpoint into the library's form.
+ * @param at Endpoint with an IP address.
+ * @return Address and port; the address is unspecified if the text is none.
+ */
+template <typename Protocol>
+typename Protocol::endpoint resolved(const endpoint &at)
+{
+    error_code code;
+    return {asio::ip::make_address(at.host, code), at.port};
+}
+
+} // namespace quetzalspool
+
+#endif // ASIO_TYPE_H
--- /dev/null
+++ b/packages/http/src/http_client.cpp
@@ -0,0 +1,164 @@
+/** @file http_client.cpp Exchanges with an HTTP server, over kept connections. */
+#include "http_client.h"
+
+#include "http_convert.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core.hpp>
+#include <limits>
+#include <map>
+
+namespace quetzalspool {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+struct http_pool
+{
+    std::map<endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>> idle; ///< Kept connections by server.
+};
+
+namespace {
+
+constexpr std::size_t keptPerServer = 8; ///< Kept connections to one server at most.
+constexpr std::uint64_t replyLimit = 64ULL * 1024 * 1024; ///< Bytes of a whole reply at most.
+
+http::request<http::string_body> toBeast(const http_request &request, const endpoint &to)
+{
+    http::request<http::string_body> out;
+    out.method_string(request.method);
+    out.target(request.path);
+    out.version(11);
+    out.set(http::field::host, toString(to));
+    for (const auto &[name, value] : request.headers) {
+        out.set(name, value);
+    }
+    out.body() = request.body;
+    out.prepare_payload();
+    return out;
+}
+
+/** Whether a kept connection still looks open: nothing to read, no end of stream. */
+bool looksOpen(beast::tcp_stream &stream)
+{
+    error_code code;
+    stream.socket().non_blocking(true, code);
+    char byte = 0;
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code == asio::error::would_block;
+}
+
+std::unique_ptr<beast::tcp_stream> takeKept(http_pool &pool, const endpoint &to)
+{
+    auto &kept = pool.idle[to];
+    while (!kept.empty()) {
+        auto stream = std::move(kept.back());
+        kept.pop_back();
+        if (looksOpen(*stream)) {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+asio::awaitable<std::unique_ptr<beast::tcp_stream>> connectTo(endpoint to, milliseconds timeout, error_code &code)
+{
+    auto stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+    stream->expires_after(timeout);
+    co_await stream->async_connect(resolved<tcp>(to), reporting(code));
+    if (!code) {
+        error_code ignored;
+        stream->socket().set_option(tcp::no_delay(true), ignored);
+    }
+    co_return stream;
+}
+
+} // namespace
+
+std::string headerOf(const std::vector<http_header> &headers, const std::string &name)
+{
+    for (const auto &header : headers) {
+        if (boost::algorithm::iequals(header.first, name)) {
+            return header.second;
+        }
+    }
+    return {};
+}
+
+http_reply jsonReply(unsigned status, std::string body)
+{
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+std::shared_ptr<http_pool> makeHttpPool()
+{
+    return std::make_shared<http_pool>();
+}
+
+asio::awaitable<std::optional<http_reply>> exchange(std::shared_ptr<http_pool> pool, endpoint to, http_request request,
+                                                    milliseconds timeout, last_reason &why)
+{
+    error_code code;
+    auto stream = takeKept(*pool, to);
+    if (!stream) {
+        stream = co_await connectTo(to, timeout, code);
+        if (code) {
+            co_return failed(why, "connect", toString(to), code.message());
+        }
+    }
+    stream->expires_after(timeout);
+    const auto message = toBeast(request, to);
+    co_await http::async_write(*stream, message, reporting(code));
+    if (code) {
+        co_return failed(why, "send " + request.path, toString(to), code.message());
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(replyLimit);
+    co_await http::async_read(*stream, buffer, parser, reporting(code));
+    if (code) {
+        co_return failed(why, "read the reply to " + request.path, toString(to), code.message());
+    }
+    auto &kept = pool->idle[to];
+    if (parser.get().keep_alive() && kept.size() < keptPerServer) {
+        kept.push_back(std::move(stream));
+    }
+    auto message2 = parser.release();
+    co_return http_reply{message2.result_int(), copyHeaders(message2), std::move(message2.body())};
+}
+
+asio::awaitable<void> streamReply(endpoint to, http_request request, milliseconds idleTimeout,
+                                  std::function<bool(std::string_view)> onPart, last_reason &why)
+{
+    error_code code;
+    auto stream = co_await connectTo(to, idleTimeout, code);
+    if (code) {
+        failed(why, "connect", toString(to), code.message());
+        co_return;
+    }
+    const auto message = toBeast(request, to);
+    co_await http::async_write(*stream, message, reporting(code));
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (!code) {
+        co_await http::async_read_header(*stream, buffer, parser, reporting(code));
+    }
+    std::string part(16384, '\0');
+    while (!code && !parser.is_done()) {
+        stream->expires_after(idleTimeout);
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        co_await http::async_read_some(*stream, buffer, parser, reporting(code));
+        if (code == http::error::need_buffer) {
+            code = {};
+        }
+        const auto length = part.size() - parser.get().body().size;
+        if (!code && length > 0 && !onPart(std::string_view(part.data(), length))) {
+            co_return;
+        }
+    }
+    failed(why, "read the stream of " + request.path, toString(to), code ? code.message() : "the server ended it");
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/http/src/http_convert.h
@@ -0,0 +1,55 @@
+/** @file http_convert.h Between the library's messages and ours. Internal to the package. */
+#ifndef HTTP_CONVERT_H
+#define HTTP_CONVERT_H
+
+#include "http_type.h"
+
+#include <utility>
+
+#include <boost/beast/http.hpp>
+
+namespace quetzalspool {
+
+/**
+ * Tells whether a header belongs to one connection or its framing only.
+ * @param name Header.
+ * @return Whether it must not be passed on.
+ */
+inline bool isHopHeader(boost::beast::http::field name)
+{
+    using boost::beast::http::field;
+    switch (name) {
+    case field::connection:
+    case field::content_length:
+    case field::transfer_encoding:
+    case field::keep_alive:
+    case field::te:
+    case field::trailer:
+    case field::upgrade:
+    case field::proxy_connection:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/**
+ * Copies headers, without those of the connection.
+ * @param fields The library's headers.
+ * @return Ours.
+ */
+template <typename Fields>
+std::vector<http_header> copyHeaders(const Fields &fields)
+{
+    std::vector<http_header> headers;
+    for (const auto &row : fields) {
+        if (!isHopHeader(row.name())) {
+            headers.emplace_back(std::string(row.name_string()), std::string(row.value()));
+        }
+    }
+    return headers;
+}
+
+} // namespace quetzalspool
+
+#endif // HTTP_CONVERT_H
--- /dev/null
+++ b/packages/peer/src/h2_session.cpp
@@ -0,0 +1,291 @@
+/** @file h2_session.cpp One nghttp2 session over a socket. */
+#include "h2_session.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <cstring>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::uint32_t streamWindow = 128 * 1024; ///< Bytes of a body that may be in flight on one stream.
+constexpr std::int32_t sessionWindow = 16 * 1024 * 1024; ///< Bytes in flight on one connection.
+constexpr std::uint32_t maxStreams = 4096; ///< Streams open at once.
+constexpr std::size_t readSize = 64 * 1024; ///< Bytes read at once.
+constexpr std::size_t writeBatch = 128 * 1024; ///< Bytes gathered for one write.
+
+h2_session &sessionOf(void *user)
+{
+    return *static_cast<h2_session *>(user);
+}
+
+std::shared_ptr<h2_stream> findStream(h2_session &session, std::int32_t id)
+{
+    const auto found = session.streams.find(id);
+    return found == session.streams.end() ? nullptr : found->second;
+}
+
+int onBeginHeaders(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *user)
+{
+    auto &session = sessionOf(user);
+    if (session.server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+        auto stream = std::make_shared<h2_stream>(session.socket.get_executor());
+        stream->id = frame->hd.stream_id;
+        session.streams[stream->id] = std::move(stream);
+    }
+    return 0;
+}
+
+int onHeader(nghttp2_session * /*session*/, const nghttp2_frame *frame, const std::uint8_t *name,
+             std::size_t nameLength, const std::uint8_t *value, std::size_t valueLength, std::uint8_t /*flags*/,
+             void *user)
+{
+    const auto stream = findStream(sessionOf(user), frame->hd.stream_id);
+    if (!stream) {
+        return 0;
+    }
+    std::string key(reinterpret_cast<const char *>(name), nameLength);
+    std::string text(reinterpret_cast<const char *>(value), valueLength);
+    if (key == ":status") {
+        stream->status = static_cast<unsigned>(std::atoi(text.c_str()));
+    } else if (key == ":path") {
+        stream->path = std::move(text);
+    } else if (!key.starts_with(':')) {
+        stream->headers.emplace_back(std::move(key), std::move(text));
+    }
+    return 0;
+}
+
+int onFrame(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *user)
+{
+    auto &session = sessionOf(user);
+    if (frame->hd.type == NGHTTP2_GOAWAY) {
+        session.goingAway = true;
+        return 0;
+    }
+    const auto stream = findStream(session, frame->hd.stream_id);
+    if (!stream || (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)) {
+        return 0;
+    }
+    if (frame->hd.type == NGHTTP2_HEADERS) {
+        stream->headDone = true;
+    }
+    if ((frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+        stream->remoteDone = true;
+        if (session.server && session.onRequest) {
+            session.onRequest(stream);
+        }
+    }
+    stream->changed.wake();
+    return 0;
+}
+
+int onData(nghttp2_session *raw, std::uint8_t /*flags*/, std::int32_t id, const std::uint8_t *data, std::size_t length,
+           void *user)
+{
+    auto &session = sessionOf(user);
+    const auto stream = findStream(session, id);
+    nghttp2_session_consume_connection(raw, length);
+    if (!stream) {
+        return 0;
+    }
+    stream->received.append(reinterpret_cast<const char *>(data), length);
+    stream->receivedTotal += length;
+    if (session.server) {
+        // A request is taken whole, within a limit; an answer is read piece by piece.
+        nghttp2_session_consume_stream(raw, id, length);
+        if (stream->receivedTotal > peerBodyLimit) {
+            nghttp2_submit_rst_stream(raw, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
+        }
+    }
+    stream->changed.wake();
+    return 0;
+}
+
+int onClose(nghttp2_session * /*session*/, std::int32_t id, std::uint32_t errorCode, void *user)
+{
+    auto &session = sessionOf(user);
+    const auto stream = findStream(session, id);
+    if (stream) {
+        stream->closed = true;
+        stream->errorCode = errorCode;
+        stream->changed.wake();
+        session.streams.erase(id);
+    }
+    return 0;
+}
+
+ssize_t readOutgoing(nghttp2_session * /*session*/, std::int32_t /*id*/, std::uint8_t *buffer, std::size_t length,
+                     std::uint32_t *flags, nghttp2_data_source *source, void * /*user*/)
+{
+    auto &stream = *static_cast<h2_stream *>(source->ptr);
+    const auto available = stream.outgoing.size() - stream.outgoingSent;
+    if (available == 0 && !stream.outgoingDone) {
+        stream.outgoingDeferred = true;
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    const auto count = std::min(available, length);
+    std::memcpy(buffer, stream.outgoing.data() + stream.outgoingSent, count);
+    stream.outgoingSent += count;
+    if (stream.outgoingSent == stream.outgoing.size()) {
+        stream.outgoing.clear();
+        stream.outgoingSent = 0;
+        if (stream.outgoingDone) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+        }
+        stream.changed.wake();
+    }
+    return static_cast<ssize_t>(count);
+}
+
+asio::awaitable<void> writeLoop(std::shared_ptr<h2_session> session)
+{
+    std::string batch;
+    while (!session->dead) {
+        batch.clear();
+        const std::uint8_t *data = nullptr;
+        ssize_t length = 0;
+        while (batch.size() < writeBatch && (length = nghttp2_session_mem_send(session->session, &data)) > 0) {
+            batch.append(reinterpret_cast<const char *>(data), static_cast<std::size_t>(length));
+        }
+        if (batch.empty()) {
+            break;
+        }
+        error_code code;
+        co_await asio::async_write(session->socket, asio::buffer(batch), reporting(code));
+        session->bytesOut += batch.size();
+        if (code) {
+            closeSession(session);
+        }
+    }
+    session->writing = false;
+}
+
+nghttp2_session_callbacks *sharedCallbacks()
+{
+    static nghttp2_session_callbacks *callbacks = [] {
+        nghttp2_session_callbacks *made = nullptr;
+        nghttp2_session_callbacks_new(&made);
+        nghttp2_session_callbacks_set_on_begin_headers_callback(made, onBeginHeaders);
+        nghttp2_session_callbacks_set_on_header_callback(made, onHeader);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(made, onFrame);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, onData);
+        nghttp2_session_callbacks_set_on_stream_close_callback(made, onClose);
+        return made;
+    }();
+    return callbacks;
+}
+
+} // namespace
+
+h2_session::h2_session(tcp::socket connected)
+    : socket(std::move(connected))
+{ }
+
+h2_session::~h2_session()
+{
+    nghttp2_session_del(session);
+}
+
+void startSession(const std::shared_ptr<h2_session> &session, bool server)
+{
+    session->server = server;
+    session->lastReceived = std::chrono::steady_clock::now();
+    error_code ignored;
+    session->socket.set_option(tcp::no_delay(true), ignored);
+    nghttp2_option *option = nullptr;
+    nghttp2_option_new(&option);
+    nghttp2_option_set_no_auto_window_update(option, 1);
+    if (server) {
+        nghttp2_session_server_new2(&session->session, sharedCallbacks(), session.get(), option);
+    } else {
+        nghttp2_session_client_new2(&session->session, sharedCallbacks(), session.get(), option);
+    }
+    nghttp2_option_del(option);
+    const nghttp2_settings_entry settings[] = {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, maxStreams},
+                                               {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, streamWindow}};
+    nghttp2_submit_settings(session->session, NGHTTP2_FLAG_NONE, settings, std::size(settings));
+    nghttp2_session_set_local_window_size(session->session, NGHTTP2_FLAG_NONE, 0, sessionWindow);
+    flush(session);
+}
+
+asio::awaitable<void> readLoop(std::shared_ptr<h2_session> session)
+{
+    std::string buffer(readSize, '\0');
+    while (!session->dead) {
+        error_code code;
+        const auto length = co_await session->socket.async_read_some(asio::buffer(buffer), reporting(code));
+        if (code) {
+            break;
+        }
+        session->bytesIn += length;
+        session->lastReceived = std::chrono::steady_clock::now();
+        const auto taken =
+            nghttp2_session_mem_recv(session->session, reinterpret_cast<const std::uint8_t *>(buffer.data()), length);
+        flush(session);
+        if (taken < 0
+            || (nghttp2_session_want_read(session->session) == 0
+                && nghttp2_session_want_write(session->session) == 0)) {
+            break;
+        }
+    }
+    closeSession(session);
+}
+
+void flush(const std::shared_ptr<h2_session> &session)
+{
+    if (!session->writing && !session->dead && nghttp2_session_want_write(session->session) != 0) {
+        session->writing = true;
+        asio::co_spawn(session->socket.get_executor(), writeLoop(session), asio::detached);
+    }
+}
+
+void closeSession(const std::shared_ptr<h2_session> &session)
+{
+    if (session->dead) {
+        return;
+    }
+    session->dead = true;
+    error_code ignored;
+    session->socket.close(ignored);
+    auto streams = std::move(session->streams);
+    session->streams.clear();
+    for (auto &[id, stream] : streams) {
+        stream->closed = true;
+        stream->errorCode = NGHTTP2_INTERNAL_ERROR;
+        stream->changed.wake();
+    }
+}
+
+std::string takeReceived(const std::shared_ptr<h2_session> &session, h2_stream &stream)
+{
+    auto bytes = std::move(stream.received);
+    stream.received.clear();
+    if (!session->dead && !stream.closed && !bytes.empty()) {
+        nghttp2_session_consume_stream(session->session, stream.id, bytes.size());
+        flush(session);
+    }
+    return bytes;
+}
+
+std::vector<nghttp2_nv> toRows(const std::vector<http_header> &headers)
+{
+    std::vector<nghttp2_nv> rows;
+    for (const auto &[name, value] : headers) {
+        rows.push_back({reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
+                        reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data())), name.size(), value.size(),
+                        NGHTTP2_NV_FLAG_NONE});
+    }
+    return rows;
+}
+
+nghttp2_data_provider outgoingSource(h2_stream &stream)
+{
+    nghttp2_data_provider provider{};
+    provider.source.ptr = &stream;
+    provider.read_callback = readOutgoing;
+    return provider;
+}
+
+} // namespace quetzalspool
--- a/packages/peer/src/peer.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-/** @file peer.cpp */
--- /dev/null
+++ b/packages/peer/src/peer_client.cpp
@@ -0,0 +1,244 @@
+/** @file peer_client.cpp The end that asks other daemons. */
+#include "peer_client.h"
+
+#include "h2_session.h"
+
+#include <map>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr milliseconds quietLimit{2500}; ///< A session with open calls that receives nothing for this long is dropped.
+
+} // namespace
+
+struct peer_link
+{
+    explicit peer_link(const asio::any_io_executor &executor)
+        : connected(executor)
+    { }
+
+    std::shared_ptr<h2_session> session; ///< Session, if connected.
+    bool connecting = false; ///< Whether a connection is being made.
+    last_reason why; ///< Why the last connection failed.
+    wake_event connected; ///< Wakes those that wait for the connection.
+};
+
+struct peer_client
+{
+    asio::any_io_executor executor; ///< Where it runs.
+    std::map<endpoint, std::shared_ptr<peer_link>> links; ///< By peer.
+    std::uint64_t closedBytes = 0; ///< Bytes of sessions that are closed.
+};
+
+struct peer_call
+{
+    std::shared_ptr<h2_session> session; ///< Session.
+    std::shared_ptr<h2_stream> stream; ///< Stream.
+};
+
+namespace {
+
+bool isUsable(const peer_link &link)
+{
+    return link.session && !link.session->dead && !link.session->goingAway;
+}
+
+/** Reads until the session ends, then forgets it. */
+asio::awaitable<void> runSession(std::shared_ptr<peer_client> client, std::shared_ptr<h2_session> session)
+{
+    co_await readLoop(session);
+    client->closedBytes += session->bytesIn + session->bytesOut;
+}
+
+asio::awaitable<void> connectLink(std::shared_ptr<peer_client> client, std::shared_ptr<peer_link> link, endpoint to,
+                                  milliseconds timeout)
+{
+    link->connecting = true;
+    tcp::socket socket(client->executor);
+    asio::steady_timer limit(client->executor, timeout);
+    limit.async_wait([&socket](error_code code) {
+        if (!code) {
+            error_code ignored;
+            socket.close(ignored);
+        }
+    });
+    error_code code;
+    co_await socket.async_connect(resolved<tcp>(to), reporting(code));
+    limit.cancel();
+    link->connecting = false;
+    if (code || !socket.is_open()) {
+        failed(link->why, "connect", toString(to), code ? code.message() : "timeout");
+        link->session = nullptr;
+    } else {
+        link->session = std::make_shared<h2_session>(std::move(socket));
+        startSession(link->session, false);
+        asio::co_spawn(client->executor, runSession(client, link->session), asio::detached);
+    }
+    link->connected.wake();
+}
+
+/** Drops a session whose other end seems frozen: calls are open, and nothing has come for long. */
+void dropQuiet(peer_link &link, steady_time now)
+{
+    if (link.session && !link.session->dead && !link.session->streams.empty()
+        && now - link.session->lastReceived > quietLimit) {
+        closeSession(link.session);
+    }
+}
+
+std::shared_ptr<peer_call> submit(const std::shared_ptr<h2_session> &session, const peer_request &request,
+                                  const endpoint &to)
+{
+    auto call = std::make_shared<peer_call>();
+    call->session = session;
+    call->stream = std::make_shared<h2_stream>(session->socket.get_executor());
+    std::vector<http_header> headers{
+        {":method", "POST"}, {":scheme", "http"}, {":authority", to.host}, {":path", request.path}};
+    headers.insert(headers.end(), request.headers.begin(), request.headers.end());
+    const auto rows = toRows(headers);
+    call->stream->outgoing = request.body;
+    call->stream->outgoingDone = true;
+    const auto source = outgoingSource(*call->stream);
+    if (session->streams.empty()) {
+        session->lastReceived = std::chrono::steady_clock::now(); // Quiet time counts from the first open call.
+    }
+    call->stream->id = nghttp2_submit_request(session->session, nullptr, rows.data(), rows.size(),
+                                              request.body.empty() ? nullptr : &source, nullptr);
+    if (call->stream->id < 0) {
+        return nullptr;
+    }
+    session->streams[call->stream->id] = call->stream;
+    flush(session);
+    return call;
+}
+
+} // namespace
+
+std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor)
+{
+    auto client = std::make_shared<peer_client>();
+    client->executor = std::move(executor);
+    return client;
+}
+
+asio::awaitable<opened_call> openCall(std::shared_ptr<peer_client> client, endpoint to, peer_request request,
+                                      milliseconds connectTimeout)
+{
+    auto &slot = client->links[to];
+    if (!slot) {
+        slot = std::make_shared<peer_link>(client->executor);
+    }
+    auto link = slot;
+    dropQuiet(*link, std::chrono::steady_clock::now());
+    if (!isUsable(*link)) {
+        if (!link->connecting) {
+            co_await connectLink(client, link, to, connectTimeout);
+        }
+        const auto until = std::chrono::steady_clock::now() + connectTimeout;
+        while (link->connecting && std::chrono::steady_clock::now() < until) {
+            co_await link->connected.waitUntil(until);
+        }
+    }
+    opened_call opened;
+    if (!isUsable(*link)) {
+        opened.why = link->why;
+        if (opened.why.text.empty()) {
+            failed(opened.why, "connect", toString(to), "no connection in time");
+        }
+        co_return opened;
+    }
+    opened.call = submit(link->session, request, to);
+    if (!opened.call) {
+        failed(opened.why, "open a stream", toString(to), "the session takes no more streams");
+    }
+    co_return opened;
+}
+
+asio::awaitable<std::optional<peer_head>> readHead(std::shared_ptr<peer_call> call, steady_time until)
+{
+    auto &stream = *call->stream;
+    while (!stream.headDone && !stream.closed && std::chrono::steady_clock::now() < until) {
+        co_await stream.changed.waitUntil(until);
+    }
+    if (!stream.headDone) {
+        co_return std::nullopt;
+    }
+    co_return peer_head{stream.status, std::move(stream.headers)};
+}
+
+asio::awaitable<std::optional<std::string>> readPart(std::shared_ptr<peer_call> call, steady_time until)
+{
+    auto &stream = *call->stream;
+    while (stream.received.empty() && !stream.remoteDone && !stream.closed
+           && std::chrono::steady_clock::now() < until) {
+        co_await stream.changed.waitUntil(until);
+    }
+    if (!stream.received.empty()) {
+        co_return takeReceived(call->session, stream);
+    }
+    if (stream.remoteDone) {
+        co_return std::string();
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<http_reply>> readWhole(std::shared_ptr<peer_call> call, steady_time until)
+{
+    auto head = co_await readHead(call, until);
+    if (!head) {
+        co_return std::nullopt;
+    }
+    http_reply reply{head->status, std::move(head->headers), ""};
+    for (;;) {
+        const auto part = co_await readPart(call, until);
+        if (!part) {
+            co_return std::nullopt;
+        }
+        if (part->empty()) {
+            co_return reply;
+        }
+        reply.body += *part;
+    }
+}
+
+peer_failure failureOf(const peer_call &call)
+{
+    if (call.stream->closed && call.stream->errorCode == NGHTTP2_REFUSED_STREAM) {
+        return peer_failure::not_processed;
+    }
+    return peer_failure::unclear;
+}
+
+bool isClosed(const peer_call &call)
+{
+    return call.stream->closed;
+}
+
+void abandonCall(peer_call &call)
+{
+    if (!call.session->dead && !call.stream->closed) {
+        nghttp2_submit_rst_stream(call.session->session, NGHTTP2_FLAG_NONE, call.stream->id, NGHTTP2_CANCEL);
+        flush(call.session);
+    }
+}
+
+void dropPeer(peer_client &client, const endpoint &to)
+{
+    const auto found = client.links.find(to);
+    if (found != client.links.end() && found->second->session) {
+        closeSession(found->second->session);
+    }
+}
+
+std::uint64_t bytesCarried(const peer_client &client)
+{
+    auto bytes = client.closedBytes;
+    for (const auto &[to, link] : client.links) {
+        bytes += link->session && !link->session->dead ? link->session->bytesIn + link->session->bytesOut : 0;
+    }
+    return bytes;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/peer/src/peer_server.cpp
@@ -0,0 +1,164 @@
+/** @file peer_server.cpp The end that answers other daemons. */
+#include "peer_server.h"
+
+#include "h2_session.h"
+
+#include <set>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::chrono::hours sendPatience{1}; ///< A part waits for room at most this long; deadlines end it earlier.
+
+} // namespace
+
+struct peer_responder
+{
+    std::shared_ptr<h2_session> session; ///< Session.
+    std::shared_ptr<h2_stream> stream; ///< Stream.
+    bool headSent = false; ///< Whether the head was sent.
+};
+
+struct peer_server
+{
+    explicit peer_server(tcp::acceptor listening)
+        : acceptor(std::move(listening))
+    { }
+
+    tcp::acceptor acceptor; ///< Listening socket.
+    peer_handler handler; ///< Handles requests.
+    std::set<std::shared_ptr<h2_session>> sessions; ///< Connected daemons.
+    std::uint64_t closedBytes = 0; ///< Bytes of sessions that are closed.
+};
+
+namespace {
+
+asio::awaitable<void> serveSession(std::shared_ptr<peer_server> server, std::shared_ptr<h2_session> session)
+{
+    co_await readLoop(session);
+    server->closedBytes += session->bytesIn + session->bytesOut;
+    session->onRequest = nullptr;
+    server->sessions.erase(session);
+}
+
+void takeRequest(const std::shared_ptr<peer_server> &server, const std::shared_ptr<h2_session> &session,
+                 const std::shared_ptr<h2_stream> &stream)
+{
+    auto responder = std::make_shared<peer_responder>();
+    responder->session = session;
+    responder->stream = stream;
+    peer_request request{stream->path, std::move(stream->headers), std::move(stream->received)};
+    asio::co_spawn(session->socket.get_executor(), server->handler(std::move(request), responder), asio::detached);
+}
+
+asio::awaitable<void> acceptLoop(std::shared_ptr<peer_server> server)
+{
+    while (server->acceptor.is_open()) {
+        error_code code;
+        auto socket = co_await server->acceptor.async_accept(reporting(code));
+        if (code == asio::error::operation_aborted) {
+            break;
+        }
+        if (code) {
+            co_await sleepFor(milliseconds(10));
+            continue;
+        }
+        auto session = std::make_shared<h2_session>(std::move(socket));
+        const std::weak_ptr<h2_session> weak = session;
+        session->onRequest = [server, weak](const std::shared_ptr<h2_stream> &stream) {
+            if (const auto held = weak.lock()) {
+                takeRequest(server, held, stream);
+            }
+        };
+        startSession(session, true);
+        server->sessions.insert(session);
+        asio::co_spawn(server->acceptor.get_executor(), serveSession(server, session), asio::detached);
+    }
+}
+
+} // namespace
+
+std::shared_ptr<peer_server> startPeerServer(tcp::acceptor acceptor, peer_handler handler)
+{
+    auto server = std::make_shared<peer_server>(std::move(acceptor));
+    server->handler = std::move(handler);
+    asio::co_spawn(server->acceptor.get_executor(), acceptLoop(server), asio::detached);
+    return server;
+}
+
+void drainPeerServer(peer_server &server)
+{
+    for (const auto &session : server.sessions) {
+        const auto last = nghttp2_session_get_last_proc_stream_id(session->session);
+        nghttp2_submit_goaway(session->session, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
+        flush(session);
+    }
+}
+
+std::uint64_t bytesCarried(const peer_server &server)
+{
+    auto bytes = server.closedBytes;
+    for (const auto &session : server.sessions) {
+        bytes += session->bytesIn + session->bytesOut;
+    }
+    return bytes;
+}
+
+void sendHead(peer_responder &responder, unsigned status, std::vector<http_header> headers)
+{
+    if (responder.session->dead || responder.stream->closed) {
+        return;
+    }
+    headers.insert(headers.begin(), {":status", std::to_string(status)});
+    const auto rows = toRows(headers);
+    const auto source = outgoingSource(*responder.stream);
+    responder.headSent = true;
+    nghttp2_submit_response(responder.session->session, responder.stream->id, rows.data(), rows.size(), &source);
+    flush(responder.session);
+}
+
+asio::awaitable<bool> sendPart(std::shared_ptr<peer_responder> responder, std::string part)
+{
+    auto &stream = *responder->stream;
+    while (!stream.closed && stream.outgoing.size() - stream.outgoingSent > outgoingLimit) {
+        co_await stream.changed.waitUntil(std::chrono::steady_clock::now() + sendPatience);
+    }
+    if (stream.closed) {
+        co_return false;
+    }
+    stream.outgoing.append(part);
+    if (stream.outgoingDeferred) {
+        stream.outgoingDeferred = false;
+        nghttp2_session_resume_data(responder->session->session, stream.id);
+    }
+    flush(responder->session);
+    co_return true;
+}
+
+void endAnswer(peer_responder &responder)
+{
+    auto &stream = *responder.stream;
+    stream.outgoingDone = true;
+    if (!responder.session->dead && !stream.closed) {
+        stream.outgoingDeferred = false;
+        nghttp2_session_resume_data(responder.session->session, stream.id);
+        flush(responder.session);
+    }
+}
+
+void breakAnswer(peer_responder &responder)
+{
+    if (!responder.session->dead && !responder.stream->closed) {
+        nghttp2_submit_rst_stream(responder.session->session, NGHTTP2_FLAG_NONE, responder.stream->id,
+                                  NGHTTP2_INTERNAL_ERROR);
+        flush(responder.session);
+    }
+}
+
+bool isAbandoned(const peer_responder &responder)
+{
+    return responder.session->dead || responder.stream->closed;
+}
+
+} // namespace quetzalspool
