--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -1,1 +1,162 @@
-/** @file settings.cpp */
+/** @file settings.cpp Reading and checking settings. */
+#include "settings_type.h"
+
+#include "toml_reader.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <fstream>
+#include <sstream>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::int64_t maxPort = 65535;
+constexpr std::int64_t maxThreads = 64;
+constexpr std::int64_t maxDrainSeconds = 3600;
+
+bool isAddress(const std::string &host)
+{
+    in_addr four{};
+    in6_addr six{};
+    return inet_pton(AF_INET, host.c_str(), &four) == 1 || inet_pton(AF_INET6, host.c_str(), &six) == 1;
+}
+
+std::uint16_t readPort(toml_reader &reader, const std::string &name)
+{
+    return static_cast<std::uint16_t>(readNumber(reader, name, 1, maxPort));
+}
+
+endpoint readEndpoint(toml_reader &reader, const std::string &name)
+{
+    const auto at = parseEndpoint(readString(reader, name));
+    if (!at) {
+        const auto *node = reader.table.get(name);
+        refuse(reader, node == nullptr ? reader.table.source() : node->source(),
+               "\"" + name + "\" must be an IP address and a port, such as \"10.0.0.1:2379\"");
+    }
+    return at.value_or(endpoint{});
+}
+
+void readSeeds(toml_reader &reader, daemon_settings &settings)
+{
+    for (const auto &text : readStrings(reader, "seeds")) {
+        const auto seed = parseEndpoint(text);
+        const auto &at = reader.table.get("seeds")->source();
+        if (!seed) {
+            refuse(reader, at, "a seed must be an IP address and a port: \"" + text + "\"");
+        } else if (std::find(settings.seeds.begin(), settings.seeds.end(), *seed) != settings.seeds.end()) {
+            refuse(reader, at, "duplicate address " + text + " in \"seeds\"");
+        } else {
+            settings.seeds.push_back(*seed);
+        }
+    }
+}
+
+void checkPorts(toml_reader &reader, const daemon_settings &settings)
+{
+    if (settings.callersPort == settings.peersPort || settings.callersPort == settings.adminPort
+        || settings.peersPort == settings.adminPort) {
+        refuse(reader,
+               reader.table.get("admin_port") == nullptr ? reader.table.source()
+                                                         : reader.table.get("admin_port")->source(),
+               "duplicate address: callers_port, peers_port and admin_port must differ");
+    }
+    if (settings.store.host == settings.host
+        && (settings.store.port == settings.callersPort || settings.store.port == settings.adminPort
+            || settings.store.port == settings.peersPort)) {
+        refuse(reader, reader.table.get("store")->source(), "duplicate address: \"store\" is one of the daemon's own");
+    }
+}
+
+void readLog(toml_reader &reader, daemon_settings &settings)
+{
+    static const std::vector<std::string> levels{"trace", "debug", "info", "warn", "error"};
+    settings.logLevel = readString(reader, "log_level", settings.logLevel);
+    if (std::find(levels.begin(), levels.end(), settings.logLevel) == levels.end()) {
+        refuse(reader, reader.table.get("log_level")->source(),
+               "\"log_level\" must be trace, debug, info, warn or error");
+    }
+    const auto format = readString(reader, "log_format", "text");
+    if (format != "text" && format != "json") {
+        refuse(reader, reader.table.get("log_format")->source(), R"("log_format" must be "text" or "json")");
+    }
+    settings.logFormat = format == "json" ? log_format::json : log_format::text;
+}
+
+} // namespace
+
+std::optional<endpoint> parseEndpoint(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto digits = text.substr(colon + 1);
+    if (digits.empty() || digits.size() > 5 || !std::all_of(digits.begin(), digits.end(), ::isdigit)) {
+        return std::nullopt;
+    }
+    const auto port = std::stol(digits);
+    const auto host = text.substr(0, colon);
+    if (port < 1 || port > maxPort || !isAddress(host)) {
+        return std::nullopt;
+    }
+    return endpoint{host, static_cast<std::uint16_t>(port)};
+}
+
+std::optional<std::string> readFile(const std::string &file, last_reason &why)
+{
+    std::ifstream in(file);
+    if (!in) {
+        return failed(why, "open", file, "the file can't be read");
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::optional<daemon_settings> parseSettings(std::string_view text, const std::string &file, last_reason &why)
+{
+    toml::table table;
+    try {
+        table = toml::parse(text, file);
+    } catch (const toml::parse_error &error) {
+        return failed(why, "read", file + ":" + std::to_string(error.source().begin.line),
+                      std::string(error.description()));
+    }
+    toml_reader reader{table, file, why};
+    daemon_settings settings;
+    settings.instance.value = readString(reader, "instance");
+    settings.region.value = readString(reader, "region");
+    settings.domain.value = readString(reader, "failure_domain");
+    settings.cell.value = readString(reader, "cell");
+    settings.host = readString(reader, "host");
+    settings.callersPort = readPort(reader, "callers_port");
+    settings.peersPort = readPort(reader, "peers_port");
+    settings.adminPort = readPort(reader, "admin_port");
+    settings.trafficThreads = static_cast<std::uint32_t>(readNumber(reader, "traffic_threads", 1, maxThreads, 1));
+    settings.drainLimit = std::chrono::seconds(readNumber(reader, "drain_limit_s", 1, maxDrainSeconds, 30));
+    settings.store = readEndpoint(reader, "store");
+    readSeeds(reader, settings);
+    readLog(reader, settings);
+    refuseUnknown(reader);
+    if (reader.good && (settings.instance.value.empty() || settings.cell.value.empty())) {
+        refuse(reader, table.source(), "\"instance\" and \"cell\" must not be empty");
+    }
+    if (reader.good && !isAddress(settings.host)) {
+        refuse(reader, table.get("host")->source(), "\"host\" must be an IP address");
+    }
+    if (reader.good) {
+        checkPorts(reader, settings);
+    }
+    return reader.good ? std::optional(std::move(settings)) : std::nullopt;
+}
+
+std::optional<daemon_settings> loadSettings(const std::string &file, last_reason &why)
+{
+    const auto text = readFile(file, why);
+    return text ? parseSettings(*text, file, why) : std::nullopt;
+}
+
+} // namespace quetzalspool
--- a/packages/store/src/store.cpp
+++ b/packages/store/src/store.cpp
@@ -1,1 +1,169 @@
-/** @file store.cpp */
+/** @file store.cpp Calls on the store through its HTTP/JSON gateway. */
+#include "store_func.h"
+
+#include "store_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr milliseconds watchIdleLimit{24 * 3600 * 1000}; ///< A watch without changes stays open this long.
+
+/** Posts a JSON body and reads the JSON answer. */
+asio::awaitable<std::optional<json>> call(store_client &store, std::string path, json body, last_reason &why)
+{
+    ++store.calls;
+    http_request request{"POST", std::move(path), {{"Content-Type", "application/json"}}, body.dump()};
+    const auto reply = co_await exchange(store.pool, store.at, std::move(request), store.timeout, why);
+    if (!reply) {
+        co_return std::nullopt;
+    }
+    auto answer = json::parse(reply->body, nullptr, false);
+    if (reply->status != 200 || answer.is_discarded() || !answer.contains("header")) {
+        co_return failed(why, "call the store", toString(store.at), "status " + std::to_string(reply->status));
+    }
+    co_return answer;
+}
+
+/** Notes the store's revision. One lower than before comes from a store restored from an older copy. */
+bool acceptRevision(store_client &store, revision_number revision, revision_number atLeast, last_reason &why)
+{
+    if (revision < atLeast) {
+        store.restored = true;
+        failed(why, "read the store's revision", toString(store.at),
+               "revision " + std::to_string(revision.value) + " after " + std::to_string(atLeast.value)
+                   + ": the store went back and is not trusted");
+        return false;
+    }
+    store.restored = false;
+    store.highest = std::max(store.highest, revision);
+    return true;
+}
+
+json putToJson(const txn_put &put)
+{
+    return {{"request_put", {{"key", toBase64(put.key)}, {"value", toBase64(put.value)}}}};
+}
+
+json compareToJson(const txn_compare &compare)
+{
+    return {{"key", toBase64(compare.key)},
+            {"target", "MOD"},
+            {"result", "EQUAL"},
+            {"mod_revision", std::to_string(compare.revision.value)}};
+}
+
+std::vector<watch_event> eventsFromJson(const json &result)
+{
+    std::vector<watch_event> events;
+    for (const auto &event : result.value("events", json::array())) {
+        events.push_back({valueFromJson(event.value("kv", json::object())), event.value("type", "PUT") == "DELETE"});
+    }
+    return events;
+}
+
+/** Takes the complete lines of a watch, each one JSON object, and leaves the rest. */
+bool takeLines(std::string &pending, const std::function<bool(std::vector<watch_event>)> &onEvents)
+{
+    for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
+        const auto line = json::parse(pending.substr(0, end), nullptr, false);
+        pending.erase(0, end + 1);
+        if (line.is_discarded() || line.contains("error")) {
+            return false;
+        }
+        auto events = eventsFromJson(line.value("result", json::object()));
+        if (!events.empty() && !onEvents(std::move(events))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+store_client makeStoreClient(endpoint at)
+{
+    store_client store;
+    store.at = std::move(at);
+    store.pool = makeHttpPool();
+    return store;
+}
+
+asio::awaitable<std::optional<range_result>> readRange(store_client &store, std::string prefix, bool single,
+                                                       last_reason &why)
+{
+    const auto atLeast = store.highest;
+    json body{{"key", toBase64(prefix)}};
+    if (!single) {
+        body["range_end"] = toBase64(prefixEnd(prefix));
+    }
+    const auto answer = co_await call(store, "/v3/kv/range", std::move(body), why);
+    if (!answer) {
+        co_return std::nullopt;
+    }
+    range_result result;
+    result.revision.value = numberFromJson(answer->at("header"), "revision");
+    if (!acceptRevision(store, result.revision, atLeast, why)) {
+        co_return std::nullopt;
+    }
+    for (const auto &kv : answer->value("kvs", json::array())) {
+        result.values.push_back(valueFromJson(kv));
+    }
+    co_return result;
+}
+
+asio::awaitable<std::optional<txn_result>> commit(store_client &store, txn_request request, last_reason &why)
+{
+    const auto atLeast = store.highest;
+    json body{{"compare", json::array()}, {"success", json::array()}, {"failure", json::array()}};
+    for (const auto &compare : request.compares) {
+        body["compare"].push_back(compareToJson(compare));
+        body["failure"].push_back({{"request_range", {{"key", toBase64(compare.key)}}}});
+    }
+    for (const auto &put : request.puts) {
+        body["success"].push_back(putToJson(put));
+    }
+    const auto answer = co_await call(store, "/v3/kv/txn", std::move(body), why);
+    if (!answer) {
+        co_return std::nullopt;
+    }
+    txn_result result;
+    result.succeeded = answer->value("succeeded", false);
+    result.revision.value = numberFromJson(answer->at("header"), "revision");
+    if (!acceptRevision(store, result.revision, atLeast, why)) {
+        co_return std::nullopt;
+    }
+    for (const auto &response : answer->value("responses", json::array())) {
+        const auto range = response.find("response_range");
+        if (range != response.end()) {
+            for (const auto &kv : range->value("kvs", json::array())) {
+                result.current.push_back(valueFromJson(kv));
+            }
+        }
+    }
+    co_return result;
+}
+
+asio::awaitable<void> watchPrefix(store_client &store, std::string prefix, revision_number from,
+                                  std::function<bool(std::vector<watch_event>)> onEvents, last_reason &why)
+{
+    ++store.calls;
+    json body{{"create_request",
+               {{"key", toBase64(prefix)},
+                {"range_end", toBase64(prefixEnd(prefix))},
+                {"start_revision", std::to_string(from.value)}}}};
+    http_request request{"POST", "/v3/watch", {{"Content-Type", "application/json"}}, body.dump()};
+    auto pending = std::make_shared<std::string>();
+    std::function<bool(std::string_view)> onPart = [pending, onEvents](std::string_view part) {
+        pending->append(part);
+        return takeLines(*pending, onEvents);
+    };
+    co_await streamReply(store.at, std::move(request), watchIdleLimit, onPart, why);
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/tables/src/edit_cmd.cpp
@@ -0,0 +1,215 @@
+/** @file edit_cmd.cpp Checking an operator's change, and working out its transaction. */
+#include "edit_func.h"
+#include "row_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+const rules_row *findRules(const current_tables &tables)
+{
+    const auto found = tables.find("rules/changes");
+    return found == tables.end() ? nullptr : std::get_if<rules_row>(&found->second.row);
+}
+
+edit_verdict refuse(edit_refusal refused, std::string text)
+{
+    return {std::nullopt, refused, std::move(text), {}};
+}
+
+bool hasPrefix(const std::vector<std::string> &prefixes, const std::string &key)
+{
+    return std::any_of(prefixes.begin(), prefixes.end(), [&](const auto &prefix) { return key.starts_with(prefix); });
+}
+
+bool isQuiet(const rules_row &rules, std::uint32_t minute)
+{
+    return std::any_of(rules.quiet.begin(), rules.quiet.end(), [&](const quiet_time &quiet) {
+        if (quiet.fromMinute <= quiet.toMinute) {
+            return minute >= quiet.fromMinute && minute < quiet.toMinute;
+        }
+        return minute >= quiet.fromMinute || minute < quiet.toMinute;
+    });
+}
+
+/** Checks the operator, the time and the size against the rules. */
+edit_verdict checkRules(const rules_row &rules, const table_edit &edit, std::chrono::minutes minuteOfDay)
+{
+    if (!isOperator(rules, edit.operatorName, edit.keyHash)) {
+        return refuse(edit_refusal::operator_unknown, "no operator \"" + edit.operatorName + "\" with this key");
+    }
+    const auto own = std::find_if(rules.operators.begin(), rules.operators.end(),
+                                  [&](const auto &row) { return row.name == edit.operatorName; });
+    for (const auto &row : edit.rows) {
+        if (!hasPrefix(own->mayChange, row.key)) {
+            return refuse(edit_refusal::not_allowed, edit.operatorName + " may not change " + row.key);
+        }
+    }
+    if (isQuiet(rules, static_cast<std::uint32_t>(minuteOfDay.count()))) {
+        return refuse(edit_refusal::quiet, "nothing changes at this time of day");
+    }
+    if (edit.rows.size() > rules.maxRows) {
+        return refuse(edit_refusal::too_many, "at most " + std::to_string(rules.maxRows) + " rows may change at once");
+    }
+    return {};
+}
+
+/** The tables as they would stand after the change. */
+current_tables applied(const current_tables &tables, const table_edit &edit)
+{
+    auto after = tables;
+    for (const auto &row : edit.rows) {
+        after[row.key].row = row.row;
+    }
+    return after;
+}
+
+const pool_row *findPool(const current_tables &tables, const pool_id &pool)
+{
+    const auto found = tables.find("pools/" + pool.value);
+    return found == tables.end() ? nullptr : std::get_if<pool_row>(&found->second.row);
+}
+
+/** Checks that every route has its pool, and that a keyed pool keeps its slots and homes. */
+std::string findBreach(const current_tables &before, const current_tables &after)
+{
+    for (const auto &[key, entry] : after) {
+        if (const auto *route = std::get_if<route_row>(&entry.row)) {
+            const auto *pool = findPool(after, route->pool);
+            if (pool == nullptr) {
+                return key + " refers to the pool \"" + route->pool.value + "\", which does not exist";
+            }
+            if (pool->keyed != (route->keyFrom != key_source::none)) {
+                return key + " must name a key exactly if its pool is keyed";
+            }
+        }
+        if (const auto *pool = std::get_if<pool_row>(&entry.row)) {
+            const auto *old = findPool(before, pool->name);
+            if (old != nullptr
+                && (old->keyed != pool->keyed || old->slots != pool->slots || old->homes != pool->homes)) {
+                return key + ": keyed, slots and homes of a pool can't change; make a new pool";
+            }
+        }
+    }
+    return {};
+}
+
+/** Collects the rows that differ, and those that changed since the operator saw them. */
+void collectChanges(const current_tables &tables, const table_edit &edit, edit_plan &plan, edit_verdict &verdict)
+{
+    for (const auto &row : edit.rows) {
+        const auto known = tables.find(row.key);
+        row_change change{row.key, "", formatRow(row.row), {}};
+        if (known != tables.end()) {
+            change.before = formatRow(known->second.row);
+            change.revision = known->second.revision;
+        }
+        const auto base = edit.bases.find(row.key);
+        if (base != edit.bases.end() && base->second != change.revision) {
+            verdict.conflicts.push_back(change);
+        }
+        const bool removesNothing = known == tables.end() && std::holds_alternative<removed_row>(row.row);
+        if (change.before != change.after && !removesNothing) {
+            plan.changes.push_back(std::move(change));
+        }
+    }
+}
+
+/** Adds conditions so that no route is left without its pool, whatever else is written meanwhile. */
+void addReferences(const current_tables &tables, const std::map<std::string, revision_number> &guards,
+                   const table_edit &edit, edit_plan &plan)
+{
+    for (const auto &row : edit.rows) {
+        if (const auto *route = std::get_if<route_row>(&row.row)) {
+            const auto key = "pools/" + route->pool.value;
+            const auto known = tables.find(key);
+            const bool edited = std::any_of(plan.changes.begin(), plan.changes.end(),
+                                            [&](const auto &change) { return change.key == key; });
+            if (known != tables.end() && !edited) {
+                plan.conditions.push_back({key, known->second.revision});
+            }
+            plan.references.push_back(guardPrefix + route->pool.value);
+        } else if (row.key.starts_with("pools/") && std::holds_alternative<removed_row>(row.row)) {
+            const auto guard = guardPrefix + row.key.substr(std::string_view("pools/").size());
+            const auto known = guards.find(guard);
+            plan.conditions.push_back({guard, known == guards.end() ? revision_number{} : known->second});
+        }
+    }
+}
+
+} // namespace
+
+bool isOperator(const rules_row &rules, const std::string &name, const std::string &keyHash)
+{
+    return std::any_of(rules.operators.begin(), rules.operators.end(),
+                       [&](const auto &row) { return row.name == name && row.keyHash == keyHash; });
+}
+
+edit_verdict planEdit(const current_tables &tables, const std::map<std::string, revision_number> &guards,
+                      const table_edit &edit, std::chrono::minutes minuteOfDay)
+{
+    const auto *rules = findRules(tables);
+    if (rules != nullptr) {
+        auto verdict = checkRules(*rules, edit, minuteOfDay);
+        if (verdict.refused != edit_refusal::none) {
+            return verdict;
+        }
+    }
+    for (const auto &row : edit.rows) {
+        last_reason why;
+        if (!checkRow(row.key, row.row, why)) {
+            return refuse(edit_refusal::invalid, describe(why));
+        }
+    }
+    const auto breach = findBreach(tables, applied(tables, edit));
+    if (!breach.empty()) {
+        return refuse(edit_refusal::invalid, breach);
+    }
+    edit_verdict verdict;
+    edit_plan plan;
+    collectChanges(tables, edit, plan, verdict);
+    if (!verdict.conflicts.empty()) {
+        verdict.refused = edit_refusal::conflict;
+        verdict.text = verdict.conflicts.front().key + " has changed since";
+        return verdict;
+    }
+    addReferences(tables, guards, edit, plan);
+    if (rules != nullptr) {
+        plan.needsApproval = std::any_of(plan.changes.begin(), plan.changes.end(), [&](const auto &change) {
+            return hasPrefix(rules->needApproval, change.key);
+        });
+        // The rules themselves must not change under a change that they allowed.
+        plan.conditions.push_back({"rules/changes", tables.at("rules/changes").revision});
+        std::erase_if(plan.conditions, [&](const auto &condition) {
+            return std::any_of(plan.changes.begin(), plan.changes.end(),
+                               [&](const auto &change) { return change.key == condition.key; });
+        });
+    }
+    verdict.plan = std::move(plan);
+    return verdict;
+}
+
+const char *nameOf(edit_refusal refused)
+{
+    switch (refused) {
+    case edit_refusal::none:
+        return "accepted";
+    case edit_refusal::operator_unknown:
+        return "operator-unknown";
+    case edit_refusal::not_allowed:
+        return "not-allowed";
+    case edit_refusal::quiet:
+        return "quiet-time";
+    case edit_refusal::too_many:
+        return "too-many-rows";
+    case edit_refusal::invalid:
+        return "invalid";
+    case edit_refusal::conflict:
+        return "conflict";
+    }
+    return "unknown";
+}
+
+} // namespace quetzalspool
--- a/packages/tables/src/tables.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-/** @file tables.cpp */
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -1,1 +1,186 @@
-/** @file target.cpp */
+/** @file target.cpp Handing requests to a target over HTTP/1.1. */
+#include "target_func.h"
+
+#include "http_convert.h"
+
+#include <boost/beast/core.hpp>
+#include <limits>
+#include <map>
+
+namespace quetzalspool {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr milliseconds keptIdleLimit{800}; ///< A kept connection older than this is not used again.
+constexpr std::size_t partSize = 32 * 1024; ///< Bytes of a body read at once.
+constexpr const char *notRunHeader = "Quetzalspool-Not-Run"; ///< The contract's refusal.
+
+} // namespace
+
+struct target_exchange
+{
+    explicit target_exchange(const asio::any_io_executor &executor)
+        : stream(executor)
+    { }
+
+    endpoint address; ///< Target.
+    beast::tcp_stream stream; ///< Connection.
+    beast::flat_buffer buffer; ///< Bytes read ahead.
+    std::optional<http::response_parser<http::buffer_body>> parser; ///< The answer being read.
+    bool headOnly = false; ///< Whether the answer has no body by its method.
+    bool whole = false; ///< Whether the answer was read whole.
+    steady_time idleSince{}; ///< When it was kept.
+};
+
+struct target_client
+{
+    std::map<endpoint, std::vector<std::shared_ptr<target_exchange>>> kept; ///< Idle connections.
+};
+
+namespace {
+
+bool looksOpen(target_exchange &exchange)
+{
+    error_code code;
+    auto &socket = exchange.stream.socket();
+    socket.non_blocking(true, code);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code == asio::error::would_block;
+}
+
+std::shared_ptr<target_exchange> takeKept(target_client &client, const endpoint &address)
+{
+    auto &kept = client.kept[address];
+    while (!kept.empty()) {
+        auto exchange = std::move(kept.back());
+        kept.pop_back();
+        if (std::chrono::steady_clock::now() - exchange->idleSince < keptIdleLimit && looksOpen(*exchange)) {
+            return exchange;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::shared_ptr<target_client> makeTargetClient()
+{
+    return std::make_shared<target_client>();
+}
+
+asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
+                                                             bool fresh, milliseconds timeout, last_reason &why)
+{
+    auto exchange = fresh ? nullptr : takeKept(*client, address);
+    if (exchange) {
+        exchange->whole = false;
+        co_return exchange;
+    }
+    exchange = std::make_shared<target_exchange>(co_await asio::this_coro::executor);
+    exchange->address = address;
+    exchange->stream.expires_after(timeout);
+    error_code code;
+    co_await exchange->stream.async_connect(resolved<tcp>(address), reporting(code));
+    if (code) {
+        failed(why, "connect to the target", toString(address), code.message());
+        co_return nullptr;
+    }
+    exchange->stream.socket().set_option(tcp::no_delay(true), code);
+    co_return exchange;
+}
+
+asio::awaitable<bool> sendToTarget(std::shared_ptr<target_exchange> exchange, http_request request, steady_time until,
+                                   last_reason &why)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.path);
+    message.version(11);
+    for (const auto &[name, value] : request.headers) {
+        message.insert(name, value);
+    }
+    if (message.find(http::field::host) == message.end()) {
+        message.set(http::field::host, toString(exchange->address));
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    exchange->headOnly = request.method == "HEAD";
+    exchange->stream.expires_at(until);
+    error_code code;
+    co_await http::async_write(exchange->stream, message, reporting(code));
+    if (code) {
+        failed(why, "send to the target", toString(exchange->address), code.message());
+    }
+    co_return !code;
+}
+
+asio::awaitable<std::optional<target_head>> readTargetHead(std::shared_ptr<target_exchange> exchange, steady_time until,
+                                                           last_reason &why)
+{
+    auto &parser = exchange->parser.emplace();
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.skip(exchange->headOnly);
+    exchange->stream.expires_at(until);
+    error_code code;
+    co_await http::async_read_header(exchange->stream, exchange->buffer, parser, reporting(code));
+    if (code) {
+        co_return failed(why, "read the target's answer", toString(exchange->address), code.message());
+    }
+    if (parser.need_eof() && !exchange->headOnly) {
+        co_return failed(why, "read the target's answer", toString(exchange->address),
+                         "neither a length nor chunks: its end could not be told from a break");
+    }
+    const auto &message = parser.get();
+    target_head head{message.result_int(), copyHeaders(message), std::nullopt, ""};
+    if (const auto length = parser.content_length()) {
+        head.length = *length;
+    }
+    head.notRun = headerOf(head.headers, notRunHeader);
+    co_return head;
+}
+
+asio::awaitable<std::optional<std::string>> readTargetPart(std::shared_ptr<target_exchange> exchange, steady_time until,
+                                                           last_reason &why)
+{
+    auto &parser = *exchange->parser;
+    std::string part(partSize, '\0');
+    while (!parser.is_done()) {
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        exchange->stream.expires_at(until);
+        error_code code;
+        co_await http::async_read_some(exchange->stream, exchange->buffer, parser, reporting(code));
+        if (code && code != http::error::need_buffer) {
+            co_return failed(why, "read the target's answer", toString(exchange->address), code.message());
+        }
+        const auto length = part.size() - parser.get().body().size;
+        if (length > 0) {
+            part.resize(length);
+            co_return part;
+        }
+    }
+    exchange->whole = true;
+    co_return std::string();
+}
+
+void closeTarget(target_client &client, const std::shared_ptr<target_exchange> &exchange)
+{
+    if (exchange->whole && exchange->parser && exchange->parser->keep_alive()) {
+        exchange->idleSince = std::chrono::steady_clock::now();
+        exchange->stream.expires_never();
+        client.kept[exchange->address].push_back(exchange);
+        return;
+    }
+    cancelTarget(*exchange);
+}
+
+void cancelTarget(target_exchange &exchange)
+{
+    exchange.stream.close();
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/telemetry/src/log.cpp
@@ -0,0 +1,82 @@
+/** @file log.cpp Structured log lines through log4cxx. */
+#include "log_func.h"
+
+#include <atomic>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+bool asJson = false;
+std::string instanceName;
+
+log4cxx::LoggerPtr logger()
+{
+    static const auto instance = log4cxx::Logger::getLogger("quetzalspool");
+    return instance;
+}
+
+log4cxx::LevelPtr levelOf(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return log4cxx::Level::getDebug();
+    case log_level::info:
+        return log4cxx::Level::getInfo();
+    case log_level::warn:
+        return log4cxx::Level::getWarn();
+    default:
+        return log4cxx::Level::getError();
+    }
+}
+
+std::string formatText(std::string_view event, std::initializer_list<log_field> fields)
+{
+    std::string line(event);
+    for (const auto &[name, value] : fields) {
+        line.append(" ").append(name).append("=");
+        const bool quote = value.empty() || value.find_first_of(" \"=") != std::string::npos;
+        line += quote ? nlohmann::json(value).dump() : value;
+    }
+    return line;
+}
+
+std::string formatJson(std::string_view event, std::initializer_list<log_field> fields)
+{
+    nlohmann::json line{{"event", event}, {"instance", instanceName}};
+    for (const auto &[name, value] : fields) {
+        line[std::string(name)] = value;
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+void startLog(const std::string &level, bool json, const std::string &instance)
+{
+    asJson = json;
+    instanceName = instance;
+    // A JSON line carries its time and level in front, so that the object itself stays as logged.
+    const auto pattern = json ? std::string("%d{yyyy-MM-dd HH:mm:ss.SSS} %p %m%n")
+                              : "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [" + instance + "] %m%n";
+    auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::configure(appender);
+    logger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    const auto target = logger();
+    const auto as = levelOf(level);
+    if (target->isEnabledFor(as)) {
+        target->forcedLog(as, asJson ? formatJson(event, fields) : formatText(event, fields));
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/telemetry/src/telemetry.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-/** @file telemetry.cpp */
--- /dev/null
+++ b/standins/store/store_standin.cpp
@@ -0,0 +1,202 @@
+/** @file store_standin.cpp The subset of the gateway: range, txn with MOD compares, watch. */
+#include "store_standin.h"
+
+#include "store_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr milliseconds downHold{5000}; ///< A call during an outage is held this long.
+constexpr std::size_t keptEvents = 100000; ///< Changes kept for watches.
+
+json header(const store_standin &store)
+{
+    return {{"revision", std::to_string(store.revision)}};
+}
+
+json rangeOf(const store_standin &store, const json &body)
+{
+    const auto first = fromBase64(body.value("key", ""));
+    const auto last = body.contains("range_end") ? fromBase64(body.value("range_end", "")) : first + '\0';
+    auto kvs = json::array();
+    for (auto at = store.values.lower_bound(first); at != store.values.end() && at->first < last; ++at) {
+        kvs.push_back(valueToJson(at->second));
+    }
+    return kvs;
+}
+
+bool holds(const store_standin &store, const json &compare)
+{
+    const auto key = fromBase64(compare.value("key", ""));
+    const auto found = store.values.find(key);
+    const auto actual = found == store.values.end() ? 0 : found->second.revision.value;
+    return actual == numberFromJson(compare, "mod_revision");
+}
+
+void put(store_standin &store, const json &request)
+{
+    const auto key = fromBase64(request.value("key", ""));
+    const stored_value value{key, fromBase64(request.value("value", "")), {store.revision}};
+    store.values[key] = value;
+    store.events.push_back({store.revision, {value, false}});
+    if (store.events.size() > keptEvents) {
+        store.events.pop_front();
+    }
+}
+
+json commitTxn(store_standin &store, const json &body)
+{
+    const auto compares = body.value("compare", json::array());
+    const bool good = std::all_of(compares.begin(), compares.end(), [&](const auto &row) { return holds(store, row); });
+    auto responses = json::array();
+    const auto operations = body.value(good ? "success" : "failure", json::array());
+    const bool writes =
+        std::any_of(operations.begin(), operations.end(), [](const auto &row) { return row.contains("request_put"); });
+    store.revision += writes ? 1 : 0;
+    for (const auto &operation : operations) {
+        if (operation.contains("request_put")) {
+            put(store, operation["request_put"]);
+            responses.push_back({{"response_put", {{"header", header(store)}}}});
+        } else {
+            responses.push_back({{"response_range", {{"kvs", rangeOf(store, operation["request_range"])}}}});
+        }
+    }
+    store.changed->wake();
+    return {{"header", header(store)}, {"succeeded", good}, {"responses", responses}};
+}
+
+bool overLimit(store_standin &store)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - store.writeWindow >= std::chrono::seconds(1)) {
+        store.writeWindow = now;
+        store.writesInWindow = 0;
+    }
+    ++store.writesInWindow;
+    return store.behaviour.writesPerSecond > 0 && store.writesInWindow > store.behaviour.writesPerSecond;
+}
+
+http_reply unavailable()
+{
+    return jsonReply(503, R"({"error":"unavailable"})");
+}
+
+http_reply control(store_standin &store, const http_request &request)
+{
+    if (request.path == "/standin/counts") {
+        return jsonReply(200,
+                         json{{"reads", store.counts.reads},
+                              {"writes", store.counts.writes},
+                              {"watches", store.counts.watches},
+                              {"waiting", store.counts.waiting},
+                              {"bytes", store.counts.bytes},
+                              {"revision", store.revision}}
+                             .dump());
+    }
+    if (request.path == "/standin/copy") {
+        store.copy = store.values;
+        store.copyRevision = store.revision;
+    } else if (request.path == "/standin/restore") {
+        store.values = store.copy;
+        store.revision = store.copyRevision;
+        store.events.clear();
+    } else {
+        const auto body = json::parse(request.body, nullptr, false);
+        store.behaviour.down = body.value("down", store.behaviour.down);
+        store.behaviour.delay = milliseconds(body.value("delay_ms", store.behaviour.delay.count()));
+        store.behaviour.loseAnswers = body.value("lose_answers", store.behaviour.loseAnswers);
+        store.behaviour.writesPerSecond = body.value("writes_per_second", store.behaviour.writesPerSecond);
+        store.changed->wake();
+    }
+    return jsonReply(200, "{}");
+}
+
+asio::awaitable<http_reply> answer(std::shared_ptr<store_standin> store, http_request request)
+{
+    if (request.path.starts_with("/standin/")) {
+        co_return control(*store, request);
+    }
+    if (store->behaviour.down) {
+        co_await sleepFor(downHold);
+        co_return unavailable();
+    }
+    co_await sleepFor(store->behaviour.delay);
+    const auto body = json::parse(request.body, nullptr, false);
+    store->counts.bytes += request.body.size();
+    json reply;
+    if (request.path == "/v3/kv/range") {
+        ++store->counts.reads;
+        reply = {{"header", header(*store)}, {"kvs", rangeOf(*store, body)}};
+    } else if (request.path == "/v3/kv/txn") {
+        ++store->counts.writes;
+        if (overLimit(*store)) {
+            co_return unavailable();
+        }
+        reply = commitTxn(*store, body);
+        if (store->behaviour.loseAnswers > 0) {
+            --store->behaviour.loseAnswers;
+            co_return unavailable();
+        }
+    } else {
+        co_return jsonReply(404, R"({"error":"not found"})");
+    }
+    auto text = reply.dump();
+    store->counts.bytes += text.size();
+    co_return jsonReply(200, std::move(text));
+}
+
+/** Sends the changes from a revision on, as they come. */
+asio::awaitable<bool> watch(std::shared_ptr<store_standin> store, const http_request &request, part_writer write)
+{
+    if (request.path != "/v3/watch" || store->behaviour.down) {
+        co_return false;
+    }
+    const auto body = json::parse(request.body, nullptr, false);
+    const auto create = body.value("create_request", json::object());
+    const auto first = fromBase64(create.value("key", ""));
+    const auto last = fromBase64(create.value("range_end", ""));
+    auto next = numberFromJson(create, "start_revision");
+    ++store->counts.watches;
+    ++store->counts.waiting;
+    json created{{"result", {{"header", header(*store)}, {"created", true}}}};
+    bool good = co_await write(created.dump() + "\n");
+    while (good && !store->behaviour.down) {
+        auto events = json::array();
+        for (const auto &[revision, event] : store->events) {
+            if (revision >= next && event.value.key >= first && event.value.key < last) {
+                events.push_back({{"kv", valueToJson(event.value)}});
+            }
+        }
+        next = store->revision + 1;
+        const json line{{"result", {{"header", header(*store)}, {"events", events}}}};
+        const auto text = line.dump() + "\n";
+        store->counts.bytes += text.size();
+        good = co_await write(text);
+        if (good) {
+            co_await store->changed->waitUntil(std::chrono::steady_clock::now() + std::chrono::seconds(2));
+        }
+    }
+    --store->counts.waiting;
+    co_return true;
+}
+
+} // namespace
+
+asio::awaitable<void> serveStore(std::shared_ptr<store_standin> store, std::shared_ptr<tcp::acceptor> acceptor)
+{
+    store->changed = std::make_shared<wake_event>(acceptor->get_executor());
+    http_handler handler = [store](http_request request) { return answer(store, std::move(request)); };
+    http_server_options options;
+    options.streamer = [store](const http_request &request, part_writer write) {
+        return watch(store, request, std::move(write));
+    };
+    co_await serveHttp(acceptor, handler, options);
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/standins/target/target_standin.cpp
@@ -0,0 +1,140 @@
+/** @file target_standin.cpp A target: slots, service time, grants, and a log of runs. */
+#include "target_standin.h"
+
+#include "http_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds announceInterval{1000};
+constexpr milliseconds announceTimeout{500};
+
+http_reply refuse(target_standin &target, unsigned status, const std::string &reason)
+{
+    ++target.refusals;
+    return {status, {{"Quetzalspool-Not-Run", reason}}, reason + "\n"};
+}
+
+/** Whether the grant is older than one seen before for the slot. */
+bool isStale(target_standin &target, const http_request &request)
+{
+    const auto fence = headerOf(request.headers, "Quetzalspool-Fence");
+    if (!target.options.checksGrants || fence.empty()) {
+        return false;
+    }
+    const auto slot =
+        headerOf(request.headers, "Quetzalspool-Pool") + "/" + headerOf(request.headers, "Quetzalspool-Slot");
+    auto &highest = target.fences[slot];
+    const auto number = std::strtoull(fence.c_str(), nullptr, 10);
+    if (number < highest) {
+        return true;
+    }
+    highest = number;
+    return false;
+}
+
+void logRun(target_standin &target, const http_request &request)
+{
+    ++target.runs;
+    if (!target.log.is_open()) {
+        return;
+    }
+    const auto at = std::chrono::duration_cast<std::chrono::microseconds>(clock::now().time_since_epoch()).count();
+    const json line{{"target", target.options.name},
+                    {"at_us", at},
+                    {"method", request.method},
+                    {"path", request.path},
+                    {"key", headerOf(request.headers, "Quetzalspool-Key")},
+                    {"id", headerOf(request.headers, "Quetzalspool-Request-Id")},
+                    {"slot", headerOf(request.headers, "Quetzalspool-Slot")},
+                    {"fence", headerOf(request.headers, "Quetzalspool-Fence")}};
+    target.log << line.dump() << std::endl;
+}
+
+http_reply control(target_standin &target, const http_request &request)
+{
+    auto &options = target.options;
+    if (request.path == "/standin/behave") {
+        const auto body = json::parse(request.body, nullptr, false);
+        options.frozen = body.value("frozen", options.frozen);
+        options.shedding = body.value("shedding", options.shedding);
+        options.service = milliseconds(body.value("service_ms", options.service.count()));
+        target.changed->wake();
+    }
+    return jsonReply(200,
+                     json{{"runs", target.runs}, {"refusals", target.refusals}, {"working", target.working}}.dump());
+}
+
+asio::awaitable<http_reply> answer(std::shared_ptr<target_standin> target, http_request request)
+{
+    if (request.path.starts_with("/standin/")) {
+        co_return control(*target, request);
+    }
+    auto &options = target->options;
+    if (options.shedding) {
+        co_return refuse(*target, 503, "shed");
+    }
+    while (options.frozen || target->working >= options.slots) {
+        co_await target->changed->waitUntil(clock::now() + std::chrono::seconds(1));
+    }
+    if (isStale(*target, request)) {
+        co_return refuse(*target, 412, "stale-grant");
+    }
+    ++target->working;
+    logRun(*target, request);
+    if (options.service.count() > 0) {
+        co_await sleepFor(options.service);
+    }
+    --target->working;
+    target->changed->wake();
+    const auto size = request.path.find("bytes=");
+    const auto bytes = size == std::string::npos ? 0 : std::strtoull(request.path.c_str() + size + 6, nullptr, 10);
+    json body{{"target", options.name},
+              {"path", request.path},
+              {"key", headerOf(request.headers, "Quetzalspool-Key")},
+              {"id", headerOf(request.headers, "Quetzalspool-Request-Id")}};
+    auto reply = jsonReply(200, body.dump() + "\n");
+    reply.body.append(bytes, 'x');
+    co_return reply;
+}
+
+asio::awaitable<void> announceLoop(std::shared_ptr<target_standin> target, std::shared_ptr<tcp::acceptor> acceptor)
+{
+    const auto pool = makeHttpPool();
+    const auto &options = target->options;
+    while (acceptor->is_open()) {
+        const json body{{"pool", options.pool},
+                        {"address", toString(options.listen)},
+                        {"slots", options.slots},
+                        {"connections", options.connections},
+                        {"checks_grants", options.checksGrants}};
+        http_request request{"POST", "/v1/announce", {}, body.dump()};
+        last_reason why;
+        co_await exchange(pool, options.daemon, std::move(request), announceTimeout, why);
+        co_await sleepFor(announceInterval);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> serveTarget(std::shared_ptr<target_standin> target, std::shared_ptr<tcp::acceptor> acceptor)
+{
+    target->changed = std::make_shared<wake_event>(acceptor->get_executor());
+    if (!target->options.logFile.empty()) {
+        target->log.open(target->options.logFile, std::ios::app);
+    }
+    if (target->options.daemon.port != 0) {
+        asio::co_spawn(acceptor->get_executor(), announceLoop(target, acceptor), asio::detached);
+    }
+    http_handler handler = [target](http_request request) { return answer(target, std::move(request)); };
+    const http_server_options serverOptions;
+    co_await serveHttp(acceptor, handler, serverOptions);
+}
+
+} // namespace quetzalspool
