--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -52,8 +52,11 @@
     } catch (const json::exception &error) {
         return jsonReply(400, json{{"reason", error.what()}}.dump());
     }
-    takeAnnouncement(control, facts, clock::now());
-    return jsonReply(200, "{}");
+    const auto now = clock::now();
+    takeAnnouncement(control, facts, now);
+    // The target counts this from before it asked, so the grant ends no later there than here, whoever is paused.
+    const auto lease = std::chrono::floor<milliseconds>(ownCell(control).lease.validUntil - now);
+    return jsonReply(200, json{{"lease_ms", std::max<std::int64_t>(lease.count(), 0)}}.dump());
 }
 
 /** What one daemon says about itself. */
--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace quetzalspool {
@@ -287,6 +288,7 @@
     while (connection->keepAlive && !connection->broken) {
         const auto parser = std::make_shared<caller_parser>();
         parser->header_limit(headerLimit);
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // The route's limit is checked once it is known.
         connection->stream.expires_after(idleTimeout);
         co_await http::async_read_header(connection->stream, connection->buffer, *parser, reporting(code));
         if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -14,6 +14,7 @@
 
 constexpr milliseconds connectTimeout{500}; ///< Bound on connecting to the target beside this daemon.
 constexpr milliseconds abandonCheck{100}; ///< Between two looks whether the caller still waits.
+constexpr std::string_view staleGrant = "stale-grant"; ///< The contract's reason for a grant that does not hold.
 constexpr milliseconds unreachableRetry{1000}; ///< When to come back if the target can't be reached.
 
 request_outcome notRun(refusal reason, milliseconds retryAfter)
@@ -172,7 +173,9 @@
     }
     progress = true;
     if (!head->notRun.empty()) {
-        co_return request_outcome{attempt_result::not_run, refusal::none, "target-refused-" + head->notRun,
+        // A target that has not yet heard of the lease, or no longer, refuses like a daemon without one.
+        const auto reason = head->notRun == staleGrant ? refusal::no_lease : refusal::none;
+        co_return request_outcome{attempt_result::not_run, reason, "target-refused-" + head->notRun,
                                   milliseconds(200)};
     }
     const bool wanted = co_await sink->head(head->status, std::move(head->headers), head->length);
--- a/packages/store/src/store.cpp
+++ b/packages/store/src/store.cpp
@@ -67,16 +67,33 @@
     return events;
 }
 
-/** Takes the complete lines of a watch, each one JSON object, and leaves the rest. */
-bool takeLines(std::string &pending, const std::function<bool(std::vector<watch_event>)> &onEvents)
+/** What a watch keeps between the parts of its stream. */
+struct watch_stream
 {
+    std::string pending; ///< Bytes of an incomplete line.
+    std::int64_t revision = 0; ///< Revision of the last line.
+};
+
+/**
+ * Takes the complete lines of a watch, each one JSON object, and leaves the rest. Ends the watch if the store's
+ * revision falls, since it was restored from an older copy then.
+ */
+bool takeLines(watch_stream &stream, const std::function<bool(std::vector<watch_event>)> &onEvents)
+{
+    auto &pending = stream.pending;
     for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
         const auto line = json::parse(pending.substr(0, end), nullptr, false);
         pending.erase(0, end + 1);
         if (line.is_discarded() || line.contains("error")) {
             return false;
         }
-        auto events = eventsFromJson(line.value("result", json::object()));
+        const auto result = line.value("result", json::object());
+        const auto revision = numberFromJson(result.value("header", json::object()), "revision");
+        if (revision < stream.revision) {
+            return false;
+        }
+        stream.revision = revision;
+        auto events = eventsFromJson(result);
         if (!events.empty() && !onEvents(std::move(events))) {
             return false;
         }
@@ -158,10 +175,10 @@
                 {"range_end", toBase64(prefixEnd(prefix))},
                 {"start_revision", std::to_string(from.value)}}}};
     http_request request{"POST", "/v3/watch", {{"Content-Type", "application/json"}}, body.dump()};
-    auto pending = std::make_shared<std::string>();
-    std::function<bool(std::string_view)> onPart = [pending, onEvents](std::string_view part) {
-        pending->append(part);
-        return takeLines(*pending, onEvents);
+    auto stream = std::make_shared<watch_stream>();
+    std::function<bool(std::string_view)> onPart = [stream, onEvents](std::string_view part) {
+        stream->pending.append(part);
+        return takeLines(*stream, onEvents);
     };
     co_await streamReply(store.at, std::move(request), watchIdleLimit, onPart, why);
 }
--- a/packages/tables/src/row_type.h
+++ b/packages/tables/src/row_type.h
@@ -37,7 +37,7 @@
     request_class kind = request_class::lookup; ///< Class of methods that are not listed as idempotent.
     std::vector<std::string> idempotentMethods{"GET", "HEAD"}; ///< Methods that may run more than once.
     milliseconds deadline{5000}; ///< Bound on the whole request.
-    std::uint64_t maxBody = 256 * 1024; ///< Bytes of a request body at most.
+    std::uint64_t maxBody = 262144; ///< Bytes of a request body at most.
     std::vector<std::string> callers; ///< IP addresses or networks that may use it; empty means all.
 
     bool operator==(const route_row &) const = default;
--- a/standins/store/store_standin.cpp
+++ b/standins/store/store_standin.cpp
@@ -99,13 +99,12 @@
                               {"revision", store.revision}}
                              .dump());
     }
-    if (request.path == "/standin/copy") {
-        store.copy = store.values;
-        store.copyRevision = store.revision;
-    } else if (request.path == "/standin/restore") {
-        store.values = store.copy;
-        store.revision = store.copyRevision;
+    if (request.path == "/standin/restore") {
+        // As from a backup: only values up to a revision are there, and the revision counts on from it.
+        store.revision = json::parse(request.body, nullptr, false).value("revision", std::int64_t(1));
+        std::erase_if(store.values, [&](const auto &entry) { return entry.second.revision.value > store.revision; });
         store.events.clear();
+        store.changed->wake();
     } else {
         const auto body = json::parse(request.body, nullptr, false);
         store.behaviour.down = body.value("down", store.behaviour.down);
--- a/standins/store/store_standin.h
+++ b/standins/store/store_standin.h
@@ -40,8 +40,6 @@
     store_counts counts; ///< What was asked of it.
     steady_time writeWindow{}; ///< Start of the second in which writes are counted.
     std::uint64_t writesInWindow = 0; ///< Writes in it.
-    std::map<std::string, stored_value> copy; ///< A copy that can be restored.
-    std::int64_t copyRevision = 0; ///< Revision of the copy.
     std::shared_ptr<wake_event> changed; ///< Wakes watches.
 };
 
--- a/standins/target/target_standin.cpp
+++ b/standins/target/target_standin.cpp
@@ -13,6 +13,7 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds announceInterval{1000};
+constexpr milliseconds grantInterval{250}; ///< Between two announcements of a target that checks grants.
 constexpr milliseconds announceTimeout{500};
 
 http_reply refuse(target_standin &target, unsigned status, const std::string &reason)
@@ -21,13 +22,16 @@
     return {status, {{"Quetzalspool-Not-Run", reason}}, reason + "\n"};
 }
 
-/** Whether the grant is older than one seen before for the slot. */
+/** Whether the daemon's lease has run out, or the grant is older than one seen before for the slot. */
 bool isStale(target_standin &target, const http_request &request)
 {
     const auto fence = headerOf(request.headers, "Quetzalspool-Fence");
     if (!target.options.checksGrants || fence.empty()) {
         return false;
     }
+    if (clock::now() >= target.leaseUntil) {
+        return true;
+    }
     const auto slot =
         headerOf(request.headers, "Quetzalspool-Pool") + "/" + headerOf(request.headers, "Quetzalspool-Slot");
     auto &highest = target.fences[slot];
@@ -116,8 +120,13 @@
                         {"checks_grants", options.checksGrants}};
         http_request request{"POST", "/v1/announce", {}, body.dump()};
         last_reason why;
-        co_await exchange(pool, options.daemon, std::move(request), announceTimeout, why);
-        co_await sleepFor(announceInterval);
+        const auto askedAt = clock::now();
+        const auto reply = co_await exchange(pool, options.daemon, std::move(request), announceTimeout, why);
+        const auto answer = json::parse(reply ? reply->body : "", nullptr, false);
+        if (answer.is_object()) {
+            target->leaseUntil = askedAt + milliseconds(answer.value("lease_ms", std::int64_t(0)));
+        }
+        co_await sleepFor(options.checksGrants ? grantInterval : announceInterval);
     }
 }
 
--- a/standins/target/target_standin.h
+++ b/standins/target/target_standin.h
@@ -34,6 +34,7 @@
     std::uint64_t runs = 0; ///< Requests run.
     std::uint64_t refusals = 0; ///< Requests refused by contract.
     std::map<std::string, std::uint64_t> fences; ///< Highest fence seen, by pool and slot.
+    steady_time leaseUntil{}; ///< End of the daemon's lease, by this target's clock.
     std::shared_ptr<wake_event> changed; ///< Wakes requests that wait for a slot or a thaw.
     std::ofstream log; ///< Log of runs.
 };
--- /dev/null
+++ b/standins/tests/system_test.cpp
@@ -0,0 +1,332 @@
+/** @file system_test.cpp Failures of whole processes on loopback, checked on histories. */
+#include "fleet.h"
+#include "history.h"
+#include "load_type.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+using std::chrono::seconds;
+
+constexpr milliseconds startPatience{30000};
+constexpr milliseconds lossTarget{2000}; ///< A key is served again within this time of a loss.
+constexpr milliseconds spreadTarget{10000}; ///< A change is in force everywhere within this time.
+
+/** Ports are taken in turn, so that two fleets never meet. */
+std::uint16_t nextBasePort()
+{
+    static std::uint16_t next = 20000;
+    next += 200;
+    return next;
+}
+
+class system_failures : public testing::Test
+{
+protected:
+    void startFleet(std::size_t keyed, std::size_t others)
+    {
+        auto plan = twoRegionPlan(keyed, others);
+        plan.basePort = nextBasePort();
+        plan.binaries = BINARIES;
+        running = std::make_unique<fleet>(std::move(plan));
+        ASSERT_TRUE(running->start(startPatience));
+        // The sets of voters are complete before anything is broken.
+        ASSERT_TRUE(running->waitFor(seconds(15), [this] {
+            const auto status = running->ask(running->plan().instances.front().name, "/v1/status");
+            bool settled = status.is_object();
+            for (const auto &cell : settled ? status.at("cells") : json::array()) {
+                settled = settled && !cell.at("voters_changing").get<bool>() && cell.at("voters").size() >= 3;
+            }
+            return settled;
+        }));
+    }
+
+    /** Starts load through all daemons but those left out. */
+    void startLoad(const std::set<std::string> &leftOut, double rate, seconds span, double orders,
+                   std::uint64_t seed = 1)
+    {
+        load_options options;
+        for (const auto &instance : running->plan().instances) {
+            if (!leftOut.contains(instance.name)) {
+                options.callers.push_back(running->portsOf(instance.name).callers);
+            }
+        }
+        options.rate = rate;
+        options.span = span;
+        options.orderPath = "/releases/{key}";
+        options.orderShare = orders;
+        options.seed = seed;
+        options.progress = false;
+        options.history = running->plan().work + "/history";
+        load = std::thread([options] { runLoad(options); });
+    }
+
+    history_verdict endLoad(const char *what)
+    {
+        load.join();
+        const auto requests = readLines(running->plan().work + "/history");
+        const auto verdict = checkHistory(requests, running->runs());
+        std::printf("figure %s: answered %zu, not run %zu, unknown %zu, broken %zu, longest gap %.0f ms\n", what,
+                    verdict.answered, verdict.notRun, verdict.unknown, verdict.broken, verdict.longestGapMs);
+        std::map<std::string, int> reasons;
+        for (const auto &request : requests) {
+            if (request.value("outcome", "") != "answered") {
+                ++reasons[request.value("method", "") + " " + request.value("outcome", "") + " "
+                          + request.value("reason", "")];
+            }
+        }
+        for (const auto &[reason, count] : reasons) {
+            std::printf("figure %s: %d %s\n", what, count, reason.c_str());
+        }
+        EXPECT_TRUE(verdict.breaches.empty()) << verdict.breaches.front();
+        return verdict;
+    }
+
+    /** Longest time that any one key, asked all the time, had no answer around a moment. */
+    static double unavailableMs(const std::vector<json> &requests)
+    {
+        std::int64_t first = 0;
+        std::int64_t last = 0;
+        for (const auto &request : requests) {
+            const auto outcome = request.value("outcome", "");
+            if (outcome != "answered") {
+                first = first == 0 ? request.at("start_us").get<std::int64_t>() : first;
+                last = std::max(last, request.at("end_us").get<std::int64_t>());
+            }
+        }
+        return static_cast<double>(last - first) / 1000.0;
+    }
+
+    void TearDown() override
+    {
+        if (load.joinable()) {
+            load.join();
+        }
+    }
+
+    std::unique_ptr<fleet> running;
+    std::thread load;
+};
+
+} // namespace
+
+TEST_F(system_failures, aLostOwnerIsReplacedInTime)
+{
+    startFleet(5, 4);
+    startLoad({"key-1"}, 300, seconds(8), 0.3);
+    std::this_thread::sleep_for(seconds(3));
+    running->signalDaemon("key-1", SIGKILL);
+    running->signalTarget("key-1", SIGKILL);
+    const auto verdict = endLoad("loss of an owner and its target");
+    EXPECT_GT(verdict.answered, 1500U);
+    const auto gap = unavailableMs(readLines(running->plan().work + "/history"));
+    std::printf("figure first to last refusal after the loss: %.0f ms\n", gap);
+    EXPECT_LE(gap, static_cast<double>(lossTarget.count()));
+}
+
+TEST_F(system_failures, aFrozenOwnerThatWakesDoesNoHarm)
+{
+    startFleet(5, 4);
+    startLoad({"key-2"}, 300, seconds(10), 0.5);
+    std::this_thread::sleep_for(seconds(2));
+    running->signalDaemon("key-2", SIGSTOP);
+    std::this_thread::sleep_for(seconds(4));
+    running->signalDaemon("key-2", SIGCONT);
+    const auto verdict = endLoad("an owner frozen for 4 s");
+    EXPECT_GT(verdict.answered, 2000U);
+    EXPECT_TRUE(running->waitFor(seconds(5), [this] { return running->allOwned(); }));
+}
+
+TEST_F(system_failures, aStoreOutageStopsNobody)
+{
+    startFleet(5, 4);
+    running->behaveStore({{"down", true}});
+    startLoad({}, 200, seconds(15), 0.3);
+    const auto verdict = endLoad("the store out for 15 s");
+    EXPECT_EQ(verdict.notRun + verdict.unknown + verdict.broken, 0U);
+    running->behaveStore({{"down", false}});
+}
+
+TEST_F(system_failures, aLeaderLostDuringAStoreOutageCostsOnlyItsOwnSlots)
+{
+    startFleet(5, 4);
+    running->behaveStore({{"down", true}});
+    std::this_thread::sleep_for(seconds(1));
+    const auto cells = running->ask("key-5", "/v1/status").at("cells");
+    const auto leader = cells.at(0).at("voters").at(0).get<std::string>();
+    running->signalDaemon(leader, SIGKILL);
+    std::this_thread::sleep_for(seconds(3));
+    std::size_t served = 0;
+    for (const auto &instance : running->plan().instances) {
+        if (instance.name != leader) {
+            const auto self = running->ask(instance.name, "/v1/self");
+            EXPECT_GT(self.at("lease_ms").get<int>(), 0) << instance.name;
+            served += self.at("slots_owned").get<std::size_t>();
+        }
+    }
+    EXPECT_GE(served, 240U - 120U);
+    running->behaveStore({{"down", false}});
+    EXPECT_TRUE(running->waitFor(seconds(10), [this] { return running->allOwned(); }));
+}
+
+TEST_F(system_failures, aPlannedStopCutsNothing)
+{
+    startFleet(5, 4);
+    startLoad({"key-1"}, 300, seconds(8), 0.5);
+    std::this_thread::sleep_for(seconds(2));
+    const auto startedAt = std::chrono::steady_clock::now();
+    running->signalDaemon("key-1", SIGTERM);
+    const auto code = running->awaitDaemon("key-1", seconds(15));
+    const auto took = std::chrono::steady_clock::now() - startedAt;
+    ASSERT_TRUE(code.has_value());
+    EXPECT_EQ(*code, 0);
+    std::printf("figure planned stop took %.0f ms\n", std::chrono::duration<double, std::milli>(took).count());
+    const auto verdict = endLoad("a planned stop");
+    EXPECT_EQ(verdict.unknown + verdict.broken, 0U);
+    EXPECT_EQ(verdict.notRun, 0U);
+}
+
+TEST_F(system_failures, aWholeFleetRestartedComesBackByItself)
+{
+    startFleet(5, 4);
+    for (const auto &instance : running->plan().instances) {
+        running->signalDaemon(instance.name, SIGKILL);
+    }
+    for (const auto &instance : running->plan().instances) {
+        running->startDaemon(instance.name);
+    }
+    const auto startedAt = std::chrono::steady_clock::now();
+    EXPECT_TRUE(running->waitFor(seconds(20), [this] {
+        std::size_t served = 0;
+        for (const auto &instance : running->plan().instances) {
+            const auto self = running->ask(instance.name, "/v1/self");
+            served += self.is_object() && self.value("lease_ms", 0) > 0 ? self.at("slots_owned").get<std::size_t>() : 0;
+        }
+        return served == 240;
+    }));
+    const auto took = std::chrono::steady_clock::now() - startedAt;
+    std::printf("figure whole fleet served again after %.0f ms\n",
+                std::chrono::duration<double, std::milli>(took).count());
+    startLoad({}, 200, seconds(2), 0.3);
+    const auto verdict = endLoad("after the restart");
+    EXPECT_EQ(verdict.notRun + verdict.unknown + verdict.broken, 0U);
+}
+
+TEST_F(system_failures, aLostFailureDomainIsReplacedInTime)
+{
+    startFleet(6, 4);
+    std::set<std::string> lost;
+    for (const auto &instance : running->plan().instances) {
+        if (instance.domain == "north-1") {
+            lost.insert(instance.name);
+        }
+    }
+    startLoad(lost, 300, seconds(9), 0.3);
+    std::this_thread::sleep_for(seconds(3));
+    for (const auto &name : lost) {
+        running->signalDaemon(name, SIGKILL);
+        running->signalTarget(name, SIGKILL);
+    }
+    endLoad("loss of a failure domain");
+    const auto gap = unavailableMs(readLines(running->plan().work + "/history"));
+    std::printf("figure first to last refusal after the loss of a domain: %.0f ms\n", gap);
+    EXPECT_LE(gap, static_cast<double>(lossTarget.count()));
+}
+
+TEST_F(system_failures, racingOperatorsGetOneWinnerPerRow)
+{
+    startFleet(5, 4);
+    constexpr int rounds = 10;
+    std::atomic<int> accepted = 0;
+    std::atomic<int> other = 0;
+    const auto edit = [&](const std::string &name, const std::string &row, int queue, std::int64_t base) {
+        json body{{"operator", name},
+                  {"rows", json::array({{{"key", "pools/" + row},
+                                         {"row",
+                                          {{"name", row},
+                                           {"keyed", false},
+                                           {"slots", 0},
+                                           {"homes", json::array()},
+                                           {"weighs_churn", false},
+                                           {"moves_at_once", 4},
+                                           {"queue", queue},
+                                           {"takeover_grace_ms", 0}}}}})},
+                  {"bases", {{"pools/" + row, base}}}};
+        const auto answer = running->post(name, "/v1/apply", body);
+        (answer.is_object() && answer.value("outcome", "") == "accepted" ? accepted : other)++;
+    };
+    std::int64_t base = 0;
+    for (int round = 0; round < rounds; ++round) {
+        for (const auto &row : running->ask("key-1", "/v1/show")) {
+            base = row.at("key") == "pools/any" ? row.at("revision").get<std::int64_t>() : base;
+        }
+        running->behaveStore({{"lose_answers", round % 2}});
+        accepted = 0;
+        std::thread first([&] { edit("key-1", "any", 100 + round, base); });
+        std::thread second([&] { edit("key-5", "any", 200 + round, base); });
+        std::thread third([&] { edit("any-6", "other-" + std::to_string(round), 1, 0); });
+        first.join();
+        second.join();
+        third.join();
+        EXPECT_EQ(accepted, 2) << "one of the racing pair, and the edit of another row";
+        EXPECT_TRUE(running->waitFor(spreadTarget, [&] {
+            const auto status = running->ask("key-1", "/v1/status");
+            return status.at("lagging").empty();
+        }));
+    }
+    std::size_t audited = 0;
+    for (const auto &entry : running->ask("key-1", "/v1/audit")) {
+        audited += entry.at("outcome") == "accepted" ? 1 : 0;
+    }
+    EXPECT_EQ(audited, 1U + 2U * rounds);
+}
+
+TEST_F(system_failures, aStoreRestoredFromAnOlderCopyIsRefused)
+{
+    startFleet(3, 2);
+    const auto before = running->ask("key-1", "/v1/show");
+    last_reason why;
+    running->behaveStore({{"delay_ms", 1}});
+    const auto changed = running->post("key-1", "/v1/apply",
+                                       {{"operator", "o"},
+                                        {"rows", json::array({{{"key", "routes/batches"},
+                                                               {"row", {{"removed", true}}}}})}});
+    // The copy is older than what every daemon has.
+    ASSERT_EQ(changed.value("outcome", ""), "accepted") << changed.dump();
+    ASSERT_TRUE(running->restoreStoreTo(1));
+    std::this_thread::sleep_for(seconds(3));
+    const auto refused = running->post("key-1", "/v1/apply",
+                                       {{"operator", "o"},
+                                        {"rows", json::array({{{"key", "routes/orders"},
+                                                               {"row", {{"removed", true}}}}})}});
+    EXPECT_NE(refused.value("outcome", ""), "accepted") << refused.dump();
+    EXPECT_EQ(running->ask("key-1", "/v1/show").size(), before.size() - 1);
+    EXPECT_TRUE(running->waitFor(seconds(2), [this] { return running->metric("key-1", "store_went_back") == 1; }));
+}
+
+TEST_F(system_failures, aFrozenTargetOfAPoolWithoutKeysIsAvoided)
+{
+    startFleet(3, 4);
+    running->signalTarget("any-4", SIGSTOP);
+    load_options options;
+    options.callers = {running->portsOf("any-4").callers, running->portsOf("any-6").callers};
+    options.path = "/batches";
+    options.rate = 100;
+    options.span = seconds(8);
+    options.progress = false;
+    const auto result = runLoad(options);
+    running->signalTarget("any-4", SIGCONT);
+    std::printf("figure lookups with one of four targets frozen: %s\n", formatLoad(result).c_str());
+    EXPECT_GE(result.lookups.answered, 720U); // Nine of ten, while the frozen one is found out.
+}
+
+} // namespace quetzalspool
