Fix: spread voters from other regions over many daemons; Change: catching up on a record is a decision

Cause 1: with 30 daemons one of them sent 9099 bytes a second at rest (mean 2966, limit 5000): every cell took the same daemon of the other region as its voter. Ruled out: gossip (stream bytes 0) and renewals of its own cell (its cell mates sent the mean). Change: rendezvous hashing of cell and daemon. The daemon itself caught up, by code outside the decisions. Change: the cell asks for a fetch when a renewal or vouch names a newer revision; the fake does what the daemon does.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -40,6 +40,11 @@
     control.closing.push_back(close.slot);
 }
 
+void act(control_state &control, const cell_id &cell, fetch_action &fetch)
+{
+    takeAnnounce(control, {{}, "cells/" + cell.value, fetch.revision}, fetch.from);
+}
+
 /** Reports slots that have no request in flight any more. */
 void reportDrained(control_state &control)
 {
@@ -112,20 +117,6 @@
         message);
 }
 
-/** A lagging record shows in a renewal or vouch: the other daemon has a newer one. */
-void noteKnown(control_state &control, const cell_state &cell, const control_message &message, const endpoint &from)
-{
-    revision_number known;
-    if (const auto *renewal = std::get_if<renew_message>(&message)) {
-        known = renewal->known;
-    } else if (const auto *vouch = std::get_if<vouch_message>(&message)) {
-        known = vouch->known;
-    }
-    if (known > cell.stored.revision) {
-        takeAnnounce(control, {{}, "cells/" + cell.id.value, known}, from);
-    }
-}
-
 void takeDatagram(control_state &control, std::string_view bytes, const endpoint &from)
 {
     ++control.datagramsReceived;
@@ -141,7 +132,6 @@
     } else if (const auto *digest = std::get_if<digest_message>(&*message)) {
         takeDigest(control, *digest, from);
     } else if (auto *cell = cellOf(control, *message)) {
-        noteKnown(control, *cell, *message, from);
         perform(control, cell->id, takeMessage(*cell, *message, from, clock::now()));
         publishOwnership(control);
     }
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -175,8 +175,7 @@
     if (!head->notRun.empty()) {
         // A target that has not yet heard of the lease, or no longer, refuses like a daemon without one.
         const auto reason = head->notRun == staleGrant ? refusal::no_lease : refusal::none;
-        co_return request_outcome{attempt_result::not_run, reason, "target-refused-" + head->notRun,
-                                  milliseconds(200)};
+        co_return request_outcome{attempt_result::not_run, reason, "target-refused-" + head->notRun, milliseconds(200)};
     }
     const bool wanted = co_await sink->head(head->status, std::move(head->headers), head->length);
     bool whole = false;
--- a/packages/daemon/src/spread.cpp
+++ b/packages/daemon/src/spread.cpp
@@ -96,7 +96,7 @@
     }
 }
 
-/** Gives the own cell its slots and rules, and a candidate for its voter from another region. */
+/** Gives the own cell its slots and rules. */
 void updatePlans(control_state &control, const routing_view &view)
 {
     auto &cell = ownCell(control);
@@ -104,16 +104,13 @@
     for (auto &[pool, plan] : plansOf(view, cell.id)) {
         cell.plans[pool] = {std::move(plan.first), plan.second};
     }
-    const cell_member *candidate = nullptr;
-    for (const auto &entry : view.cells) {
-        for (const auto &member : entry.second->members) {
-            const bool usable = member.region != control.shared->settings.region && !member.leaving;
-            const bool kept = cell.outside && cell.outside->id == member.id;
-            if (usable && (candidate == nullptr || kept)) {
-                candidate = &member;
-            }
-        }
-    }
+}
+
+/** Names a daemon of another region that may complete the own cell's voters. */
+void updateOutside(control_state &control, const routing_view &view)
+{
+    auto &cell = ownCell(control);
+    const auto *candidate = chooseOutside(view, cell.id, control.shared->settings.region);
     cell.outside = candidate == nullptr
         ? std::nullopt
         : std::optional(outside_candidate{
@@ -203,9 +200,11 @@
     control.shared->catalog.store(std::make_shared<const catalog_state>(control.catalog));
     const auto published = std::make_shared<const routing_view>(std::move(*next));
     control.shared->routing.store(published);
-    updatePlans(control, *published);
     if (offered.key.starts_with(cellPrefix)) {
+        updateOutside(control, *published);
         updateCell(control, offered);
+    } else {
+        updatePlans(control, *published);
     }
     announce(control, offered, source);
     logEvent(log_level::debug, "document-taken",
--- a/packages/decisions/src/cell_base.h
+++ b/packages/decisions/src/cell_base.h
@@ -130,7 +130,14 @@
     fenced_slot slot; ///< Slot.
 };
 
-using cell_action = std::variant<send_action, write_action, read_action, close_action>;
+/** Fetch the cell's record from another daemon, which knows a newer one. */
+struct fetch_action
+{
+    endpoint from; ///< Control address of the other daemon.
+    revision_number revision; ///< Revision that it knows.
+};
+
+using cell_action = std::variant<send_action, write_action, read_action, close_action, fetch_action>;
 using cell_actions = std::vector<cell_action>;
 
 /** How a write ended. */
--- a/packages/decisions/src/cell_cmd.cpp
+++ b/packages/decisions/src/cell_cmd.cpp
@@ -61,6 +61,14 @@
     }
 }
 
+/** Asks for the record of another daemon that says it knows a newer one. */
+void noteKnown(const cell_state &state, revision_number known, const endpoint &from, cell_actions &actions)
+{
+    if (known > state.stored.revision) {
+        actions.push_back(fetch_action{from, known});
+    }
+}
+
 /** Follows the member chart from what the record says about this run. */
 void followRecord(cell_state &state)
 {
@@ -213,10 +221,12 @@
 {
     cell_actions actions;
     if (const auto *renewal = std::get_if<renew_message>(&message)) {
+        noteKnown(state, renewal->known, from, actions);
         if (const auto answer = answerRenewal(state.vouch, *renewal, state.stored, state.timing, now)) {
             actions.push_back(send_action{from, *answer});
         }
     } else if (const auto *vouch = std::get_if<vouch_message>(&message)) {
+        noteKnown(state, vouch->known, from, actions);
         takeVouch(state.lease, *vouch, state.stored, state.timing, now);
     } else if (const auto *end = std::get_if<end_message>(&message)) {
         if (const auto answer = answerEnd(state.vouch, *end, now)) {
--- a/packages/decisions/src/routing.cpp
+++ b/packages/decisions/src/routing.cpp
@@ -158,6 +158,26 @@
     return members;
 }
 
+const cell_member *chooseOutside(const routing_view &view, const cell_id &cell, const region_id &region)
+{
+    const auto seed = XXH3_64bits(cell.value.data(), cell.value.size());
+    const cell_member *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const auto &entry : view.cells) {
+        for (const auto &member : entry.second->members) {
+            if (member.region == region || member.leaving) {
+                continue;
+            }
+            const auto weight = XXH3_64bits_withSeed(member.id.value.data(), member.id.value.size(), seed);
+            if (best == nullptr || weight > bestWeight) {
+                best = &member;
+                bestWeight = weight;
+            }
+        }
+    }
+    return best;
+}
+
 std::map<pool_id, std::pair<std::vector<slot_number>, placement_rules>> plansOf(const routing_view &view,
                                                                                 const cell_id &cell)
 {
--- a/packages/decisions/src/routing_func.h
+++ b/packages/decisions/src/routing_func.h
@@ -52,6 +52,16 @@
  */
 std::vector<const cell_member *> membersOf(const routing_view &view, const pool_id &pool);
 
+/**
+ * Chooses the daemon of another region that may vote in a cell, by rendezvous hashing (Thaler and Ravishankar, 1998),
+ * so that many cells spread their choice and a choice stays until its daemon leaves.
+ * @param view View.
+ * @param cell Cell.
+ * @param region Region of the cell.
+ * @return The daemon, or null if no other region has any; it lives as long as the view.
+ */
+const cell_member *chooseOutside(const routing_view &view, const cell_id &cell, const region_id &region);
+
 /**
  * Works out what one cell should hold.
  * @param view View.
--- a/packages/decisions/tests/cell_world.h
+++ b/packages/decisions/tests/cell_world.h
@@ -295,6 +295,18 @@
         });
     }
 
+    void act(std::size_t to, fetch_action &fetch)
+    {
+        const std::size_t from = fetch.from.port - 1U;
+        if (cuts.contains({to, from}) || cuts.contains({from, to}) || !runs(from)) {
+            return;
+        }
+        const auto incarnation = daemons[to].state.self.incarnation;
+        later(delay() + delay(), [this, to, incarnation, value = daemons[from].state.stored] {
+            deliver(to, incarnation, [this, to, value] { takeRecord(daemons[to].state, value, now); });
+        });
+    }
+
     void act(std::size_t from, close_action &close)
     {
         daemons[from].closing.insert(close.slot);
--- /dev/null
+++ b/packages/decisions/tests/routing_test.cpp
@@ -0,0 +1,131 @@
+/** @file routing_test.cpp Routing views, catalogs and the choice of outside voters. */
+#include "catalog_func.h"
+#include "record_func.h"
+#include "routing_func.h"
+#include "row_func.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace quetzalspool::test {
+
+namespace {
+
+document rowDocument(const std::string &key, std::int64_t revision, const table_row &row)
+{
+    return {key, {revision}, std::make_shared<const std::string>(formatRow(row))};
+}
+
+document cellDocument(const std::string &name, const std::string &region, std::uint32_t first, std::uint32_t last,
+                      std::size_t members)
+{
+    cell_record record;
+    record.id.value = name;
+    for (std::size_t index = 0; index < members; ++index) {
+        cell_member member;
+        member.id.value = name + "-" + std::to_string(index);
+        member.region.value = region;
+        member.target.pool.value = "keyed";
+        record.members.push_back(member);
+    }
+    for (auto slot = first; slot < last; ++slot) {
+        record.pools[pool_id{"keyed"}].push_back({{slot}, record.members[slot % members].id, {slot + 1}});
+    }
+    return {"cells/" + name, {10}, std::make_shared<const std::string>(formatRecord(record))};
+}
+
+routing_view twoCellView()
+{
+    routing_view view;
+    last_reason why;
+    const pool_row pool{pool_id{"keyed"}, true, 10, {{{"a"}, 3}, {{"b"}, 2}}};
+    view = *withDocument(view, rowDocument("pools/keyed", 1, pool), why);
+    view = *withDocument(view, cellDocument("a", "north", 0, 6, 2), why);
+    view = *withDocument(view, cellDocument("b", "south", 6, 10, 2), why);
+    return view;
+}
+
+} // namespace
+
+TEST(routing, findsTheOwnerOfEverySlotInItsCell)
+{
+    const auto view = twoCellView();
+    for (std::uint32_t slot = 0; slot < 10; ++slot) {
+        const auto owner = findOwner(view, pool_id{"keyed"}, {slot});
+        ASSERT_TRUE(owner.has_value()) << slot;
+        EXPECT_EQ(owner->member->id.value, (slot < 6 ? "a-" : "b-") + std::to_string(slot % 2));
+        EXPECT_EQ(owner->fence.value, slot + 1);
+    }
+    EXPECT_FALSE(findOwner(view, pool_id{"keyed"}, {10}));
+    EXPECT_FALSE(findOwner(view, pool_id{"other"}, {0}));
+}
+
+TEST(routing, takesTheLongestPrefixAtTheEndOfASegment)
+{
+    routing_view view;
+    last_reason why;
+    view = *withDocument(view, rowDocument("routes/short", 1, route_row{"short", "/a", pool_id{"p"}}), why);
+    view = *withDocument(view, rowDocument("routes/long", 2, route_row{"long", "/a/b", pool_id{"p"}}), why);
+    EXPECT_EQ(findRoute(view, "/a/b/c")->name, "long");
+    EXPECT_EQ(findRoute(view, "/a/bc")->name, "short");
+    EXPECT_EQ(findRoute(view, "/a?x=1")->name, "short");
+    EXPECT_EQ(findRoute(view, "/ab"), nullptr);
+    view = *withDocument(view, rowDocument("routes/long", 3, removed_row{}), why);
+    EXPECT_EQ(findRoute(view, "/a/b/c")->name, "short");
+}
+
+TEST(routing, keepsTheLastGoodRowWhenADocumentIsDamaged)
+{
+    const auto view = twoCellView();
+    last_reason why;
+    const document damaged{"pools/keyed", {20}, std::make_shared<const std::string>("{\"name\":3}")};
+    EXPECT_FALSE(withDocument(view, damaged, why));
+    EXPECT_FALSE(why.text.empty());
+}
+
+TEST(routing, outsideVotersAreSpread)
+{
+    routing_view view;
+    last_reason why;
+    std::set<instance_id> chosen;
+    for (int cell = 0; cell < 8; ++cell) {
+        view = *withDocument(view, cellDocument("n" + std::to_string(cell), "north", 0, 1, 10), why);
+        view = *withDocument(view, cellDocument("s" + std::to_string(cell), "south", 0, 1, 10), why);
+    }
+    for (int cell = 0; cell < 8; ++cell) {
+        const auto *outside = chooseOutside(view, {"n" + std::to_string(cell)}, {"north"});
+        ASSERT_NE(outside, nullptr);
+        EXPECT_EQ(outside->region.value, "south");
+        chosen.insert(outside->id);
+    }
+    EXPECT_GE(chosen.size(), 6U);
+}
+
+TEST(catalog, neverGoesBack)
+{
+    catalog_state catalog;
+    const auto value = std::make_shared<const std::string>("x");
+    EXPECT_TRUE(takeDocument(catalog, {"routes/a", {5}, value}));
+    EXPECT_FALSE(takeDocument(catalog, {"routes/a", {5}, value}));
+    EXPECT_FALSE(takeDocument(catalog, {"routes/a", {4}, value}));
+    EXPECT_EQ(catalog.refusedOlder, 1U);
+    EXPECT_TRUE(takeDocument(catalog, {"routes/a", {6}, value}));
+}
+
+TEST(catalog, equalDocumentsHaveEqualSummariesInAnyOrder)
+{
+    catalog_state one;
+    catalog_state two;
+    const auto value = std::make_shared<const std::string>("x");
+    takeDocument(one, {"routes/a", {5}, value});
+    takeDocument(one, {"routes/b", {7}, value});
+    takeDocument(two, {"routes/b", {3}, value});
+    takeDocument(two, {"routes/b", {7}, value});
+    EXPECT_NE(summaryOf(one), summaryOf(two));
+    const std::vector<std::uint64_t> buckets(two.buckets.begin(), two.buckets.end());
+    EXPECT_EQ(wantedFrom(two, differing(one, buckets)), std::vector<std::string>{"routes/a"});
+    takeDocument(two, {"routes/a", {5}, value});
+    EXPECT_EQ(summaryOf(one), summaryOf(two));
+}
+
+} // namespace quetzalspool::test
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #include "client_type.h"
+#include "row_func.h"
 
 #include <csignal>
 #include <fcntl.h>
@@ -29,8 +30,8 @@
     : made(std::move(plan))
 {
     if (made.work.empty()) {
-        made.work = (std::filesystem::temp_directory_path() / ("fleet-" + std::to_string(getpid()) + "-"
-                                                               + std::to_string(made.basePort)))
+        made.work = (std::filesystem::temp_directory_path()
+                     / ("fleet-" + std::to_string(getpid()) + "-" + std::to_string(made.basePort)))
                         .string();
     }
     std::filesystem::remove_all(made.work);
@@ -171,14 +172,19 @@
     if (!joined) {
         return false;
     }
-    const auto file = made.work + "/tables.toml";
-    std::ofstream(file) << made.tables;
-    const auto at = portsOf(first).admin;
-    client_options options;
-    options.daemon = at;
-    options.yes = true;
-    options.words = {"apply", file};
-    return runCommand(options) == exit_good && waitFor(patience, [&] { return allOwned(); });
+    return applyTables() && waitFor(patience, [&] { return allOwned(); });
+}
+
+bool fleet::applyTables()
+{
+    last_reason why;
+    const auto rows = parseTables(made.tables, "tables", why);
+    json body{{"operator", "fleet"}, {"reason", "first tables"}, {"rows", json::array()}};
+    for (const auto &row : rows ? *rows : std::vector<keyed_row>()) {
+        body["rows"].push_back({{"key", row.key}, {"row", json::parse(formatRow(row.row))}});
+    }
+    const auto answer = post(made.instances.front().name, "/v1/apply", body);
+    return answer.is_object() && answer.value("outcome", "") == "accepted";
 }
 
 void fleet::signalDaemon(const std::string &name, int signal)
--- a/standins/fleet/fleet.h
+++ b/standins/fleet/fleet.h
@@ -97,6 +97,7 @@
     }
 
 private:
+    bool applyTables();
     pid_t spawn(const std::vector<std::string> &words, const std::string &log);
     void signalTo(pid_t pid, int signal);
     std::size_t indexOf(const std::string &name) const;
--- a/standins/fleet/history.cpp
+++ b/standins/fleet/history.cpp
@@ -52,8 +52,7 @@
 
 void checkFences(std::vector<json> runs, history_verdict &verdict)
 {
-    std::sort(runs.begin(), runs.end(),
-              [](const auto &a, const auto &b) { return a.at("at_us") < b.at("at_us"); });
+    std::sort(runs.begin(), runs.end(), [](const auto &a, const auto &b) { return a.at("at_us") < b.at("at_us"); });
     std::map<std::string, std::pair<std::uint64_t, std::string>> highest;
     for (const auto &run : runs) {
         const auto fence = run.value("fence", "");
--- /dev/null
+++ b/standins/measure/main.cpp
@@ -0,0 +1,318 @@
+/** @file main.cpp Measures a loopback fleet: processor time, memory, bytes and store calls of the daemons. */
+#include "fleet.h"
+#include "history.h"
+#include "load_type.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <tclap/CmdLine.h>
+#include <thread>
+#include <unistd.h>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+using clock = std::chrono::steady_clock;
+using std::chrono::seconds;
+
+constexpr std::size_t membersPerCell = 10;
+constexpr milliseconds startPatience{90000};
+constexpr int tableChanges = 10;
+constexpr double datagramHeaders = 28; ///< Bytes of IPv4 and UDP headers.
+
+/** What one daemon has used so far. */
+struct usage
+{
+    double cpuSeconds = 0; ///< User and system time.
+    double residentMb = 0; ///< Resident memory.
+    double datagrams = 0; ///< Datagrams in both directions.
+    double datagramBytes = 0; ///< Their payload.
+    double streamBytes = 0; ///< Bytes of document exchanges that this daemon began.
+};
+
+double cpuOf(pid_t pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    std::istringstream rest(text.substr(text.rfind(')') + 2));
+    std::string field;
+    double ticks = 0;
+    for (int at = 3; rest >> field; ++at) {
+        ticks += at == 14 || at == 15 ? std::stod(field) : 0;
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double residentOf(pid_t pid)
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
+    double total = 0;
+    double resident = 0;
+    in >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+usage usageOf(fleet &running, const std::string &name)
+{
+    usage used;
+    used.cpuSeconds = cpuOf(running.pidOf(name));
+    used.residentMb = residentOf(running.pidOf(name));
+    used.datagrams =
+        running.metric(name, "control_datagrams_sent") + running.metric(name, "control_datagrams_received");
+    used.datagramBytes = running.metric(name, "control_datagram_bytes");
+    used.streamBytes = running.metric(name, "control_stream_bytes");
+    return used;
+}
+
+using fleet_usage = std::map<std::string, usage>;
+
+fleet_usage usageOf(fleet &running)
+{
+    fleet_usage all;
+    for (const auto &instance : running.plan().instances) {
+        if (running.pidOf(instance.name) > 0) {
+            all[instance.name] = usageOf(running, instance.name);
+        }
+    }
+    return all;
+}
+
+/** Mean and maximum over daemons of what was used between two moments, a second. */
+json compare(const fleet_usage &before, const fleet_usage &after, double span)
+{
+    std::vector<double> cpu;
+    std::vector<double> bytes;
+    std::vector<double> memory;
+    std::vector<double> datagrams;
+    std::vector<double> streams;
+    for (const auto &[name, later] : after) {
+        const auto found = before.find(name);
+        if (found == before.end()) {
+            continue;
+        }
+        const auto &earlier = found->second;
+        const auto count = later.datagrams - earlier.datagrams;
+        cpu.push_back((later.cpuSeconds - earlier.cpuSeconds) / span * 100);
+        datagrams.push_back(count / span);
+        streams.push_back((later.streamBytes - earlier.streamBytes) / span);
+        bytes.push_back((later.datagramBytes - earlier.datagramBytes + count * datagramHeaders) / span
+                        + streams.back());
+        memory.push_back(later.residentMb);
+    }
+    const auto put = [](const std::vector<double> &values) {
+        double sum = 0;
+        for (const auto value : values) {
+            sum += value;
+        }
+        return json{{"mean", sum / static_cast<double>(std::max<std::size_t>(values.size(), 1))},
+                    {"max", values.empty() ? 0 : *std::max_element(values.begin(), values.end())}};
+    };
+    return {{"cpu_percent_of_core", put(cpu)},
+            {"bytes_per_second", put(bytes)},
+            {"stream_bytes_per_second", put(streams)},
+            {"datagrams_per_second", put(datagrams)},
+            {"resident_mb", put(memory)}};
+}
+
+json storeDelta(const json &before, const json &after, double span)
+{
+    json rates;
+    for (const auto *name : {"reads", "writes", "watches", "bytes"}) {
+        rates[std::string(name) + "_per_second"] =
+            (after.at(name).get<double>() - before.at(name).get<double>()) / span;
+    }
+    rates["waiting_watches"] = after.at("waiting");
+    return rates;
+}
+
+/** Uses over a span in which something happens. */
+template <typename Happen>
+json measureSpan(fleet &running, Happen happen)
+{
+    const auto storeBefore = running.storeCounts();
+    const auto before = usageOf(running);
+    const auto startedAt = clock::now();
+    happen();
+    const auto span = std::chrono::duration<double>(clock::now() - startedAt).count();
+    const auto after = usageOf(running);
+    auto figures = compare(before, after, span);
+    figures["seconds"] = span;
+    figures["store"] = storeDelta(storeBefore, running.storeCounts(), span);
+    return figures;
+}
+
+/** A fleet in cells of ten, half of them in each region. */
+fleet_plan cellPlan(std::size_t count, const std::string &binaries)
+{
+    auto plan = twoRegionPlan(count, 0);
+    const auto cells = std::max<std::size_t>(2, count / membersPerCell);
+    std::string homes;
+    std::map<std::string, std::size_t> numberOf;
+    for (auto &instance : plan.instances) {
+        auto &number = numberOf[instance.region];
+        instance.cell = instance.region + "-" + std::to_string(number / ((count + cells - 1) / cells));
+        instance.domain = instance.region + "-d" + std::to_string(number % 2 + 1);
+        ++number;
+        if (homes.find(instance.cell + " ") == std::string::npos) {
+            homes += (homes.empty() ? "" : ", ") + instance.cell + " = 1";
+        }
+    }
+    const std::string old = "homes = { north = 1, south = 1 }";
+    plan.tables.replace(plan.tables.find(old), old.size(), "homes = { " + homes + " }");
+    plan.binaries = binaries;
+    plan.basePort = 24000;
+    return plan;
+}
+
+/** Changes one row again and again, and notes how long each change takes to be in force everywhere. */
+json changeTables(fleet &running)
+{
+    std::vector<double> spans;
+    const auto &first = running.plan().instances.front().name;
+    for (int change = 0; change < tableChanges; ++change) {
+        const json row{{"name", "any"},          {"keyed", false},        {"slots", 0},
+                       {"homes", json::array()}, {"weighs_churn", false}, {"moves_at_once", 4},
+                       {"queue", 100 + change},  {"takeover_grace_ms", 0}};
+        const auto startedAt = clock::now();
+        const auto answer =
+            running.post(first, "/v1/apply",
+                         {{"operator", "measure"}, {"rows", json::array({{{"key", "pools/any"}, {"row", row}}})}});
+        const auto revision = answer.value("revision", std::int64_t(0));
+        const bool everywhere = running.waitFor(seconds(20), [&] {
+            const auto status = running.ask(first, "/v1/status");
+            return std::all_of(status.at("daemons").begin(), status.at("daemons").end(), [&](const auto &daemon) {
+                return daemon.value("tables_revision", std::int64_t(0)) >= revision;
+            });
+        });
+        spans.push_back(everywhere ? std::chrono::duration<double, std::milli>(clock::now() - startedAt).count() : 1e9);
+        std::this_thread::sleep_for(milliseconds(300));
+    }
+    std::sort(spans.begin(), spans.end());
+    return {{"median_ms", spans[spans.size() / 2]}, {"max_ms", spans.back()}, {"changes", tableChanges}};
+}
+
+json measureFleet(std::size_t count, const std::string &binaries)
+{
+    fleet running(cellPlan(count, binaries));
+    json figures{{"daemons", count}};
+    const auto startedAt = clock::now();
+    if (!running.start(startPatience)) {
+        figures["not_run"] = "the fleet did not start";
+        return figures;
+    }
+    figures["started_after_s"] = std::chrono::duration<double>(clock::now() - startedAt).count();
+    std::this_thread::sleep_for(seconds(12)); // Until the sets of voters are complete.
+    std::cerr << count << " daemons: at rest\n";
+    figures["at_rest"] = measureSpan(running, [] { std::this_thread::sleep_for(seconds(10)); });
+    std::cerr << count << " daemons: table changes\n";
+    json spread;
+    figures["table_changes"] = measureSpan(running, [&] { spread = changeTables(running); });
+    figures["table_changes"]["in_force_everywhere"] = spread;
+    std::cerr << count << " daemons: loss of one\n";
+    const auto victim = running.plan().instances[1].name;
+    json recovery;
+    figures["loss_of_one"] = measureSpan(running, [&] {
+        const auto lostAt = clock::now();
+        running.signalDaemon(victim, SIGKILL);
+        running.signalTarget(victim, SIGKILL);
+        const bool back = running.waitFor(seconds(10), [&] {
+            const auto status = running.ask(running.plan().instances.front().name, "/v1/status");
+            return std::none_of(status.at("instances").begin(), status.at("instances").end(),
+                                [&](const auto &instance) { return instance.at("instance") == victim; })
+                && running.allOwned();
+        });
+        recovery = back ? std::chrono::duration<double, std::milli>(clock::now() - lostAt).count() : -1.0;
+        std::this_thread::sleep_for(seconds(4));
+    });
+    figures["loss_of_one"]["reassigned_after_ms"] = recovery;
+    return figures;
+}
+
+/** One rate, through a given way to the target. */
+json measureLoad(const load_options &options, fleet &running, const std::vector<std::string> &daemons)
+{
+    std::vector<double> before;
+    for (const auto &name : daemons) {
+        before.push_back(cpuOf(running.pidOf(name)));
+    }
+    const auto result = runLoad(options);
+    auto figures = json::parse(formatLoad(result));
+    for (std::size_t at = 0; at < daemons.size(); ++at) {
+        const auto used = cpuOf(running.pidOf(daemons[at])) - before[at];
+        figures["cpu_seconds"][daemons[at]] = used;
+        figures["cpu_us_per_request"][daemons[at]] =
+            used * 1e6 / std::max<double>(1, static_cast<double>(result.lookups.answered));
+    }
+    return figures;
+}
+
+/** Latency that one and two hops add to a target called directly, and processor time per request. */
+json measureHops(const std::string &binaries)
+{
+    auto plan = twoRegionPlan(2, 0);
+    plan.binaries = binaries;
+    plan.basePort = 26000;
+    plan.serviceMs = 0;
+    plan.slots = 64;
+    fleet running(std::move(plan));
+    if (!running.start(startPatience)) {
+        return {{"not_run", "the fleet did not start"}};
+    }
+    std::this_thread::sleep_for(seconds(6)); // The targets are warm.
+    // A key whose owner is the second daemon: asked there it takes one hop, asked at the first it takes two.
+    std::string key;
+    for (int number = 0; key.empty() && number < 1000; ++number) {
+        const auto owner = running.ask("key-1", "/v1/owner?pool=keyed&key=k" + std::to_string(number));
+        key = owner.value("owner", "") == "key-2" ? "k" + std::to_string(number) : "";
+    }
+    load_options options;
+    options.path = "/formulas/" + key;
+    options.progress = false;
+    options.rate = 1000;
+    options.span = seconds(5);
+    json figures;
+    options.callers = {running.portsOf("key-2").target};
+    figures["direct"] = measureLoad(options, running, {});
+    options.callers = {running.portsOf("key-2").callers};
+    figures["one_hop"] = measureLoad(options, running, {"key-2"});
+    options.callers = {running.portsOf("key-1").callers};
+    figures["two_hops"] = measureLoad(options, running, {"key-1", "key-2"});
+    return figures;
+}
+
+} // namespace
+
+} // namespace quetzalspool
+
+/**
+ * Measures and prints one JSON object.
+ * @param argc Number of arguments.
+ * @param argv Arguments.
+ * @return 0, or 2 for wrong arguments.
+ */
+int main(int argc, char **argv)
+{
+    using namespace quetzalspool;
+    TCLAP::CmdLine line("Measures fleets on loopback.", ' ', "0.1.0");
+    TCLAP::ValueArg<std::string> binaries("b", "binaries", "Folder of the built programs.", true, "", "DIR", line);
+    TCLAP::SwitchArg hops("", "hops", "Measure the latency that hops add.", line);
+    TCLAP::UnlabeledMultiArg<int> counts("daemons", "Numbers of daemons.", false, "N", line);
+    line.parse(argc, argv);
+    json figures = json::array();
+    for (const auto count : counts.getValue()) {
+        figures.push_back(measureFleet(static_cast<std::size_t>(count), binaries.getValue()));
+    }
+    json out{{"fleets", figures}};
+    if (hops.getValue()) {
+        out["hops"] = measureHops(binaries.getValue());
+    }
+    std::cout << out.dump(2) << "\n";
+    return 0;
+}
--- a/standins/tests/caller_input_test.cpp
+++ b/standins/tests/caller_input_test.cpp
@@ -107,9 +107,10 @@
                        "chunked\r\n\r\n0\r\n\r\n")
                   .substr(0, 12),
               "HTTP/1.1 400");
-    EXPECT_EQ(statusOf(at, "POST /releases/k1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd")
-                  .substr(0, 12),
-              "HTTP/1.1 400");
+    EXPECT_EQ(
+        statusOf(at, "POST /releases/k1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd")
+            .substr(0, 12),
+        "HTTP/1.1 400");
 }
 
 TEST_F(caller_input, badFraming)
--- a/standins/tests/history_test.cpp
+++ b/standins/tests/history_test.cpp
@@ -33,8 +33,7 @@
 
 TEST(history, catchesAnOrderThatRanTwice)
 {
-    const auto verdict =
-        checkHistory({request("a", "unknown")}, {run("a", 1, "5", "one"), run("a", 2, "6", "two")});
+    const auto verdict = checkHistory({request("a", "unknown")}, {run("a", 1, "5", "one"), run("a", 2, "6", "two")});
     EXPECT_EQ(verdict.breaches.size(), 1U);
 }
 
--- a/standins/tests/system_test.cpp
+++ b/standins/tests/system_test.cpp
@@ -250,16 +250,17 @@
     std::atomic<int> other = 0;
     const auto edit = [&](const std::string &name, const std::string &row, int queue, std::int64_t base) {
         json body{{"operator", name},
-                  {"rows", json::array({{{"key", "pools/" + row},
-                                         {"row",
-                                          {{"name", row},
-                                           {"keyed", false},
-                                           {"slots", 0},
-                                           {"homes", json::array()},
-                                           {"weighs_churn", false},
-                                           {"moves_at_once", 4},
-                                           {"queue", queue},
-                                           {"takeover_grace_ms", 0}}}}})},
+                  {"rows",
+                   json::array({{{"key", "pools/" + row},
+                                 {"row",
+                                  {{"name", row},
+                                   {"keyed", false},
+                                   {"slots", 0},
+                                   {"homes", json::array()},
+                                   {"weighs_churn", false},
+                                   {"moves_at_once", 4},
+                                   {"queue", queue},
+                                   {"takeover_grace_ms", 0}}}}})},
                   {"bases", {{"pools/" + row, base}}}};
         const auto answer = running->post(name, "/v1/apply", body);
         (answer.is_object() && answer.value("outcome", "") == "accepted" ? accepted : other)++;
@@ -296,18 +297,16 @@
     const auto before = running->ask("key-1", "/v1/show");
     last_reason why;
     running->behaveStore({{"delay_ms", 1}});
-    const auto changed = running->post("key-1", "/v1/apply",
-                                       {{"operator", "o"},
-                                        {"rows", json::array({{{"key", "routes/batches"},
-                                                               {"row", {{"removed", true}}}}})}});
+    const auto changed = running->post(
+        "key-1", "/v1/apply",
+        {{"operator", "o"}, {"rows", json::array({{{"key", "routes/batches"}, {"row", {{"removed", true}}}}})}});
     // The copy is older than what every daemon has.
     ASSERT_EQ(changed.value("outcome", ""), "accepted") << changed.dump();
     ASSERT_TRUE(running->restoreStoreTo(1));
     std::this_thread::sleep_for(seconds(3));
-    const auto refused = running->post("key-1", "/v1/apply",
-                                       {{"operator", "o"},
-                                        {"rows", json::array({{{"key", "routes/orders"},
-                                                               {"row", {{"removed", true}}}}})}});
+    const auto refused = running->post(
+        "key-1", "/v1/apply",
+        {{"operator", "o"}, {"rows", json::array({{{"key", "routes/orders"}, {"row", {{"removed", true}}}}})}});
     EXPECT_NE(refused.value("outcome", ""), "accepted") << refused.dump();
     EXPECT_EQ(running->ask("key-1", "/v1/show").size(), before.size() - 1);
     EXPECT_TRUE(running->waitFor(seconds(2), [this] { return running->metric("key-1", "store_went_back") == 1; }));
