--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -38,6 +38,7 @@
     const cell_member *member = nullptr; ///< Daemon beside the target; null if there is none.
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
     bool known = false; ///< Whether the pool is in the tables.
+    bool another = false; ///< Whether another target could be tried after this one.
 };
 
 std::string makeToken(traffic_thread &thread)
@@ -69,8 +70,10 @@
         return choice;
     }
     const auto &settings = thread.shared->settings;
-    choice.member = chooseTarget(thread.balance, membersOf(*choice.view, request.pool), state.tried,
-                                 {settings.region, settings.domain}, thread.random, clock::now());
+    const auto members = membersOf(*choice.view, request.pool);
+    choice.member = chooseTarget(thread.balance, members, state.tried, {settings.region, settings.domain},
+                                 thread.random, clock::now());
+    choice.another = members.size() > state.tried.size() + 1;
     return choice;
 }
 
@@ -105,11 +108,12 @@
 {
     for (;;) {
         const auto now = clock::now();
-        auto head = co_await readHead(call, std::min(now + ownerCheck, request->deadline));
+        const auto until = std::min(request->deadline, request->answerBy);
+        auto head = co_await readHead(call, std::min(now + ownerCheck, until));
         if (head) {
             co_return head;
         }
-        const bool over = failureOf(*call) == peer_failure::not_processed || clock::now() >= request->deadline;
+        const bool over = failureOf(*call) == peer_failure::not_processed || clock::now() >= until;
         if (over || ownerChanged(thread, *request) || sink->abandoned() || isClosed(*call)) {
             co_return std::nullopt;
         }
@@ -242,6 +246,9 @@
             state.request = std::make_shared<routed_request>(*state.request);
             state.request->attempt = makeToken(thread);
             state.request->slot = choice.slot;
+            const bool mayMoveOn = choice.another && state.request->idempotent;
+            state.request->answerBy =
+                mayMoveOn ? clock::now() + patienceWith(thread.balance, choice.member->id) : steady_time::max();
             state.tried.insert(choice.member->id);
             const auto member = *choice.member;
             outcome = co_await attemptAt(thread, member, state.request, state.sink);
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -165,7 +165,7 @@
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
     std::optional<target_head> head;
     if (sent) {
-        head = co_await readTargetHead(exchange, request->deadline, why);
+        head = co_await readTargetHead(exchange, std::min(request->deadline, request->answerBy), why);
     }
     if (!head) {
         logEvent(log_level::warn, "target-lost", {{"id", request->id}, {"reason", describe(why)}});
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -23,6 +23,7 @@
     request_class kind = request_class::lookup; ///< Class.
     bool idempotent = false; ///< Whether it may run more than once.
     steady_time deadline{}; ///< When the caller no longer waits.
+    steady_time answerBy{steady_time::max()}; ///< When this attempt is given up if no answer has begun.
 };
 
 /** The end of an attempt or a request. */
--- /dev/null
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -0,0 +1,121 @@
+/** @file daemon_test.cpp Callers' requests against routes, and the wire form between daemons. */
+#include "caller_request.h"
+#include "documents.h"
+#include "peer_wire.h"
+
+#include "catalog_func.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+const steady_time now{std::chrono::hours(1)};
+
+route_row keyedRoute()
+{
+    route_row route;
+    route.pool.value = "desk";
+    route.keyFrom = key_source::path;
+    route.keySegment = 1;
+    route.kind = request_class::order;
+    return route;
+}
+
+std::optional<std::string> keyOf(const std::string &path)
+{
+    caller_refusal refused;
+    return findKey(keyedRoute(), {"GET", path, {}, ""}, refused);
+}
+
+} // namespace
+
+TEST(callerRequest, findsOneKeyForAllSpellings)
+{
+    EXPECT_EQ(keyOf("/formulas/rose/42"), "rose");
+    EXPECT_EQ(keyOf("/formulas/r%6Fse?x=1"), "rose");
+    EXPECT_EQ(keyOf("/formulas/a%2Fb"), "a/b");
+    EXPECT_FALSE(keyOf("/formulas"));
+    EXPECT_FALSE(keyOf("/formulas/"));
+    EXPECT_FALSE(keyOf("/formulas/%4"));
+    EXPECT_FALSE(keyOf("/formulas/" + std::string(600, 'k')));
+}
+
+TEST(callerRequest, onlyListedMethodsAreIdempotent)
+{
+    EXPECT_TRUE(makeRouted(keyedRoute(), {"GET", "/f/k", {}, ""}, "k", "id", now).idempotent);
+    const auto order = makeRouted(keyedRoute(), {"POST", "/f/k", {}, ""}, "k", "id", now);
+    EXPECT_FALSE(order.idempotent);
+    EXPECT_EQ(order.kind, request_class::order);
+}
+
+TEST(callerRequest, aCallersIdAndShorterDeadlineAreTakenAndNothingElse)
+{
+    const std::vector<http_header> headers{{"quetzalspool-request-id", "42"},
+                                           {"Quetzalspool-Deadline-Ms", "70"},
+                                           {"Quetzalspool-Fence", "1"},
+                                           {"X-Own", "kept"}};
+    const auto request = makeRouted(keyedRoute(), {"POST", "/f/k", headers, ""}, "k", "fresh", now);
+    EXPECT_EQ(request.id, "desk/k/42");
+    EXPECT_EQ(request.deadline, now + milliseconds(70));
+    EXPECT_EQ(request.http.headers, (std::vector<http_header>{{"X-Own", "kept"}}));
+}
+
+TEST(callerRequest, callersAreKnownByNetwork)
+{
+    auto route = keyedRoute();
+    EXPECT_TRUE(mayUse(route, "192.0.2.1"));
+    route.callers = {"10.1.0.0/16", "::1"};
+    EXPECT_TRUE(mayUse(route, "10.1.200.3"));
+    EXPECT_FALSE(mayUse(route, "10.2.0.1"));
+    EXPECT_TRUE(mayUse(route, "::1"));
+    EXPECT_FALSE(mayUse(route, "::2"));
+}
+
+TEST(peerWire, aRequestComesBackWhole)
+{
+    routed_request request;
+    request.http = {"POST", "/f/k?x=1", {{"X-Own", "a"}, {"qs-outcome", "answered"}}, "body"};
+    request.id = "id";
+    request.attempt = "token";
+    request.pool.value = "desk";
+    request.key = "k";
+    request.kind = request_class::order;
+    request.slot = fenced_slot{request.pool, {3}, {9}};
+    request.deadline = now + milliseconds(500);
+    const auto back = fromPeer(toPeer(request, now), now);
+    ASSERT_TRUE(back.has_value());
+    EXPECT_EQ(back->http.body, "body");
+    EXPECT_EQ(back->slot, request.slot);
+    EXPECT_EQ(back->deadline, request.deadline);
+    EXPECT_EQ(headerOf(back->http.headers, "x-own"), "a");
+    EXPECT_FALSE(fromPeer({runPath, {}, ""}, now).has_value());
+}
+
+TEST(peerWire, aTargetCanNotPassItsAnswerForAnOutcome)
+{
+    const auto headers = answerHeaders({{"Qs-Outcome", "not-run"}}, std::nullopt);
+    EXPECT_EQ(outcomeFrom(headers).result, attempt_result::answered);
+    EXPECT_EQ(outcomeFrom({}).result, attempt_result::unknown);
+    const request_outcome refused{attempt_result::not_run, refusal::moving, "moving", milliseconds(50)};
+    const auto back = outcomeFrom(outcomeHeaders(refused));
+    EXPECT_EQ(back.reason, refusal::moving);
+    EXPECT_EQ(back.retryAfter, milliseconds(50));
+}
+
+TEST(documents, damagedRequestsAndAnswersAreRefused)
+{
+    catalog_state catalog;
+    takeDocument(catalog, {"routes/a", {5}, std::make_shared<const std::string>("x")});
+    EXPECT_FALSE(answerDocuments(catalog, {comparePath, {}, "nonsense"}));
+    EXPECT_FALSE(answerDocuments(catalog, {"/other", {}, ""}));
+    EXPECT_TRUE(readDocuments("nonsense").empty());
+    const auto body = answerDocuments(catalog, fetchRequest({"routes/a", "routes/none"}));
+    ASSERT_TRUE(body.has_value());
+    ASSERT_EQ(readDocuments(*body).size(), 1U);
+    const auto other = answerDocuments(catalog, compareRequest(catalog_state{}));
+    EXPECT_EQ(readComparison(*other).size(), 1U);
+}
+
+} // namespace quetzalspool::test
--- a/packages/decisions/src/balance_cmd.cpp
+++ b/packages/decisions/src/balance_cmd.cpp
@@ -2,12 +2,16 @@
 #include "balance_func.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzalspool {
 
 namespace {
 
 constexpr int farthest = 3; ///< Distance of an ejected target, tried as a last resort.
+constexpr double patienceFactor = 20; ///< Times the usual latency.
+constexpr milliseconds leastPatience{250}; ///< Shortest patience with one target.
+constexpr milliseconds mostPatience{5000}; ///< Longest patience with one target.
 constexpr double latencySmoothing = 0.2; ///< Weight of the newest latency.
 
 const target_evidence &evidenceOf(const balance_state &state, const instance_id &id)
@@ -65,6 +69,12 @@
     return loadOf(state, *first) <= loadOf(state, *second) ? first : second;
 }
 
+milliseconds patienceWith(const balance_state &state, const instance_id &target)
+{
+    const milliseconds usual(std::llround(evidenceOf(state, target).latencyMs * patienceFactor));
+    return std::clamp(usual, leastPatience, mostPatience);
+}
+
 void noteStart(balance_state &state, const instance_id &target)
 {
     ++state.targets[target].inFlight;
--- a/packages/decisions/src/balance_func.h
+++ b/packages/decisions/src/balance_func.h
@@ -32,6 +32,14 @@
                                 const std::set<instance_id> &tried, const balance_place &place, std::mt19937_64 &random,
                                 steady_time now);
 
+/**
+ * Tells how long an answer of a target may take to begin before another target is tried.
+ * @param state Evidence.
+ * @param target Target.
+ * @return A multiple of its usual time, within bounds.
+ */
+milliseconds patienceWith(const balance_state &state, const instance_id &target);
+
 /**
  * Notes that a request goes to a target.
  * @param state Evidence.
--- /dev/null
+++ b/packages/peer/tests/peer_test.cpp
@@ -0,0 +1,139 @@
+/** @file peer_test.cpp Streams between daemons: whole answers, crossed and late ones, breaks, and proofs of not run. */
+#include "http_server.h"
+#include "peer_client.h"
+#include "peer_server.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+using std::chrono::seconds;
+
+/** A server and a client on one thread. */
+struct peer_pair
+{
+    asio::io_context context{1}; ///< Runs both.
+    std::shared_ptr<peer_server> server; ///< Server.
+    std::shared_ptr<peer_client> client; ///< Client.
+    endpoint at; ///< Where the server listens.
+
+    explicit peer_pair(peer_handler handler)
+    {
+        last_reason why;
+        auto acceptor = listenOn(context, {"127.0.0.1", 0}, why);
+        at = {"127.0.0.1", acceptor->local_endpoint().port()};
+        server = startPeerServer(std::move(*acceptor), std::move(handler));
+        client = makePeerClient(context.get_executor());
+    }
+
+    template <typename Work>
+    void run(Work work)
+    {
+        asio::co_spawn(context, work(), [this](const std::exception_ptr &) { context.stop(); });
+        context.restart();
+        context.run_for(seconds(20));
+    }
+};
+
+/** Answers with the request's body; a path "/slow" waits first, "/break" breaks off in the middle. */
+asio::awaitable<void> echo(peer_request request, std::shared_ptr<peer_responder> responder)
+{
+    if (request.path == "/slow") {
+        co_await sleepFor(milliseconds(100));
+    }
+    sendHead(*responder, 200, {{"x-path", request.path}});
+    co_await sendPart(responder, request.body);
+    if (request.path == "/break") {
+        co_await sleepFor(milliseconds(20));
+        breakAnswer(*responder);
+        co_return;
+    }
+    endAnswer(*responder);
+}
+
+} // namespace
+
+TEST(peer, answersThatComeCrossedReachTheirOwnRequests)
+{
+    peer_pair pair(echo);
+    int right = 0;
+    pair.run([&]() -> asio::awaitable<void> {
+        std::vector<std::shared_ptr<peer_call>> calls;
+        for (int number = 0; number < 20; ++number) {
+            peer_request request{number % 2 == 0 ? "/slow" : "/fast", {}, std::to_string(number)};
+            auto opened = co_await openCall(pair.client, pair.at, request, seconds(1));
+            calls.push_back(opened.call);
+        }
+        for (int number = 19; number >= 0; --number) {
+            const auto reply = co_await readWhole(calls[number], clock::now() + seconds(2));
+            right += reply && reply->body == std::to_string(number) ? 1 : 0;
+        }
+    });
+    EXPECT_EQ(right, 20);
+}
+
+TEST(peer, aLargeBodyStreamsBothWays)
+{
+    peer_pair pair(echo);
+    const std::string body(3000000, 'b');
+    std::optional<http_reply> reply;
+    pair.run([&]() -> asio::awaitable<void> {
+        peer_request request{"/fast", {}, body};
+        auto opened = co_await openCall(pair.client, pair.at, request, seconds(1));
+        reply = co_await readWhole(opened.call, clock::now() + seconds(5));
+    });
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->body.size(), body.size());
+}
+
+TEST(peer, aBrokenAnswerIsNeverWhole)
+{
+    peer_pair pair(echo);
+    std::optional<http_reply> reply;
+    peer_failure failure = peer_failure::none;
+    pair.run([&]() -> asio::awaitable<void> {
+        peer_request request{"/break", {}, "half"};
+        auto opened = co_await openCall(pair.client, pair.at, request, seconds(1));
+        reply = co_await readWhole(opened.call, clock::now() + seconds(2));
+        failure = failureOf(*opened.call);
+    });
+    EXPECT_FALSE(reply.has_value());
+    EXPECT_EQ(failure, peer_failure::unclear);
+}
+
+TEST(peer, aRequestAfterGoawayGoesToANewConnectionOrIsProvedNotProcessed)
+{
+    peer_pair pair(echo);
+    std::optional<http_reply> under;
+    pair.run([&]() -> asio::awaitable<void> {
+        peer_request request{"/slow", {}, "under way"};
+        auto opened = co_await openCall(pair.client, pair.at, request, seconds(1));
+        co_await sleepFor(milliseconds(20));
+        drainPeerServer(*pair.server);
+        peer_request late{"/fast", {}, "late"};
+        auto second = co_await openCall(pair.client, pair.at, late, seconds(1));
+        const auto reply = co_await readWhole(second.call, clock::now() + seconds(1));
+        EXPECT_TRUE(reply.has_value() || failureOf(*second.call) == peer_failure::not_processed);
+        under = co_await readWhole(opened.call, clock::now() + seconds(2));
+    });
+    ASSERT_TRUE(under.has_value()) << "what was under way is not cut";
+    EXPECT_EQ(under->body, "under way");
+}
+
+TEST(peer, anUnreachableDaemonGotNothing)
+{
+    peer_pair pair(echo);
+    opened_call opened;
+    pair.run([&]() -> asio::awaitable<void> {
+        peer_request request{"/fast", {}, ""};
+        const endpoint nobody{"127.0.0.1", 1};
+        opened = co_await openCall(pair.client, nobody, request, milliseconds(300));
+    });
+    EXPECT_EQ(opened.call, nullptr);
+    EXPECT_EQ(opened.why.step, "connect");
+}
+
+} // namespace quetzalspool::test
--- /dev/null
+++ b/packages/settings/tests/settings_test.cpp
@@ -0,0 +1,60 @@
+/** @file settings_test.cpp Settings are checked whole, with file and line. */
+#include "settings_type.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+const std::string good = R"(instance = "one"
+region = "north"
+failure_domain = "north-1"
+cell = "north"
+host = "127.0.0.1"
+callers_port = 7000
+peers_port = 7001
+admin_port = 7002
+store = "127.0.0.1:2379"
+)";
+
+std::string reasonOf(const std::string &text)
+{
+    last_reason why;
+    EXPECT_FALSE(parseSettings(text, "file", why));
+    return describe(why);
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST(settings, readsWhatIsGood)
+{
+    last_reason why;
+    const auto settings = parseSettings(good + "seeds = [\"127.0.0.1:7101\"]\n", "file", why);
+    ASSERT_TRUE(settings.has_value()) << describe(why);
+    EXPECT_EQ(settings->instance.value, "one");
+    EXPECT_EQ(settings->store.port, 2379);
+    EXPECT_EQ(settings->seeds.size(), 1U);
+}
+
+TEST(settings, refusesWhatIsWrong)
+{
+    EXPECT_EQ(reasonOf(good + "colour = 1\n"), "check: file:10: unknown key \"colour\"");
+    EXPECT_EQ(reasonOf(replaced(good, "7001", "\"7001\"")),
+              "check: file:7: \"peers_port\" must be a whole number from 1 to 65535");
+    EXPECT_EQ(reasonOf(replaced(good, "7001", "70010")), "check: file:7: \"peers_port\" must be from 1 to 65535");
+    EXPECT_NE(reasonOf(replaced(good, "7001", "7002")).find("file:8: duplicate address"), std::string::npos);
+    EXPECT_NE(reasonOf(replaced(good, "2379", "7000")).find("duplicate address"), std::string::npos);
+    EXPECT_NE(reasonOf(replaced(good, "127.0.0.1:2379", "store:2379")).find("file:9"), std::string::npos);
+    EXPECT_NE(reasonOf(replaced(good, "host = \"127.0.0.1\"\n", "")).find("\"host\" is required"), std::string::npos);
+    EXPECT_NE(reasonOf(good + "seeds = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n").find("duplicate"), std::string::npos);
+    EXPECT_NE(reasonOf(good + "log_level = \"loud\"\n").find("file:10"), std::string::npos);
+    EXPECT_NE(reasonOf("instance = \n").find("file:1"), std::string::npos);
+}
+
+} // namespace quetzalspool::test
--- /dev/null
+++ b/packages/tables/tests/edit_test.cpp
@@ -0,0 +1,160 @@
+/** @file edit_test.cpp Rows from files, and the checks of operators' changes. */
+#include "edit_func.h"
+#include "row_func.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+const std::chrono::minutes noon{12 * 60};
+
+route_row makeRoute(const std::string &name, const std::string &pool)
+{
+    route_row row;
+    row.name = name;
+    row.prefix = "/" + name;
+    row.pool.value = pool;
+    return row;
+}
+
+pool_row makePool(const std::string &name)
+{
+    pool_row row;
+    row.name.value = name;
+    return row;
+}
+
+current_tables makeTables()
+{
+    rules_row rules;
+    rules.operators = {{"asha", "a-hash", {"routes/", "pools/"}}, {"luis", "l-hash", {"routes/"}}};
+    rules.needApproval = {"pools/"};
+    rules.quiet = {{22 * 60, 5 * 60}};
+    rules.maxRows = 2;
+    return {{"pools/desk", {makePool("desk"), {5}}},
+            {"routes/look", {makeRoute("look", "desk"), {6}}},
+            {"rules/changes", {rules, {7}}}};
+}
+
+table_edit makeEdit(const std::string &name, const std::string &hash, std::vector<keyed_row> rows)
+{
+    table_edit edit;
+    edit.operatorName = name;
+    edit.keyHash = hash;
+    edit.rows = std::move(rows);
+    return edit;
+}
+
+edit_refusal refusalOf(const table_edit &edit, std::chrono::minutes at = noon)
+{
+    return planEdit(makeTables(), {}, edit, at).refused;
+}
+
+/** The reason for which a file is refused. */
+std::string reasonOf(const std::string &text)
+{
+    last_reason why;
+    EXPECT_FALSE(parseTables(text, "file", why));
+    return describe(why);
+}
+
+} // namespace
+
+TEST(edit, acceptsWhatTheRulesAllow)
+{
+    const auto verdict =
+        planEdit(makeTables(), {}, makeEdit("luis", "l-hash", {{"routes/new", makeRoute("new", "desk")}}), noon);
+    ASSERT_TRUE(verdict.plan.has_value());
+    EXPECT_EQ(verdict.plan->changes.size(), 1U);
+    EXPECT_FALSE(verdict.plan->needsApproval);
+    EXPECT_EQ(verdict.plan->references, std::vector<std::string>{"refs/desk"});
+    EXPECT_EQ(verdict.plan->conditions.size(), 2U) << "the pool and the rules must stay as they were seen";
+}
+
+TEST(edit, refusesWrongKeysAndForeignRows)
+{
+    EXPECT_EQ(refusalOf(makeEdit("luis", "a-hash", {{"routes/new", makeRoute("new", "desk")}})),
+              edit_refusal::operator_unknown);
+    EXPECT_EQ(refusalOf(makeEdit("", "", {{"routes/new", makeRoute("new", "desk")}})), edit_refusal::operator_unknown);
+    EXPECT_EQ(refusalOf(makeEdit("luis", "l-hash", {{"pools/desk", makePool("desk")}})), edit_refusal::not_allowed);
+}
+
+TEST(edit, refusesInQuietTimesAndTooManyRows)
+{
+    const auto edit = makeEdit("luis", "l-hash", {{"routes/new", makeRoute("new", "desk")}});
+    EXPECT_EQ(refusalOf(edit, std::chrono::minutes(23 * 60)), edit_refusal::quiet);
+    EXPECT_EQ(refusalOf(edit, std::chrono::minutes(3 * 60)), edit_refusal::quiet);
+    EXPECT_EQ(refusalOf(edit, std::chrono::minutes(5 * 60)), edit_refusal::none);
+    EXPECT_EQ(refusalOf(makeEdit("luis", "l-hash",
+                                 {{"routes/a", makeRoute("a", "desk")},
+                                  {"routes/b", makeRoute("b", "desk")},
+                                  {"routes/c", makeRoute("c", "desk")}})),
+              edit_refusal::too_many);
+}
+
+TEST(edit, aPoolNeedsASecondOperator)
+{
+    auto pool = makePool("desk");
+    pool.queue = 99;
+    const auto verdict = planEdit(makeTables(), {}, makeEdit("asha", "a-hash", {{"pools/desk", pool}}), noon);
+    ASSERT_TRUE(verdict.plan.has_value());
+    EXPECT_TRUE(verdict.plan->needsApproval);
+}
+
+TEST(edit, aRouteNeverOutlivesItsPool)
+{
+    EXPECT_EQ(refusalOf(makeEdit("asha", "a-hash", {{"pools/desk", removed_row{}}})), edit_refusal::invalid);
+    EXPECT_EQ(refusalOf(makeEdit("luis", "l-hash", {{"routes/new", makeRoute("new", "none")}})), edit_refusal::invalid);
+    const auto both =
+        planEdit(makeTables(), {{"refs/desk", {9}}},
+                 makeEdit("asha", "a-hash", {{"pools/desk", removed_row{}}, {"routes/look", removed_row{}}}), noon);
+    ASSERT_TRUE(both.plan.has_value());
+    const auto &conditions = both.plan->conditions;
+    const bool guarded = std::any_of(conditions.begin(), conditions.end(), [](const auto &condition) {
+        return condition.key == "refs/desk" && condition.revision.value == 9;
+    });
+    EXPECT_TRUE(guarded) << "a route added meanwhile writes the guard";
+}
+
+TEST(edit, aRowChangedSinceIsShown)
+{
+    auto edit = makeEdit("luis", "l-hash", {{"routes/look", makeRoute("look", "desk")}});
+    edit.bases["routes/look"] = {4};
+    const auto verdict = planEdit(makeTables(), {}, edit, noon);
+    EXPECT_EQ(verdict.refused, edit_refusal::conflict);
+    ASSERT_EQ(verdict.conflicts.size(), 1U);
+    EXPECT_EQ(verdict.conflicts.front().revision.value, 6);
+}
+
+TEST(rows, comeBackFromJson)
+{
+    auto route = makeRoute("look", "desk");
+    route.keyFrom = key_source::path;
+    route.kind = request_class::order;
+    route.callers = {"10.0.0.0/8"};
+    auto pool = makePool("desk");
+    pool.keyed = true;
+    pool.slots = 8;
+    pool.homes = {{{"north"}, 2}};
+    last_reason why;
+    EXPECT_EQ(std::get<route_row>(*parseRow("routes/look", formatRow(route), why)), route);
+    EXPECT_EQ(std::get<pool_row>(*parseRow("pools/desk", formatRow(pool), why)), pool);
+    const auto rules = std::get<rules_row>(makeTables().at("rules/changes").row);
+    EXPECT_EQ(std::get<rules_row>(*parseRow("rules/changes", formatRow(rules), why)), rules);
+}
+
+TEST(rows, badFilesAreRefusedWithFileAndLine)
+{
+    EXPECT_NE(reasonOf("[[pool]]\nname = \"a\"\nkyed = true\n").find("file:3: unknown key \"kyed\""),
+              std::string::npos);
+    EXPECT_NE(reasonOf("[[pool]]\nname = 3\n").find("file:2"), std::string::npos);
+    EXPECT_NE(reasonOf("[[pool]]\nname = \"a\"\nqueue = -1\n").find("from 0 to"), std::string::npos);
+    EXPECT_NE(reasonOf("[[pool]]\nname = \"a\"\nkeyed = true\n").find("needs slots and homes"), std::string::npos);
+    EXPECT_NE(reasonOf("[[pool]]\nname = \"a\"\n[[pool]]\nname = \"a\"\n").find("given twice"), std::string::npos);
+    EXPECT_NE(reasonOf("[[rout]]\n").find("expected [[route]]"), std::string::npos);
+    EXPECT_NE(reasonOf("[[route]\n").find("file:1"), std::string::npos);
+}
+
+} // namespace quetzalspool::test
--- /dev/null
+++ b/packages/telemetry/tests/telemetry_test.cpp
@@ -0,0 +1,25 @@
+/** @file telemetry_test.cpp Metrics in the Prometheus text format. */
+#include "metrics_func.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+TEST(metrics, printsCountersGaugesAndHistograms)
+{
+    const auto numbers = makeMetrics();
+    countMetric(*numbers, "requests_total{outcome=\"answered\"}", 2);
+    setGauge(*numbers, "slots_owned", 7);
+    observeDuration(*numbers, "request_seconds", std::chrono::microseconds(1500));
+    observeDuration(*numbers, "request_seconds", std::chrono::hours(1));
+    const auto text = formatMetrics(*numbers);
+    EXPECT_EQ(readCounter(*numbers, "requests_total{outcome=\"answered\"}"), 2U);
+    EXPECT_NE(
+        text.find("# TYPE quetzalspool_requests_total counter\nquetzalspool_requests_total{outcome=\"answered\"} 2"),
+        std::string::npos);
+    EXPECT_NE(text.find("quetzalspool_slots_owned 7\n"), std::string::npos);
+    EXPECT_NE(text.find("quetzalspool_request_seconds_bucket{le=\"+Inf\"} 2\n"), std::string::npos);
+    EXPECT_NE(text.find("quetzalspool_request_seconds_count 2\n"), std::string::npos);
+}
+
+} // namespace quetzalspool::test
