Change: voters from other regions are daemons that vote nowhere else; idle sessions are closed; few cells watch

Cause: each daemon keeps a session, with a read buffer of 64 KB, to every daemon that it ever compared documents with. Change: sessions without calls close after 10 s, buffers of 16 KB. Cause: the busiest daemon (11003 B/s at rest, limit 5000) voted in its own cell and for cells of the other region. Change: daemons that do not vote in their own cell are taken first. Failed try, reverted: a choice that stays while its daemon lives. Watches: the drivers of the first three cells of each region instead of all; 6 waiting in place of 10.

--- a/packages/daemon/src/spread.cpp
+++ b/packages/daemon/src/spread.cpp
@@ -172,6 +172,14 @@
     }
 }
 
+/** Whether this daemon is one of the few that watch the store. */
+bool shouldWatch(control_state &control)
+{
+    const auto &cell = ownCell(control);
+    return drives(cell, clock::now())
+        && watchesStore(*control.shared->routing.load(), cell.id, control.shared->settings.region);
+}
+
 asio::awaitable<void> compareQuietly(control_state &control, endpoint with)
 {
     co_await compareWith(control, with);
@@ -301,7 +309,7 @@
 {
     for (;;) {
         co_await sleepFor(watchRetry);
-        if (!drives(ownCell(control), clock::now())) {
+        if (!shouldWatch(control)) {
             continue;
         }
         last_reason why;
@@ -325,7 +333,7 @@
                     takeStored(control, event.value);
                 }
             }
-            return drives(ownCell(control), clock::now());
+            return shouldWatch(control);
         };
         const revision_number next{all->revision.value + 1};
         co_await watchPrefix(control.store, storePrefix, next, onEvents, why);
--- a/packages/decisions/src/routing.cpp
+++ b/packages/decisions/src/routing.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view cellPrefix = "cells/";
+constexpr std::size_t watchingCells = 3; ///< Cells of each region whose drivers watch the store.
 
 std::shared_ptr<const cell_view> makeCellView(const cell_record &record, revision_number revision)
 {
@@ -19,6 +20,9 @@
     view->id = record.id;
     view->revision = revision;
     view->members = record.members;
+    for (const auto &voter : record.voters) {
+        view->voters.push_back(voter.id);
+    }
     std::unordered_map<instance_id, std::int32_t> indexOf;
     for (std::size_t index = 0; index < record.members.size(); ++index) {
         indexOf[record.members[index].id] = static_cast<std::int32_t>(index);
@@ -162,13 +166,16 @@
 {
     const auto seed = XXH3_64bits(cell.value.data(), cell.value.size());
     const cell_member *best = nullptr;
-    std::uint64_t bestWeight = 0;
+    std::pair<bool, std::uint64_t> bestWeight;
     for (const auto &entry : view.cells) {
+        const auto &voters = entry.second->voters;
         for (const auto &member : entry.second->members) {
             if (member.region == region || member.leaving) {
                 continue;
             }
-            const auto weight = XXH3_64bits_withSeed(member.id.value.data(), member.id.value.size(), seed);
+            const bool votes = std::find(voters.begin(), voters.end(), member.id) != voters.end();
+            const std::pair weight(!votes,
+                                   XXH3_64bits_withSeed(member.id.value.data(), member.id.value.size(), seed));
             if (best == nullptr || weight > bestWeight) {
                 best = &member;
                 bestWeight = weight;
@@ -178,6 +185,18 @@
     return best;
 }
 
+bool watchesStore(const routing_view &view, const cell_id &cell, const region_id &region)
+{
+    std::size_t before = 0;
+    for (const auto &[id, entry] : view.cells) {
+        if (id == cell) {
+            break;
+        }
+        before += !entry->members.empty() && entry->members.front().region == region ? 1 : 0;
+    }
+    return before < watchingCells;
+}
+
 std::map<pool_id, std::pair<std::vector<slot_number>, placement_rules>> plansOf(const routing_view &view,
                                                                                 const cell_id &cell)
 {
--- a/packages/decisions/src/routing_base.h
+++ b/packages/decisions/src/routing_base.h
@@ -30,6 +30,7 @@
     cell_id id; ///< Cell.
     revision_number revision; ///< Revision of its record.
     std::vector<cell_member> members; ///< Members.
+    std::vector<instance_id> voters; ///< Names of its voters.
     std::map<pool_id, slot_run> pools; ///< Slots by pool.
 };
 
--- a/packages/decisions/src/routing_func.h
+++ b/packages/decisions/src/routing_func.h
@@ -54,7 +54,7 @@
 
 /**
  * Chooses the daemon of another region that may vote in a cell, by rendezvous hashing (Thaler and Ravishankar, 1998),
- * so that many cells spread their choice and a choice stays until its daemon leaves.
+ * so that many cells spread their choice, among daemons that do not vote in their own cell, if there are any.
  * @param view View.
  * @param cell Cell.
  * @param region Region of the cell.
@@ -62,6 +62,15 @@
  */
 const cell_member *chooseOutside(const routing_view &view, const cell_id &cell, const region_id &region);
 
+/**
+ * Tells whether the driver of a cell watches the store. Few cells of each region do, the first by name.
+ * @param view View.
+ * @param cell Cell.
+ * @param region Region of the cell.
+ * @return Whether it does.
+ */
+bool watchesStore(const routing_view &view, const cell_id &cell, const region_id &region);
+
 /**
  * Works out what one cell should hold.
  * @param view View.
--- a/packages/decisions/tests/routing_test.cpp
+++ b/packages/decisions/tests/routing_test.cpp
@@ -99,6 +99,11 @@
         chosen.insert(outside->id);
     }
     EXPECT_GE(chosen.size(), 6U);
+    int watching = 0;
+    for (const auto &entry : view.cells) {
+        watching += watchesStore(view, entry.first, entry.second->members.front().region) ? 1 : 0;
+    }
+    EXPECT_EQ(watching, 6) << "three cells of each of two regions";
 }
 
 TEST(catalog, neverGoesBack)
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint32_t streamWindow = 128 * 1024; ///< Bytes of a body that may be in flight on one stream.
 constexpr std::int32_t sessionWindow = 16 * 1024 * 1024; ///< Bytes in flight on one connection.
 constexpr std::uint32_t maxStreams = 4096; ///< Streams open at once.
-constexpr std::size_t readSize = 64 * 1024; ///< Bytes read at once.
+constexpr std::size_t readSize = 16 * 1024; ///< Bytes read at once.
 constexpr std::size_t writeBatch = 128 * 1024; ///< Bytes gathered for one write.
 
 h2_session &sessionOf(void *user)
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -11,6 +11,9 @@
 
 constexpr milliseconds quietLimit{2500}; ///< A session with open calls that receives nothing for this long is dropped.
 
+constexpr std::chrono::seconds idleLimit{10}; ///< A session without calls is closed after this long.
+constexpr std::chrono::seconds idleCheck{1}; ///< Between two looks for idle sessions.
+
 } // namespace
 
 struct peer_link
@@ -30,6 +33,7 @@
     asio::any_io_executor executor; ///< Where it runs.
     std::map<endpoint, std::shared_ptr<peer_link>> links; ///< By peer.
     std::uint64_t closedBytes = 0; ///< Bytes of sessions that are closed.
+    steady_time nextIdleCheck{}; ///< When to look for idle sessions next.
 };
 
 struct peer_call
@@ -88,6 +92,25 @@
     }
 }
 
+/** Closes sessions that nobody uses, since a daemon may come to talk to all others in turn. */
+void closeIdle(peer_client &client, steady_time now)
+{
+    if (now < client.nextIdleCheck) {
+        return;
+    }
+    client.nextIdleCheck = now + idleCheck;
+    for (const auto &[to, link] : client.links) {
+        const auto &session = link->session;
+        if (session && !session->dead && session->streams.empty() && now - session->lastReceived > idleLimit) {
+            closeSession(session);
+        }
+    }
+    std::erase_if(client.links, [](const auto &entry) {
+        const auto &link = *entry.second;
+        return !link.connecting && (!link.session || link.session->dead);
+    });
+}
+
 std::shared_ptr<peer_call> submit(const std::shared_ptr<h2_session> &session, const peer_request &request,
                                   const endpoint &to)
 {
@@ -126,6 +149,7 @@
 asio::awaitable<opened_call> openCall(std::shared_ptr<peer_client> client, endpoint to, peer_request request,
                                       milliseconds connectTimeout)
 {
+    closeIdle(*client, std::chrono::steady_clock::now());
     auto &slot = client->links[to];
     if (!slot) {
         slot = std::make_shared<peer_link>(client->executor);
