--- a/packages/base/src/toml_reader.h
+++ b/packages/base/src/toml_reader.h
@@ -69,7 +69,8 @@
  * @param fallback Value if absent; empty optional if it is required.
  * @return The value.
  */
-inline std::string readString(toml_reader &reader, const std::string &name, std::optional<std::string> fallback = {})
+inline std::string readString(toml_reader &reader, const std::string &name,
+                              const std::optional<std::string> &fallback = {})
 {
     return readMember<std::string>(reader, name, "a string", fallback.value_or(""), !fallback.has_value());
 }
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -6,6 +6,7 @@
 #include "log_func.h"
 #include "record_func.h"
 #include "spread.h"
+#include "store_sync.h"
 
 #include <algorithm>
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -139,6 +139,7 @@
     logEvent(log_level::info, "started",
              {{"cell", settings.cell.value}, {"callers", std::to_string(settings.callersPort)}});
     std::vector<std::thread> threads;
+    threads.reserve(parts.traffic.size());
     for (auto &thread : parts.traffic) {
         threads.emplace_back([&at = *thread] { at.context.run(); });
     }
--- a/packages/daemon/src/edits.cpp
+++ b/packages/daemon/src/edits.cpp
@@ -6,6 +6,7 @@
 #include "log_func.h"
 #include "row_func.h"
 #include "spread.h"
+#include "store_sync.h"
 
 #include <iomanip>
 #include <nlohmann/json.hpp>
@@ -228,15 +229,17 @@
     co_return end;
 }
 
-/** Reads the tables anew, since another daemon may have changed them a moment ago. */
+/** Reads the tables anew, since another daemon may have changed them a moment ago. Cell records are not read. */
 asio::awaitable<bool> refreshTables(control_state &control, last_reason &why)
 {
-    const auto all = co_await readRange(control.store, storePrefix, false, why);
-    if (!all) {
-        co_return false;
-    }
-    for (const auto &value : all->values) {
-        takeStored(control, value);
+    for (const auto *table : {"routes/", "pools/", "rules/", guardPrefix}) {
+        const auto rows = co_await readRange(control.store, std::string(storePrefix) + table, false, why);
+        if (!rows) {
+            co_return false;
+        }
+        for (const auto &value : rows->values) {
+            takeStored(control, value);
+        }
     }
     co_return true;
 }
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -190,7 +190,7 @@
 }
 
 /** One attempt at the chosen member. */
-asio::awaitable<request_outcome> attemptAt(traffic_thread &thread, const cell_member member,
+asio::awaitable<request_outcome> attemptAt(traffic_thread &thread, cell_member member,
                                            std::shared_ptr<const routed_request> request,
                                            std::shared_ptr<answer_sink> sink)
 {
--- a/packages/daemon/src/spread.cpp
+++ b/packages/daemon/src/spread.cpp
@@ -1,4 +1,4 @@
-/** @file spread.cpp Spreading documents: from the store, to and from other daemons. */
+/** @file spread.cpp Spreading documents to and from other daemons. */
 #include "spread.h"
 
 #include "catalog_func.h"
@@ -19,19 +19,10 @@
 
 constexpr milliseconds gossipInterval{1000}; ///< Between two digests.
 constexpr milliseconds peerTimeout{1500}; ///< Bound on comparing or fetching.
-constexpr milliseconds loadRetry{500}; ///< Between two attempts to read all documents.
-constexpr milliseconds watchRetry{300}; ///< Between two looks whether to watch.
 constexpr std::size_t fanOut = 6; ///< Daemons of the own region that hear of a new document from here.
 constexpr std::uint64_t farShare = 10; ///< One digest in so many goes to another region.
 constexpr std::string_view cellPrefix = "cells/";
 
-/** Documents that are spread; guards, proposals and the audit trail stay in the store. */
-bool isSpread(const std::string &key)
-{
-    return key.starts_with(cellPrefix) || key.starts_with("routes/") || key.starts_with("pools/")
-        || key.starts_with("rules/");
-}
-
 /** All other daemons in the present view, split by region. */
 struct known_daemons
 {
@@ -79,23 +70,6 @@
     }
 }
 
-/** Tells the members and voters of the own cell of its new record at once, since they act on it. */
-void announceToCell(control_state &control, const document &taken, const cell_record &record)
-{
-    const announce_message message{control.shared->settings.instance, taken.key, taken.revision};
-    std::set<endpoint> told;
-    for (const auto &member : record.members) {
-        told.insert({member.at.host, member.at.peers});
-    }
-    for (const auto &voter : allVoters(record)) {
-        told.insert(voter.control);
-    }
-    told.erase({control.shared->settings.host, control.shared->settings.peersPort});
-    for (const auto &to : told) {
-        sendDatagram(control, to, message);
-    }
-}
-
 /** Gives the own cell its slots and rules. */
 void updatePlans(control_state &control, const routing_view &view)
 {
@@ -172,14 +146,6 @@
     }
 }
 
-/** Whether this daemon is one of the few that watch the store. */
-bool shouldWatch(control_state &control)
-{
-    const auto &cell = ownCell(control);
-    return drives(cell, clock::now())
-        && watchesStore(*control.shared->routing.load(), cell.id, control.shared->settings.region);
-}
-
 asio::awaitable<void> compareQuietly(control_state &control, endpoint with)
 {
     co_await compareWith(control, with);
@@ -220,6 +186,22 @@
     return true;
 }
 
+void announceToCell(control_state &control, const document &taken, const cell_record &record)
+{
+    const announce_message message{control.shared->settings.instance, taken.key, taken.revision};
+    std::set<endpoint> told;
+    for (const auto &member : record.members) {
+        told.insert({member.at.host, member.at.peers});
+    }
+    for (const auto &voter : allVoters(record)) {
+        told.insert(voter.control);
+    }
+    told.erase({control.shared->settings.host, control.shared->settings.peersPort});
+    for (const auto &to : told) {
+        sendDatagram(control, to, message);
+    }
+}
+
 void takeAnnounce(control_state &control, const announce_message &message, const endpoint &from)
 {
     const auto known = control.catalog.documents.find(message.key);
@@ -273,128 +255,4 @@
     co_return true;
 }
 
-void takeStored(control_state &control, const stored_value &value)
-{
-    const auto key = value.key.substr(std::string_view(storePrefix).size());
-    if (key.starts_with("refs/")) {
-        control.guards[key] = std::max(control.guards[key], value.revision);
-    }
-    if (isSpread(key)) {
-        takeFrom(control, {key, value.revision, std::make_shared<const std::string>(value.value)},
-                 document_source::store);
-    }
-}
-
-asio::awaitable<void> loadDocuments(control_state &control)
-{
-    for (;;) {
-        last_reason why;
-        const auto all = co_await readRange(control.store, storePrefix, false, why);
-        if (all) {
-            control.storeAnswered = clock::now();
-            for (const auto &value : all->values) {
-                takeStored(control, value);
-            }
-            co_return;
-        }
-        logEvent(log_level::warn, "store-unanswered", {{"reason", describe(why)}});
-        for (const auto &seed : control.shared->settings.seeds) {
-            co_await compareWith(control, seed);
-        }
-        co_await sleepFor(loadRetry);
-    }
-}
-
-asio::awaitable<void> watchStore(control_state &control)
-{
-    for (;;) {
-        co_await sleepFor(watchRetry);
-        if (!shouldWatch(control)) {
-            continue;
-        }
-        last_reason why;
-        const auto all = co_await readRange(control.store, storePrefix, false, why);
-        if (!all) {
-            if (control.store.restored) {
-                logEvent(log_level::error, "store-went-back", {{"reason", describe(why)}});
-            }
-            continue;
-        }
-        control.storeAnswered = clock::now();
-        for (const auto &value : all->values) {
-            takeStored(control, value);
-        }
-        control.watching = true;
-        std::function<bool(std::vector<watch_event>)> onEvents = [&control](std::vector<watch_event> events) {
-            for (const auto &event : events) {
-                if (event.removed) {
-                    logEvent(log_level::error, "store-key-deleted", {{"key", event.value.key}});
-                } else {
-                    takeStored(control, event.value);
-                }
-            }
-            return shouldWatch(control);
-        };
-        const revision_number next{all->revision.value + 1};
-        co_await watchPrefix(control.store, storePrefix, next, onEvents, why);
-        control.watching = false;
-    }
-}
-
-asio::awaitable<void> readRecord(control_state &control, cell_id cell)
-{
-    last_reason why;
-    const auto key = std::string(storePrefix) + std::string(cellPrefix) + cell.value;
-    const auto result = co_await readRange(control.store, key, true, why);
-    auto &state = control.cells.at(cell);
-    const auto now = clock::now();
-    if (!result) {
-        logEvent(log_level::debug, "record-unread", {{"reason", describe(why)}});
-        takeReadFailure(state, now);
-        co_return;
-    }
-    control.storeAnswered = now;
-    stored_record stored;
-    stored.record.id = cell;
-    if (!result->values.empty()) {
-        const auto record = parseRecord(result->values.front().value, why);
-        if (!record) {
-            logEvent(log_level::error, "record-damaged", {{"reason", describe(why)}});
-            takeReadFailure(state, now);
-            co_return;
-        }
-        stored = {*record, result->values.front().revision};
-        takeStored(control, result->values.front());
-    }
-    takeStoreRead(state, stored, now);
-}
-
-asio::awaitable<void> writeRecord(control_state &control, cell_id cell, write_action write)
-{
-    last_reason why;
-    const auto key = std::string(storePrefix) + std::string(cellPrefix) + cell.value;
-    const auto value = formatRecord(write.record);
-    txn_request request{{{key, write.expected}}, {{key, value}}};
-    const auto result = co_await commit(control.store, std::move(request), why);
-    auto &state = control.cells.at(cell);
-    const auto now = clock::now();
-    if (!result) {
-        logEvent(log_level::warn, "write-unclear", {{"cell", cell.value}, {"reason", describe(why)}});
-        perform(control, cell, takeWrite(state, write.record, write_outcome::unclear, {}, now));
-        co_return;
-    }
-    control.storeAnswered = now;
-    if (!result->succeeded) {
-        perform(control, cell, takeWrite(state, write.record, write_outcome::conflicted, {}, now));
-        co_return;
-    }
-    const document stored{"cells/" + cell.value, result->revision, std::make_shared<const std::string>(value)};
-    perform(control, cell, takeWrite(state, write.record, write_outcome::stored, result->revision, now));
-    announceToCell(control, stored, write.record);
-    takeFrom(control, stored, document_source::store);
-    publishOwnership(control);
-    logEvent(log_level::info, "record-written",
-             {{"cell", cell.value}, {"revision", std::to_string(result->revision.value)}});
-}
-
 } // namespace quetzalspool
--- a/packages/daemon/src/spread.h
+++ b/packages/daemon/src/spread.h
@@ -1,4 +1,4 @@
-/** @file spread.h Spreading documents: from the store, to and from other daemons. */
+/** @file spread.h Spreading documents to and from other daemons. */
 #ifndef SPREAD_H
 #define SPREAD_H
 
@@ -47,42 +47,12 @@
 void gossip(control_state &control, steady_time now);
 
 /**
- * Reads all documents at the start, from the store or, if it is out, from the seeds.
+ * Tells the members and voters of a cell of its new record at once, since they act on it.
  * @param control Control state.
- * @return An awaitable.
+ * @param taken Document.
+ * @param record The record in it.
  */
-asio::awaitable<void> loadDocuments(control_state &control);
-
-/**
- * Watches the store while this daemon drives its cell.
- * @param control Control state.
- * @return An awaitable.
- */
-asio::awaitable<void> watchStore(control_state &control);
-
-/**
- * Reads a cell's record for a read action.
- * @param control Control state.
- * @param cell Cell.
- * @return An awaitable.
- */
-asio::awaitable<void> readRecord(control_state &control, cell_id cell);
-
-/**
- * Writes a cell's record for a write action.
- * @param control Control state.
- * @param cell Cell.
- * @param write Action.
- * @return An awaitable.
- */
-asio::awaitable<void> writeRecord(control_state &control, cell_id cell, write_action write);
-
-/**
- * Takes one value of the store into the catalog.
- * @param control Control state.
- * @param value Value with its full key.
- */
-void takeStored(control_state &control, const stored_value &value);
+void announceToCell(control_state &control, const document &taken, const cell_record &record);
 
 /**
  * Compares all documents with another daemon and takes what is newer there.
--- a/packages/decisions/bench/decisions_bench.cpp
+++ b/packages/decisions/bench/decisions_bench.cpp
@@ -125,7 +125,7 @@
         now += timing.renewInterval;
         const auto renewal = nextRenewal(lease, stored, timing, now);
         for (const auto &voter : stored.record.voters) {
-            vouch_message vouch{renewal->cell, voter.id, voter.incarnation, renewal->term, renewal->sequence, true};
+            vouch_message vouch{renewal->cell, voter.incarnation, renewal->term, renewal->sequence, true};
             takeVouch(lease, vouch, stored, timing, now);
         }
         benchmark::DoNotOptimize(lease.validUntil);
@@ -188,8 +188,8 @@
     for (auto _ : state) {
         benchmark::DoNotOptimize(formatRecord(record));
     }
-    const renew_message renewal{record.id, self.id, self.incarnation, {123456}, {40}, 12345678, {987654321}};
-    const vouch_message vouch{record.id, self.id, self.incarnation, {123456}, 12345678, true, false, {987654321}};
+    const renew_message renewal{record.id, self.id, {123456}, {40}, 12345678, {987654321}};
+    const vouch_message vouch{record.id, self.incarnation, {123456}, 12345678, true, false, {987654321}};
     const announce_message announce{self.id, "cells/cell-700", {987654321}};
     const digest_message digest{self.id, 0x123456789abcdefULL};
     state.counters["renew"] = static_cast<double>(encodeMessage(renewal).size());
--- a/packages/decisions/src/lease_cmd.cpp
+++ b/packages/decisions/src/lease_cmd.cpp
@@ -44,8 +44,7 @@
     while (state.sent.front().sentAt + timing.vouchPeriod < now) {
         state.sent.pop_front();
     }
-    return renew_message{stored.record.id, state.self,    state.incarnation, sent.term,
-                         sent.config,      sent.sequence, stored.revision};
+    return renew_message{stored.record.id, state.self, sent.term, sent.config, sent.sequence, stored.revision};
 }
 
 void takeVouch(lease_state &state, const vouch_message &message, const stored_record &stored, const cell_timing &timing,
@@ -53,15 +52,18 @@
 {
     const auto sent = std::find_if(state.sent.begin(), state.sent.end(),
                                    [&](const auto &renewal) { return renewal.sequence == message.sequence; });
-    if (sent == state.sent.end() || sent->term != message.term) {
-        return;
+    const auto voters = allVoters(stored.record);
+    const auto voter = std::find_if(voters.begin(), voters.end(),
+                                    [&](const auto &row) { return row.incarnation == message.incarnation; });
+    if (sent == state.sent.end() || sent->term != message.term || voter == voters.end()) {
+        return; // The promise of a voter that the record does not list in this run would not count.
     }
-    state.voterHeard[message.voter] = now;
+    state.voterHeard[voter->id] = now;
     if (message.termRefused) {
         state.refused = std::max(state.refused, message.term);
     }
     if (message.granted) {
-        auto &held = state.vouches[message.voter];
+        auto &held = state.vouches[voter->id];
         const auto until = sent->sentAt + timing.vouchPeriod;
         if (held.incarnation != message.incarnation || until >= held.until) {
             held = {message.incarnation, until};
--- a/packages/decisions/src/message.cpp
+++ b/packages/decisions/src/message.cpp
@@ -28,9 +28,9 @@
     using kind = std::remove_const_t<Message>;
     auto &m = message;
     if constexpr (std::is_same_v<kind, renew_message>) {
-        return use(m.cell, m.owner, m.incarnation, m.term, m.config, m.sequence, m.known);
+        return use(m.cell, m.owner, m.term, m.config, m.sequence, m.known);
     } else if constexpr (std::is_same_v<kind, vouch_message>) {
-        return use(m.cell, m.voter, m.incarnation, m.term, m.sequence, m.granted, m.termRefused, m.known);
+        return use(m.cell, m.incarnation, m.term, m.sequence, m.granted, m.termRefused, m.known);
     } else if constexpr (std::is_same_v<kind, end_message>) {
         return use(m.cell, m.driver, m.member, m.upTo);
     } else if constexpr (std::is_same_v<kind, ended_message>) {
--- a/packages/decisions/src/message_type.h
+++ b/packages/decisions/src/message_type.h
@@ -15,7 +15,6 @@
 {
     cell_id cell; ///< Cell of the owner.
     instance_id owner; ///< Who asks.
-    incarnation_id incarnation; ///< Run of the owner.
     term_number term; ///< Term to vouch for.
     config_number config; ///< Set of voters that the owner counts by.
     std::uint64_t sequence = 0; ///< Tells answers apart.
@@ -26,8 +25,7 @@
 struct vouch_message
 {
     cell_id cell; ///< Cell of the owner.
-    instance_id voter; ///< Who answers.
-    incarnation_id incarnation; ///< Run of the voter.
+    incarnation_id incarnation; ///< Run of the voter; names the voter too, since the record lists it.
     term_number term; ///< Term it answers for.
     std::uint64_t sequence = 0; ///< Of the renewal.
     bool granted = false; ///< Whether it vouches.
--- a/packages/decisions/src/routing.cpp
+++ b/packages/decisions/src/routing.cpp
@@ -20,6 +20,7 @@
     view->id = record.id;
     view->revision = revision;
     view->members = record.members;
+    view->voters.reserve(record.voters.size());
     for (const auto &voter : record.voters) {
         view->voters.push_back(voter.id);
     }
@@ -42,6 +43,7 @@
 {
     pool_view view{row, {}};
     std::vector<std::pair<cell_id, std::uint32_t>> weights;
+    weights.reserve(row.homes.size());
     for (const auto &home : row.homes) {
         weights.emplace_back(home.cell, home.weight);
     }
@@ -174,8 +176,7 @@
                 continue;
             }
             const bool votes = std::find(voters.begin(), voters.end(), member.id) != voters.end();
-            const std::pair weight(!votes,
-                                   XXH3_64bits_withSeed(member.id.value.data(), member.id.value.size(), seed));
+            const std::pair weight(!votes, XXH3_64bits_withSeed(member.id.value.data(), member.id.value.size(), seed));
             if (best == nullptr || weight > bestWeight) {
                 best = &member;
                 bestWeight = weight;
--- a/packages/decisions/src/vouch_cmd.cpp
+++ b/packages/decisions/src/vouch_cmd.cpp
@@ -65,7 +65,7 @@
     }
     auto &entry = state.entries[message.owner];
     entry.heard = now;
-    vouch_message answer{message.cell, state.self, state.incarnation, message.term, message.sequence};
+    vouch_message answer{message.cell, state.incarnation, message.term, message.sequence};
     answer.known = stored.revision;
     answer.termRefused = message.term <= entry.refusedUpTo;
     answer.granted = mayVouch(state, message, entry);
--- a/packages/http/src/http_server.h
+++ b/packages/http/src/http_server.h
@@ -21,8 +21,8 @@
 /** Limits and behaviour of a server. */
 struct http_server_options
 {
-    std::uint32_t headerLimit = 8 * 1024; ///< Bytes of all headers.
-    std::uint64_t bodyLimit = 4 * 1024 * 1024; ///< Bytes of a body.
+    std::uint32_t headerLimit = 8192; ///< Bytes of all headers.
+    std::uint64_t bodyLimit = 4194304; ///< Bytes of a body.
     milliseconds idleTimeout{60000}; ///< A connection without a request is closed after this long.
     http_streamer streamer; ///< Answers streamed paths; may be empty.
 };
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -12,8 +12,8 @@
 constexpr std::uint32_t streamWindow = 128 * 1024; ///< Bytes of a body that may be in flight on one stream.
 constexpr std::int32_t sessionWindow = 16 * 1024 * 1024; ///< Bytes in flight on one connection.
 constexpr std::uint32_t maxStreams = 4096; ///< Streams open at once.
-constexpr std::size_t readSize = 16 * 1024; ///< Bytes read at once.
-constexpr std::size_t writeBatch = 128 * 1024; ///< Bytes gathered for one write.
+constexpr std::size_t readSize = 16384; ///< Bytes read at once.
+constexpr std::size_t writeBatch = 131072; ///< Bytes gathered for one write.
 
 h2_session &sessionOf(void *user)
 {
@@ -272,6 +272,7 @@
 std::vector<nghttp2_nv> toRows(const std::vector<http_header> &headers)
 {
     std::vector<nghttp2_nv> rows;
+    rows.reserve(headers.size());
     for (const auto &[name, value] : headers) {
         rows.push_back({reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
                         reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data())), name.size(), value.size(),
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -60,9 +60,9 @@
 };
 
 /** Bytes of a body that wait to be sent at most; a writer waits beyond. */
-constexpr std::size_t outgoingLimit = 64 * 1024;
+constexpr std::size_t outgoingLimit = 65536;
 /** Bytes of a whole request body at most. */
-constexpr std::size_t peerBodyLimit = 8 * 1024 * 1024;
+constexpr std::size_t peerBodyLimit = 8388608;
 
 /**
  * Starts a session on a connected socket.
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr milliseconds keptIdleLimit{800}; ///< A kept connection older than this is not used again.
-constexpr std::size_t partSize = 32 * 1024; ///< Bytes of a body read at once.
+constexpr std::size_t partSize = 32768; ///< Bytes of a body read at once.
 constexpr const char *notRunHeader = "Quetzalspool-Not-Run"; ///< The contract's refusal.
 
 } // namespace
--- a/standins/measure/main.cpp
+++ b/standins/measure/main.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t membersPerCell = 6;
 constexpr milliseconds startPatience{90000};
 constexpr int tableChanges = 10;
+constexpr int overloadServiceMs = 20; ///< Service time under overload.
+constexpr int overloadSlots = 4; ///< Slots of each target under overload.
+constexpr milliseconds overloadPatience{1000}; ///< A caller's patience under overload.
 constexpr double datagramHeaders = 28; ///< Bytes of IPv4 and UDP headers.
 
 /** What one daemon has used so far. */
@@ -289,6 +292,51 @@
     return figures;
 }
 
+/**
+ * Goodput at shares of the capacity, through the daemons and, as the baseline, round robin at the targets themselves,
+ * which queue without admission. The last row is the load fallen back.
+ */
+json measureOverload(const std::string &binaries)
+{
+    auto plan = twoRegionPlan(4, 0);
+    plan.binaries = binaries;
+    plan.basePort = 27000;
+    plan.serviceMs = overloadServiceMs;
+    plan.slots = overloadSlots;
+    fleet running(std::move(plan));
+    if (!running.start(startPatience)) {
+        return {{"not_run", "the fleet did not start"}};
+    }
+    std::this_thread::sleep_for(seconds(6)); // The targets are warm.
+    const double capacity = 4.0 * overloadSlots * 1000 / overloadServiceMs;
+    load_options options;
+    options.span = seconds(4);
+    options.timeout = overloadPatience;
+    options.orderPath = "/releases/{key}";
+    options.orderShare = 0.2;
+    options.progress = false;
+    json figures{{"capacity_per_second", capacity}, {"rows", json::array()}};
+    for (const double share : {0.5, 1.0, 2.0, 4.0, 0.5}) {
+        options.rate = capacity * share;
+        ++options.seed;
+        json row{{"share", share}};
+        for (const bool direct : {false, true}) {
+            options.callers.clear();
+            for (const auto &instance : running.plan().instances) {
+                const auto ports = running.portsOf(instance.name);
+                options.callers.push_back(direct ? ports.target : ports.callers);
+            }
+            const auto result = runLoad(options);
+            auto load = json::parse(formatLoad(result));
+            load["goodput_per_second"] =
+                static_cast<double>(result.lookups.answered + result.orders.answered) / result.seconds;
+            row[direct ? "round_robin_no_admission" : "daemons"] = std::move(load);
+        }
+        figures["rows"].push_back(std::move(row));
+    }
+    return figures;
+}
+
 } // namespace
 
 } // namespace quetzalspool
@@ -305,6 +353,7 @@
     TCLAP::CmdLine line("Measures fleets on loopback.", ' ', "0.1.0");
     TCLAP::ValueArg<std::string> binaries("b", "binaries", "Folder of the built programs.", true, "", "DIR", line);
     TCLAP::SwitchArg hops("", "hops", "Measure the latency that hops add.", line);
+    TCLAP::SwitchArg overload("", "overload", "Measure goodput at up to four times the capacity.", line);
     TCLAP::UnlabeledMultiArg<int> counts("daemons", "Numbers of daemons.", false, "N", line);
     line.parse(argc, argv);
     json figures = json::array();
@@ -315,6 +364,9 @@
     if (hops.getValue()) {
         out["hops"] = measureHops(binaries.getValue());
     }
+    if (overload.getValue()) {
+        out["overload"] = measureOverload(binaries.getValue());
+    }
     std::cout << out.dump(2) << "\n";
     return 0;
 }
