Add: goodput under overload, measured against targets without admission

First try, wrong: both ways on one fleet, in turn. The baseline left thousands of requests in the targets' own queues, and the daemons' next row measured those (162/s at 4 times, 3/s after). Each way has its own fleet now.

--- a/standins/measure/main.cpp
+++ b/standins/measure/main.cpp
@@ -292,15 +292,12 @@
     return figures;
 }
 
-/**
- * Goodput at shares of the capacity, through the daemons and, as the baseline, round robin at the targets themselves,
- * which queue without admission. The last row is the load fallen back.
- */
-json measureOverload(const std::string &binaries)
+/** One load after the other at shares of the capacity, on a fleet of its own: targets keep a backlog. */
+json measureGoodput(const std::string &binaries, bool direct, std::uint16_t basePort)
 {
     auto plan = twoRegionPlan(4, 0);
     plan.binaries = binaries;
-    plan.basePort = 27000;
+    plan.basePort = basePort;
     plan.serviceMs = overloadServiceMs;
     plan.slots = overloadSlots;
     fleet running(std::move(plan));
@@ -308,33 +305,38 @@
         return {{"not_run", "the fleet did not start"}};
     }
     std::this_thread::sleep_for(seconds(6)); // The targets are warm.
-    const double capacity = 4.0 * overloadSlots * 1000 / overloadServiceMs;
     load_options options;
+    for (const auto &instance : running.plan().instances) {
+        const auto ports = running.portsOf(instance.name);
+        options.callers.push_back(direct ? ports.target : ports.callers);
+    }
     options.span = seconds(4);
     options.timeout = overloadPatience;
     options.orderPath = "/releases/{key}";
     options.orderShare = 0.2;
     options.progress = false;
-    json figures{{"capacity_per_second", capacity}, {"rows", json::array()}};
+    auto rows = json::array();
     for (const double share : {0.5, 1.0, 2.0, 4.0, 0.5}) {
-        options.rate = capacity * share;
+        options.rate = 4.0 * overloadSlots * 1000 / overloadServiceMs * share;
         ++options.seed;
-        json row{{"share", share}};
-        for (const bool direct : {false, true}) {
-            options.callers.clear();
-            for (const auto &instance : running.plan().instances) {
-                const auto ports = running.portsOf(instance.name);
-                options.callers.push_back(direct ? ports.target : ports.callers);
-            }
-            const auto result = runLoad(options);
-            auto load = json::parse(formatLoad(result));
-            load["goodput_per_second"] =
-                static_cast<double>(result.lookups.answered + result.orders.answered) / result.seconds;
-            row[direct ? "round_robin_no_admission" : "daemons"] = std::move(load);
-        }
-        figures["rows"].push_back(std::move(row));
+        const auto result = runLoad(options);
+        auto row = json::parse(formatLoad(result));
+        row["share"] = share;
+        row["goodput_per_second"] =
+            static_cast<double>(result.lookups.answered + result.orders.answered) / result.seconds;
+        rows.push_back(std::move(row));
     }
-    return figures;
+    return rows;
+}
+
+/**
+ * Goodput through the daemons and, as the baseline, round robin at the targets themselves, which queue without
+ * admission. The last row of each is the load fallen back.
+ */
+json measureOverload(const std::string &binaries)
+{
+    return {{"daemons", measureGoodput(binaries, false, 27000)},
+            {"round_robin_no_admission", measureGoodput(binaries, true, 27200)}};
 }
 
 } // namespace
