Change: an order takes the place of the least urgent lookup in a full queue

Ruled out: the deadline (patience 1 s, p99 of orders 57 ms). Change: the least urgent lookup loses its place and gets its final answer at once, with when to come back.

--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -259,6 +259,7 @@
     admission_request asked{0, request->slot, request->kind, request->deadline};
     auto verdict = askAdmission(shared, asked, box);
     if (verdict.queued) {
+        advanceGate(shared.admission, clock::now()); // Whoever lost its place hears of it at once.
         verdict = co_await awaitVerdict(shared, asked, box, sink);
     }
     if (!verdict.admitted) {
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -78,6 +78,7 @@
     std::map<std::pair<pool_id, slot_number>, open_slot> slots; ///< Slots served, by pool and number.
     std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
     std::vector<waiting_request> queue; ///< Requests that wait, in order of class and deadline.
+    std::vector<waiting_request> displaced; ///< Requests that lost their place to more urgent ones.
     steady_time lastProgress{}; ///< Last time a request finished, or the target became busy.
     bool probing = false; ///< Whether only one request at a time is tried, after a stall.
     double serviceMs = 5.0; ///< Smoothed service time in milliseconds.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -125,10 +125,18 @@
     const auto before = static_cast<std::size_t>(at - state.queue.begin());
     const auto wait = predictedWait(state, before, now);
     const bool fits = now + wait + milliseconds(std::llround(state.serviceMs)) <= request.deadline;
-    if (state.queue.size() >= state.limits.queue || !fits) {
+    const bool full = state.queue.size() >= state.limits.queue;
+    // An order takes the place of the least urgent lookup; lookups never displace each other.
+    const bool displaces = full && fits && request.kind == request_class::order && !state.queue.empty()
+        && state.queue.back().request.kind == request_class::lookup;
+    if ((full && !displaces) || !fits) {
         return refuse(state, refusal::overloaded, clampRetry(predictedWait(state, state.queue.size(), now)));
     }
     state.queue.insert(at, {request, now});
+    if (displaces) {
+        state.displaced.push_back(state.queue.back());
+        state.queue.pop_back();
+    }
     return {false, true};
 }
 
@@ -186,6 +194,11 @@
 std::vector<decided_request> advanceQueue(admission_state &state, steady_time now)
 {
     std::vector<decided_request> decided;
+    for (const auto &waiting : state.displaced) {
+        const auto wait = clampRetry(predictedWait(state, state.queue.size(), now));
+        decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
+    }
+    state.displaced.clear();
     std::erase_if(state.queue, [&](const waiting_request &waiting) {
         const auto reason = checkAll(state, waiting.request, now);
         if (reason != refusal::none) {
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -63,6 +63,22 @@
     EXPECT_EQ(order, (std::vector<std::uint64_t>{4, 3, 2}));
 }
 
+TEST(admission, anOrderTakesThePlaceOfTheLeastUrgentLookupInAFullQueue)
+{
+    auto gate = makeGate(1, 2);
+    admit(gate, ask(1), now);
+    admit(gate, ask(2, request_class::lookup, seconds(2)), now);
+    admit(gate, ask(3, request_class::lookup, seconds(4)), now);
+    EXPECT_EQ(admit(gate, ask(4, request_class::lookup, seconds(1)), now).refused, refusal::overloaded);
+    EXPECT_TRUE(admit(gate, ask(5, request_class::order), now).queued);
+    const auto decided = advanceQueue(gate, now);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided.front().id, 3U);
+    EXPECT_EQ(decided.front().verdict.refused, refusal::overloaded);
+    EXPECT_TRUE(admit(gate, ask(6, request_class::order), now).queued);
+    EXPECT_EQ(admit(gate, ask(7, request_class::order), now).refused, refusal::overloaded) << "only orders are left";
+}
+
 TEST(admission, refusesAtOnceWhatCanNotBeDoneInTime)
 {
     auto gate = makeGate(1, 100);
