Codechange: one file for answering peers, shared chart steps and TOML parsing; Fix: two ways to a second owner by naming

Read as a newcomer: forward.cpp routed requests and answered peers and is two files; both followers of a chart and both TOML parsers were written twice and stand once; unused state and functions are gone. Found by reading, each with a test: (1) a daemon with the name of a living one, at another address, took the listing over while the first could still hold a lease: it now waits until the listed run's terms have ended (aRunAtAnotherAddressWaits...); (2) the name of a removed pool, taken again for keys with another number of slots, met the slots still owned under it: refused now (theNameOfARemovedPool...).

--- a/packages/base/src/toml_reader.h
+++ b/packages/base/src/toml_reader.h
@@ -10,6 +10,23 @@
 
 namespace quetzalspool {
 
+/**
+ * Parses TOML text.
+ * @param text Text.
+ * @param file Name of the file, for reasons.
+ * @param why Receives the reason with file and line.
+ * @return The table, or nothing.
+ */
+inline std::optional<toml::table> parseToml(std::string_view text, const std::string &file, last_reason &why)
+{
+    try {
+        return toml::parse(text, file);
+    } catch (const toml::parse_error &error) {
+        return failed(why, "read", file + ":" + std::to_string(error.source().begin.line),
+                      std::string(error.description()));
+    }
+}
+
 /** Reads the members of one TOML table and notes the first thing that is wrong. */
 struct toml_reader
 {
--- a/packages/charts/src/chart.cpp
+++ b/packages/charts/src/chart.cpp
@@ -150,4 +150,14 @@
     return static_cast<chart_state>(next);
 }
 
+bool isIn(const chart &in, chart_state state, std::string_view name)
+{
+    return in.states[state] == name;
+}
+
+void follow(const chart &in, chart_state &state, std::string_view event)
+{
+    state = step(in, state, eventNamed(in, event)).value_or(state);
+}
+
 } // namespace quetzalspool
--- a/packages/charts/src/chart_type.h
+++ b/packages/charts/src/chart_type.h
@@ -76,6 +76,23 @@
  */
 std::optional<chart_state> step(const chart &in, chart_state state, chart_event event);
 
+/**
+ * Tells whether a state is the named one.
+ * @param in Chart.
+ * @param state State.
+ * @param name State name.
+ * @return Whether it is.
+ */
+bool isIn(const chart &in, chart_state state, std::string_view name);
+
+/**
+ * Moves on an event if the chart allows it in the present state, else stays.
+ * @param in Chart.
+ * @param state State, changed in place.
+ * @param event Event name.
+ */
+void follow(const chart &in, chart_state &state, std::string_view event);
+
 } // namespace quetzalspool
 
 #endif // CHART_TYPE_H
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -283,7 +283,7 @@
 bool hasLeft(const control_state &control)
 {
     const auto &cell = control.cells.at(control.shared->settings.cell);
-    return embeddedChart(chart_file::member).states[cell.life] == "left";
+    return isIn(embeddedChart(chart_file::member), cell.life, "left");
 }
 
 } // namespace quetzalspool
--- a/packages/daemon/src/control_base.h
+++ b/packages/daemon/src/control_base.h
@@ -42,8 +42,6 @@
     steady_time startedAt{}; ///< Start of the process.
     steady_time targetHeard{}; ///< Last announcement of the target.
     steady_time nextGossip{}; ///< When to compare with another daemon next.
-    steady_time storeAnswered{}; ///< Last answer of the store.
-    std::map<instance_id, std::pair<revision_number, steady_time>> heardFrom; ///< Last word of other daemons.
     bool watching = false; ///< Whether a watch on the store is open.
     bool stopping = false; ///< Whether a planned stop is under way.
     std::uint64_t datagramsSent = 0; ///< For metrics.
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -4,9 +4,9 @@
 #include "admin.h"
 #include "control.h"
 #include "entry.h"
-#include "forward.h"
 #include "http_server.h"
 #include "log_func.h"
+#include "peer_answer.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/packages/daemon/src/forward.h
+++ b/packages/daemon/src/forward.h
@@ -17,16 +17,6 @@
 asio::awaitable<request_outcome> routeRequest(traffic_thread &thread, routed_request request,
                                               std::shared_ptr<answer_sink> sink);
 
-/**
- * Answers another daemon's request.
- * @param thread Traffic thread.
- * @param request Request.
- * @param responder Where the answer goes.
- * @return An awaitable.
- */
-asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
-                                 std::shared_ptr<peer_responder> responder);
-
 } // namespace quetzalspool
 
 #endif // FORWARD_H
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -191,7 +191,7 @@
 /** The chart's event for the end of an admitted request. */
 std::string_view endEvent(const request_outcome &outcome, const outcome_track &track)
 {
-    const bool handedOver = embeddedChart(chart_file::outcome).states[track.state] == "handed_over";
+    const bool handedOver = isIn(embeddedChart(chart_file::outcome), track.state, "handed_over");
     switch (outcome.result) {
     case attempt_result::answered:
         return "answer";
--- /dev/null
+++ b/packages/daemon/src/peer_answer.cpp
@@ -0,0 +1,69 @@
+/** @file peer_answer.cpp Answering other daemons: runs, cancellations, documents. */
+#include "peer_answer.h"
+
+#include "documents.h"
+#include "local_run.h"
+#include "peer_wire.h"
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+/** A sink that passes an answer back to another daemon. */
+std::shared_ptr<answer_sink> sinkTo(const std::shared_ptr<peer_responder> &responder)
+{
+    auto sink = std::make_shared<answer_sink>();
+    sink->head = [responder](unsigned status, std::vector<http_header> headers,
+                             std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
+        sendHead(*responder, status, answerHeaders(headers, length));
+        co_return !isAbandoned(*responder);
+    };
+    sink->part = [responder](std::string part) { return sendPart(responder, std::move(part)); };
+    sink->end = [responder](bool whole) { whole ? endAnswer(*responder) : breakAnswer(*responder); };
+    sink->abandoned = [responder] { return isAbandoned(*responder); };
+    return sink;
+}
+
+asio::awaitable<void> answerRun(traffic_thread &thread, peer_request message, std::shared_ptr<peer_responder> responder)
+{
+    auto request = fromPeer(std::move(message), clock::now());
+    request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
+    if (request) {
+        const auto held = std::make_shared<routed_request>(std::move(*request));
+        outcome = co_await runLocally(*thread.shared, thread.targets, held, sinkTo(responder));
+    }
+    if (outcome.result != attempt_result::answered) {
+        sendHead(*responder, 200, outcomeHeaders(outcome));
+        endAnswer(*responder);
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
+                                 std::shared_ptr<peer_responder> responder)
+{
+    if (request.path == runPath) {
+        ++thread.shared->requestsOpen;
+        co_await answerRun(thread, std::move(request), responder);
+        --thread.shared->requestsOpen;
+        co_return;
+    }
+    if (request.path == cancelPath) {
+        const bool proved =
+            cancelLocally(*thread.shared, headerOf(request.headers, "qs-id"), headerOf(request.headers, "qs-attempt"));
+        sendHead(*responder, 200, {{"qs-cancelled", proved ? "1" : "0"}});
+        endAnswer(*responder);
+        co_return;
+    }
+    const auto body = answerDocuments(*thread.shared->catalog.load(), request);
+    sendHead(*responder, body ? 200 : 400, {});
+    if (body) {
+        co_await sendPart(responder, *body);
+    }
+    endAnswer(*responder);
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/peer_answer.h
@@ -0,0 +1,22 @@
+/** @file peer_answer.h Answering other daemons: runs, cancellations, documents. */
+#ifndef PEER_ANSWER_H
+#define PEER_ANSWER_H
+
+#include "outcome_type.h"
+#include "traffic_base.h"
+
+namespace quetzalspool {
+
+/**
+ * Answers another daemon's request.
+ * @param thread Traffic thread.
+ * @param request Request.
+ * @param responder Where the answer goes.
+ * @return An awaitable.
+ */
+asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
+                                 std::shared_ptr<peer_responder> responder);
+
+} // namespace quetzalspool
+
+#endif // PEER_ANSWER_H
--- a/packages/daemon/src/spread.cpp
+++ b/packages/daemon/src/spread.cpp
@@ -212,7 +212,6 @@
 
 void takeDigest(control_state &control, const digest_message &message, const endpoint &from)
 {
-    control.heardFrom[message.sender] = {{}, clock::now()};
     const auto own = summaryOf(control.catalog);
     if (message.summary != own) {
         if (!message.reply) {
--- a/packages/daemon/src/store_sync.cpp
+++ b/packages/daemon/src/store_sync.cpp
@@ -55,7 +55,6 @@
         last_reason why;
         const auto all = co_await readRange(control.store, storePrefix, false, why);
         if (all) {
-            control.storeAnswered = clock::now();
             for (const auto &value : all->values) {
                 takeStored(control, value);
             }
@@ -84,7 +83,6 @@
             }
             continue;
         }
-        control.storeAnswered = clock::now();
         for (const auto &value : all->values) {
             takeStored(control, value);
         }
@@ -117,7 +115,6 @@
         takeReadFailure(state, now);
         co_return;
     }
-    control.storeAnswered = now;
     stored_record stored;
     stored.record.id = cell;
     if (!result->values.empty()) {
@@ -147,7 +144,6 @@
         perform(control, cell, takeWrite(state, write.record, write_outcome::unclear, {}, now));
         co_return;
     }
-    control.storeAnswered = now;
     if (!result->succeeded) {
         perform(control, cell, takeWrite(state, write.record, write_outcome::conflicted, {}, now));
         co_return;
--- a/packages/decisions/src/cell_cmd.cpp
+++ b/packages/decisions/src/cell_cmd.cpp
@@ -25,14 +25,12 @@
 
 bool inLife(const cell_state &state, std::string_view name)
 {
-    return memberChart().states[state.life] == name;
+    return isIn(memberChart(), state.life, name);
 }
 
-/** Moves the member chart, if it allows the event in the present state. */
 void lifeEvent(cell_state &state, std::string_view event)
 {
-    const auto &chart = memberChart();
-    state.life = step(chart, state.life, eventNamed(chart, event)).value_or(state.life);
+    follow(memberChart(), state.life, event);
 }
 
 /** A wait before the next write that grows with failures and differs between daemons. */
--- a/packages/decisions/src/plan_cmd.cpp
+++ b/packages/decisions/src/plan_cmd.cpp
@@ -47,7 +47,9 @@
     auto &record = draft.record;
     auto *listed = findMember(record, state.self.id);
     const bool newRun = listed == nullptr || listed->incarnation != state.self.incarnation;
-    if (newRun && state.self.leaving) {
+    // Only at the same address is the run before known to be dead; elsewhere it may live, and its terms must end first.
+    const bool elsewhere = newRun && listed != nullptr && listed->at != state.self.at;
+    if (elsewhere || (newRun && state.self.leaving)) {
         return;
     }
     const bool needsTerm = newRun || listed->term <= state.lease.refused;
--- a/packages/decisions/src/reassign_cmd.cpp
+++ b/packages/decisions/src/reassign_cmd.cpp
@@ -21,13 +21,12 @@
 
 bool inState(const ending_state &ending, std::string_view name)
 {
-    return reassignmentChart().states[ending.state] == name;
+    return isIn(reassignmentChart(), ending.state, name);
 }
 
 void endingEvent(ending_state &ending, std::string_view event)
 {
-    const auto &chart = reassignmentChart();
-    ending.state = step(chart, ending.state, eventNamed(chart, event)).value_or(ending.state);
+    follow(reassignmentChart(), ending.state, event);
 }
 
 /** Whether the named voters are a majority of a set. An empty set needs none. */
--- a/packages/decisions/tests/cell_test.cpp
+++ b/packages/decisions/tests/cell_test.cpp
@@ -183,6 +183,24 @@
     EXPECT_TRUE(world.violations.empty()) << world.violations.front();
 }
 
+TEST(cell, aRunAtAnotherAddressWaitsForTheEndOfTheListedOne)
+{
+    auto world = startedWorld(70);
+    // The same name at another address: a copied settings file, or an instance replaced elsewhere.
+    auto self = world.daemons[2].state.self;
+    self.incarnation = {4242};
+    self.at.host = "127.0.0.2";
+    auto other = startCell(cell_id{"cell"}, self, true, world.timing, world.now);
+    world.run(seconds(2));
+    takeStoreRead(other, world.stored, world.now);
+    tick(other, world.now);
+    EXPECT_FALSE(planRecord(other, world.now).has_value());
+    world.kill(2);
+    ASSERT_TRUE(world.runUntilServed(lossTarget));
+    takeRecord(other, world.stored, world.now);
+    EXPECT_TRUE(planRecord(other, world.now).has_value()) << "the silent run is no member any more";
+}
+
 TEST(cell, losingOneOfTwoFailureDomainsLeavesAMajority)
 {
     // Three of five voters stand in domain 0; the even members 1 and 3 form domain 1.
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -123,8 +123,8 @@
     if (parser.get().keep_alive() && kept.size() < keptPerServer) {
         kept.push_back(std::move(stream));
     }
-    auto message2 = parser.release();
-    co_return http_reply{message2.result_int(), copyHeaders(message2), std::move(message2.body())};
+    auto answer = parser.release();
+    co_return http_reply{answer.result_int(), copyHeaders(answer), std::move(answer.body())};
 }
 
 asio::awaitable<void> streamReply(endpoint to, http_request request, milliseconds idleTimeout,
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -248,14 +248,6 @@
     }
 }
 
-void dropPeer(peer_client &client, const endpoint &to)
-{
-    const auto found = client.links.find(to);
-    if (found != client.links.end() && found->second->session) {
-        closeSession(found->second->session);
-    }
-}
-
 std::uint64_t bytesCarried(const peer_client &client)
 {
     auto bytes = client.closedBytes;
--- a/packages/peer/src/peer_client.h
+++ b/packages/peer/src/peer_client.h
@@ -84,17 +84,10 @@
  */
 void abandonCall(peer_call &call);
 
-/**
- * Closes the session to a daemon, for instance after its address has a new owner.
- * @param client Client.
- * @param to Peer port.
- */
-void dropPeer(peer_client &client, const endpoint &to);
-
 /**
  * Bytes carried so far.
  * @param client Client.
- * @return Bytes in both directions, by peer.
+ * @return Bytes in both directions.
  */
 std::uint64_t bytesCarried(const peer_client &client);
 
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -29,7 +29,6 @@
     tcp::acceptor acceptor; ///< Listening socket.
     peer_handler handler; ///< Handles requests.
     std::set<std::shared_ptr<h2_session>> sessions; ///< Connected daemons.
-    std::uint64_t closedBytes = 0; ///< Bytes of sessions that are closed.
 };
 
 namespace {
@@ -37,7 +36,6 @@
 asio::awaitable<void> serveSession(std::shared_ptr<peer_server> server, std::shared_ptr<h2_session> session)
 {
     co_await readLoop(session);
-    server->closedBytes += session->bytesIn + session->bytesOut;
     session->onRequest = nullptr;
     server->sessions.erase(session);
 }
@@ -96,15 +94,6 @@
     }
 }
 
-std::uint64_t bytesCarried(const peer_server &server)
-{
-    auto bytes = server.closedBytes;
-    for (const auto &session : server.sessions) {
-        bytes += session->bytesIn + session->bytesOut;
-    }
-    return bytes;
-}
-
 void sendHead(peer_responder &responder, unsigned status, std::vector<http_header> headers)
 {
     if (responder.session->dead || responder.stream->closed) {
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -33,13 +33,6 @@
  */
 void drainPeerServer(peer_server &server);
 
-/**
- * Bytes carried so far.
- * @param server Server.
- * @return Bytes in both directions.
- */
-std::uint64_t bytesCarried(const peer_server &server);
-
 /**
  * Sends the head of an answer.
  * @param responder Responder.
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -118,13 +118,11 @@
 
 std::optional<daemon_settings> parseSettings(std::string_view text, const std::string &file, last_reason &why)
 {
-    toml::table table;
-    try {
-        table = toml::parse(text, file);
-    } catch (const toml::parse_error &error) {
-        return failed(why, "read", file + ":" + std::to_string(error.source().begin.line),
-                      std::string(error.description()));
+    const auto parsed = parseToml(text, file, why);
+    if (!parsed) {
+        return std::nullopt;
     }
+    const auto &table = *parsed;
     toml_reader reader{table, file, why};
     daemon_settings settings;
     settings.instance.value = readString(reader, "instance");
--- a/packages/tables/src/edit_cmd.cpp
+++ b/packages/tables/src/edit_cmd.cpp
@@ -86,6 +86,11 @@
             }
         }
         if (const auto *pool = std::get_if<pool_row>(&entry.row)) {
+            const auto gone = before.find(key);
+            const bool removed = gone != before.end() && std::holds_alternative<removed_row>(gone->second.row);
+            if (removed && pool->keyed) {
+                return key + " was removed; its slots may still be owned under that name, so take another";
+            }
             const auto *old = findPool(before, pool->name);
             if (old != nullptr
                 && (old->keyed != pool->keyed || old->slots != pool->slots || old->homes != pool->homes)) {
--- a/packages/tables/src/row_toml.cpp
+++ b/packages/tables/src/row_toml.cpp
@@ -211,13 +211,11 @@
 
 std::optional<std::vector<keyed_row>> parseTables(std::string_view text, const std::string &file, last_reason &why)
 {
-    toml::table table;
-    try {
-        table = toml::parse(text, file);
-    } catch (const toml::parse_error &error) {
-        return failed(why, "read", file + ":" + std::to_string(error.source().begin.line),
-                      std::string(error.description()));
+    const auto parsed = parseToml(text, file, why);
+    if (!parsed) {
+        return std::nullopt;
     }
+    const auto &table = *parsed;
     std::vector<keyed_row> rows;
     for (const auto &[name, node] : table) {
         const std::string kind(name.str());
--- a/packages/tables/tests/edit_test.cpp
+++ b/packages/tables/tests/edit_test.cpp
@@ -118,6 +118,19 @@
     EXPECT_TRUE(guarded) << "a route added meanwhile writes the guard";
 }
 
+TEST(edit, theNameOfARemovedPoolIsNotTakenForKeysAgain)
+{
+    auto tables = makeTables();
+    tables["pools/old"] = {removed_row{}, {9}};
+    auto pool = makePool("old");
+    EXPECT_TRUE(planEdit(tables, {}, makeEdit("asha", "a-hash", {{"pools/old", pool}}), noon).plan.has_value());
+    pool.keyed = true;
+    pool.slots = 8;
+    pool.homes = {{{"north"}, 1}};
+    EXPECT_EQ(planEdit(tables, {}, makeEdit("asha", "a-hash", {{"pools/old", pool}}), noon).refused,
+              edit_refusal::invalid);
+}
+
 TEST(edit, aRowChangedSinceIsShown)
 {
     auto edit = makeEdit("luis", "l-hash", {{"routes/look", makeRoute("look", "desk")}});
