--- a/standins/tests/caller_input_test.cpp
+++ b/standins/tests/caller_input_test.cpp
@@ -12,27 +12,33 @@
 
 using std::chrono::seconds;
 
-/** Sends bytes and reads until the other end closes. Returns what came. */
-std::string sendRaw(const endpoint &to, const std::string &bytes)
+/** Connects and sends bytes. The connection stays open, since a caller that closes its end has given up. */
+tcp::socket sendBytes(asio::io_context &context, const endpoint &to, const std::string &bytes)
 {
-    asio::io_context context;
     tcp::socket socket(context);
     error_code code;
     socket.connect(resolved<tcp>(to), code);
     asio::write(socket, asio::buffer(bytes), code);
+    return socket;
+}
+
+/** Sends bytes and reads until the other end closes. Returns what came. */
+std::string sendRaw(const endpoint &to, const std::string &bytes)
+{
+    asio::io_context context;
+    auto socket = sendBytes(context, to, bytes);
+    error_code code;
     std::string got;
     asio::read(socket, asio::dynamic_buffer(got), code);
     return got;
 }
 
-/** Sends a request that leaves the connection open for reading, and returns the first line of the answer. */
+/** Sends a request and returns the first line of the answer. */
 std::string statusOf(const endpoint &to, const std::string &bytes)
 {
     asio::io_context context;
-    tcp::socket socket(context);
+    auto socket = sendBytes(context, to, bytes);
     error_code code;
-    socket.connect(resolved<tcp>(to), code);
-    asio::write(socket, asio::buffer(bytes), code);
     std::string got(512, '\0');
     got.resize(socket.read_some(asio::buffer(got), code));
     return got.substr(0, got.find('\r'));
