--- a/apps/quetzalspoold/main.cpp
+++ b/apps/quetzalspoold/main.cpp
@@ -1,6 +1,8 @@
 /** @file main.cpp The daemon. */
 #include "daemon.h"
 #include "log_func.h"
+#include "platform_port.h"
+#include "roster_daemon.h"
 
 #include <cstdio>
 #include <tclap/CmdLine.h>
@@ -24,7 +26,9 @@
         return 2;
     }
     startLog(settings->logLevel, settings->logFormat == log_format::json, settings->instance.value);
-    if (!runDaemon(*settings, why)) {
+    const bool good = settings->roster ? runRosterDaemon(*settings, platform::makePort(settings->store), why)
+                                       : runDaemon(*settings, why);
+    if (!good) {
         logEvent(log_level::error, "not-started", {{"reason", describe(why)}});
         return 1;
     }
--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -49,6 +49,35 @@
     return !code && asio::ip::network_v6(address.to_v6(), net.prefix_length()).canonical() == net.canonical();
 }
 
+/** Picks one of a route's pools by weight. */
+pool_id pickPool(const route_row &route, std::uint64_t draw)
+{
+    std::uint64_t weights = 0;
+    for (const auto &share : route.shares) {
+        weights += share.weight;
+    }
+    if (weights == 0) {
+        return route.pool;
+    }
+    auto left = draw % weights;
+    for (const auto &share : route.shares) {
+        if (left < share.weight) {
+            return share.pool;
+        }
+        left -= share.weight;
+    }
+    return route.pool;
+}
+
+/** Whether a header is one that callers can't set: daemons put their own in its place. */
+bool isSetByDaemons(const std::string &name, const wire_names &names)
+{
+    using boost::algorithm::iequals;
+    return boost::algorithm::istarts_with(name, "quetzalspool-") || iequals(name, names.deadline)
+        || (!names.callerPool.empty() && iequals(name, names.callerPool))
+        || (!names.expectedTarget.empty() && iequals(name, names.expectedTarget));
+}
+
 } // namespace
 
 std::optional<std::string> percentDecode(std::string_view text)
@@ -96,27 +125,32 @@
            }));
 }
 
-routed_request makeRouted(const route_row &route, http_request http, std::string key, const std::string &freshId,
-                          steady_time now)
+routed_request makeRouted(const route_row &route, http_request http, std::string key, const request_origin &origin)
 {
     routed_request request;
+    const auto &names = origin.names;
     const auto &methods = route.idempotentMethods;
-    request.idempotent = std::find(methods.begin(), methods.end(), http.method) != methods.end();
+    request.idempotent = route.idempotent || std::find(methods.begin(), methods.end(), http.method) != methods.end();
     request.kind = request.idempotent ? request_class::lookup : route.kind;
-    request.pool = route.pool;
+    request.rank = route.rank;
+    request.targetsAllowed = route.targetsPerRequest;
+    request.pool = pickPool(route, origin.draw);
     request.key = std::move(key);
     auto deadline = route.deadline;
-    const auto wanted = std::atoll(headerOf(http.headers, "Quetzalspool-Deadline-Ms").c_str());
+    const auto wanted = std::atoll(headerOf(http.headers, names.deadline).c_str());
     if (wanted > 0) {
         deadline = std::min(deadline, milliseconds(wanted));
     }
-    request.deadline = now + deadline;
-    auto id = headerOf(http.headers, "Quetzalspool-Request-Id");
+    request.deadline = origin.now + deadline;
+    auto id = headerOf(http.headers, names.requestId);
     id = id.empty() ? headerOf(http.headers, "Idempotency-Key") : id;
     const bool given = !id.empty() && id.size() <= maxIdBytes;
-    request.id = given ? request.pool.value + "/" + request.key + "/" + id : freshId;
-    std::erase_if(http.headers,
-                  [](const auto &header) { return boost::algorithm::istarts_with(header.first, "quetzalspool-"); });
+    const bool composed = given && names.ownIds;
+    request.id = composed ? request.pool.value + "/" + request.key + "/" + id : given ? id : origin.freshId;
+    std::erase_if(http.headers, [&](const auto &header) { return isSetByDaemons(header.first, names); });
+    if (!names.callerPool.empty()) {
+        http.headers.emplace_back(names.callerPool, origin.callerPool.value);
+    }
     request.http = std::move(http);
     return request;
 }
--- a/packages/daemon/src/caller_request.h
+++ b/packages/daemon/src/caller_request.h
@@ -4,6 +4,7 @@
 
 #include "outcome_type.h"
 #include "row_type.h"
+#include "wire_names.h"
 
 #include <string_view>
 
@@ -40,17 +41,25 @@
  */
 std::optional<std::string> percentDecode(std::string_view text);
 
+/** What of this daemon and this moment goes into a request. */
+struct request_origin
+{
+    const wire_names &names; ///< Header names.
+    pool_id callerPool; ///< Pool of the target on this machine.
+    std::string freshId; ///< Id to use if the caller gave none.
+    std::uint64_t draw = 0; ///< Random number that picks one of several pools.
+    steady_time now{}; ///< Present time.
+};
+
 /**
- * Makes the request that is routed: class, deadline, id; the caller's own Quetzalspool headers are taken out.
+ * Makes the request that is routed: pool, class, deadline, id; headers that only daemons set are taken out.
  * @param route Route.
  * @param http Request.
  * @param key Key.
- * @param freshId Id to use if the caller gave none.
- * @param now Present time.
+ * @param origin Names, and what differs between requests.
  * @return The request.
  */
-routed_request makeRouted(const route_row &route, http_request http, std::string key, const std::string &freshId,
-                          steady_time now);
+routed_request makeRouted(const route_row &route, http_request http, std::string key, const request_origin &origin);
 
 } // namespace quetzalspool
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -3,15 +3,13 @@
 
 #include "admin.h"
 #include "control.h"
-#include "entry.h"
 #include "http_server.h"
 #include "log_func.h"
-#include "peer_answer.h"
+#include "traffic_start.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <random>
-#include <thread>
 
 namespace quetzalspool {
 
@@ -27,38 +25,10 @@
 {
     daemon_shared shared; ///< Shared state.
     control_state control; ///< Control thread.
-    std::vector<std::unique_ptr<traffic_thread>> traffic; ///< Traffic threads.
+    traffic_threads traffic; ///< Traffic threads.
     std::shared_ptr<tcp::acceptor> admin; ///< Listening socket for operators.
 };
 
-bool startTraffic(daemon_parts &parts, last_reason &why)
-{
-    const auto &settings = parts.shared.settings;
-    for (std::uint32_t index = 0; index < settings.trafficThreads; ++index) {
-        auto thread = std::make_unique<traffic_thread>();
-        thread->shared = &parts.shared;
-        auto callers = listenOn(thread->context, {settings.host, settings.callersPort}, why);
-        if (!callers) {
-            return false;
-        }
-        auto peers = listenOn(thread->context, {settings.host, settings.peersPort}, why);
-        if (!peers) {
-            return false;
-        }
-        auto &at = *thread;
-        thread->callers = std::make_shared<tcp::acceptor>(std::move(*callers));
-        thread->targets = makeTargetClient();
-        thread->client = makePeerClient(thread->context.get_executor());
-        thread->peers =
-            startPeerServer(std::move(*peers), [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
-                return answerPeer(at, std::move(request), std::move(responder));
-            });
-        asio::co_spawn(thread->context, acceptCallers(*thread), asio::detached);
-        parts.traffic.push_back(std::move(thread));
-    }
-    return true;
-}
-
 bool startAdmin(daemon_parts &parts, last_reason &why)
 {
     const auto &settings = parts.shared.settings;
@@ -73,18 +43,6 @@
     return true;
 }
 
-/** Closes the listening sockets of the traffic threads, each on its own thread. */
-void closeListeners(daemon_parts &parts)
-{
-    for (auto &thread : parts.traffic) {
-        asio::post(thread->context, [&at = *thread] {
-            error_code ignored;
-            at.callers->close(ignored);
-            drainPeerServer(*at.peers);
-        });
-    }
-}
-
 /** Waits for the planned stop: out of the cell, no request under way, then the end. */
 asio::awaitable<void> finishStop(daemon_parts &parts)
 {
@@ -94,7 +52,7 @@
     }
     logEvent(log_level::info, "left-cell");
     parts.shared.leaving = true;
-    closeListeners(parts);
+    closeListeners(parts.traffic);
     auto quietSince = clock::now();
     while (clock::now() - quietSince < quietTime && clock::now() < limit) {
         if (parts.shared.requestsOpen > 0) {
@@ -103,9 +61,6 @@
         co_await sleepFor(stopCheck);
     }
     logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(parts.shared.requestsOpen.load())}});
-    for (auto &thread : parts.traffic) {
-        thread->context.stop();
-    }
     parts.control.context.stop();
 }
 
@@ -132,21 +87,15 @@
     parts.shared.routing.store(std::make_shared<const routing_view>());
     parts.shared.catalog.store(std::make_shared<const catalog_state>());
     parts.control.shared = &parts.shared;
-    if (!startTraffic(parts, why) || !startControl(parts.control, why) || !startAdmin(parts, why)) {
+    if (!prepareTraffic(parts.shared, parts.traffic, why) || !startControl(parts.control, why) || !startAdmin(parts, why)) {
         return false;
     }
     asio::co_spawn(parts.control.context, awaitStop(parts), asio::detached);
     logEvent(log_level::info, "started",
              {{"cell", settings.cell.value}, {"callers", std::to_string(settings.callersPort)}});
-    std::vector<std::thread> threads;
-    threads.reserve(parts.traffic.size());
-    for (auto &thread : parts.traffic) {
-        threads.emplace_back([&at = *thread] { at.context.run(); });
-    }
+    runTraffic(parts.traffic);
     parts.control.context.run();
-    for (auto &thread : threads) {
-        thread.join();
-    }
+    stopTraffic(parts.traffic);
     return true;
 }
 
--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -21,8 +21,8 @@
 
 using clock = std::chrono::steady_clock;
 
-constexpr std::uint32_t headerLimit = 16 * 1024; ///< Bytes of a caller's headers.
-constexpr std::chrono::seconds idleTimeout{75}; ///< A connection without a request is closed after this long.
+constexpr unsigned unavailable = 503; ///< Not run; come back later.
+constexpr milliseconds noTablesRetry{300}; ///< When to come back while this daemon knows no tables yet.
 constexpr std::chrono::seconds readTimeout{30}; ///< Bound on receiving one request.
 
 /** One caller's connection. */
@@ -33,6 +33,7 @@
     { }
 
     beast::tcp_stream stream; ///< Transport.
+    const wire_names *names = nullptr; ///< Header names.
     beast::flat_buffer buffer; ///< Bytes read ahead.
     std::string address; ///< IP address of the caller.
     bool keepAlive = true; ///< Whether another request may follow.
@@ -63,7 +64,9 @@
     for (const auto &[name, value] : headers) {
         message.insert(name, value);
     }
-    message.set("Quetzalspool-Outcome", "answered");
+    if (!connection->names->outcome.empty()) {
+        message.set(connection->names->outcome, "answered");
+    }
     const bool bodiless = status == 204 || status == 304 || status < 200;
     connection->chunked = !length && !bodiless;
     if (length) {
@@ -136,28 +139,49 @@
     return outcome.text == "duplicate" ? 409 : 504;
 }
 
+void addNamed(http_reply &reply, const std::string &name, std::string value)
+{
+    if (!name.empty()) {
+        reply.headers.emplace_back(name, std::move(value));
+    }
+}
+
+/** When to come back, in seconds: with a fraction if callers take one, else rounded up. */
+std::string retryText(const wire_names &names, milliseconds wait)
+{
+    wait = std::max(wait, milliseconds(1));
+    if (!names.fractionalRetry) {
+        return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
+    }
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(wait).count());
+    return text;
+}
+
 /** The reply for a request that got no answer from a target. */
-http_reply replyFor(const request_outcome &outcome)
+http_reply replyFor(const wire_names &names, const request_outcome &outcome)
 {
     const nlohmann::json body{
         {"outcome", nameOf(outcome.result)}, {"reason", outcome.text}, {"retry_after_ms", outcome.retryAfter.count()}};
     auto reply = jsonReply(statusOf(outcome), body.dump() + "\n");
-    reply.headers.emplace_back("Quetzalspool-Outcome", nameOf(outcome.result));
-    reply.headers.emplace_back("Quetzalspool-Reason", outcome.text);
+    addNamed(reply, names.outcome, nameOf(outcome.result));
+    addNamed(reply, names.reason, outcome.text);
     if (outcome.result == attempt_result::not_run) {
-        const auto seconds = std::chrono::ceil<std::chrono::seconds>(std::max(outcome.retryAfter, milliseconds(1)));
-        reply.headers.emplace_back("Retry-After", std::to_string(seconds.count()));
-        reply.headers.emplace_back("Quetzalspool-Retry-After-Ms", std::to_string(outcome.retryAfter.count()));
+        reply.headers.emplace_back("Retry-After", retryText(names, outcome.retryAfter));
+        addNamed(reply, names.retryAfterMs, std::to_string(outcome.retryAfter.count()));
     }
     return reply;
 }
 
-http_reply refusalReply(const caller_refusal &refused)
+http_reply refusalReply(const wire_names &names, const caller_refusal &refused)
 {
     const nlohmann::json body{{"outcome", "not-run"}, {"reason", refused.reason}};
     auto reply = jsonReply(refused.status, body.dump() + "\n");
-    reply.headers.emplace_back("Quetzalspool-Outcome", "not-run");
-    reply.headers.emplace_back("Quetzalspool-Reason", refused.reason);
+    addNamed(reply, names.outcome, "not-run");
+    addNamed(reply, names.reason, refused.reason);
+    if (refused.status == unavailable) {
+        reply.headers.emplace_back("Retry-After", retryText(names, noTablesRetry));
+    }
     return reply;
 }
 
@@ -199,9 +223,11 @@
 {
     const auto view = thread.shared->routing.load();
     const std::string path(parser->get().target());
-    const auto *found = findRoute(*view, path);
+    const std::string host(parser->get()[http::field::host]);
+    const auto *found = findRoute(*view, host, path);
     if (found == nullptr) {
-        refused = {404, "no-route"};
+        const bool waits = thread.shared->settings.roster && !view->table;
+        refused = waits ? caller_refusal{unavailable, "no-tables-yet"} : caller_refusal{404, "no-route"};
         co_return std::nullopt;
     }
     const auto route = *found;
@@ -221,7 +247,10 @@
         co_return std::nullopt;
     }
     const auto freshId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
-    co_return makeRouted(route, std::move(request), std::move(*key), freshId, clock::now());
+    const auto &settings = thread.shared->settings;
+    const request_origin origin{thread.shared->names, settings.roster ? settings.roster->pool : pool_id{}, freshId,
+                                thread.random(), clock::now()};
+    co_return makeRouted(route, std::move(request), std::move(*key), origin);
 }
 
 /** Serves one request whose headers have been read. */
@@ -233,7 +262,7 @@
     auto request = co_await acceptRequest(thread, connection, parser, refused);
     if (!request) {
         countOutcome(*thread.shared, "not-run", refused.reason);
-        auto reply = refusalReply(refused);
+        auto reply = refusalReply(thread.shared->names, refused);
         // Unread parts of the request would be taken for the next one.
         connection->keepAlive = connection->keepAlive && parser->is_done();
         co_await writeReply(connection, std::move(reply));
@@ -243,7 +272,7 @@
     const auto sink = sinkTo(connection, request->deadline);
     const auto outcome = co_await routeRequest(thread, std::move(*request), sink);
     if (outcome.result != attempt_result::answered && !connection->broken) {
-        auto reply = replyFor(outcome);
+        auto reply = replyFor(thread.shared->names, outcome);
         co_await writeReply(connection, std::move(reply));
     } else if (outcome.result == attempt_result::answered && outcome.whole && connection->chunked
                && !connection->headOnly && !connection->broken) {
@@ -273,23 +302,32 @@
 {
     connection->keepAlive = false;
     const bool tooLong = code == http::error::header_limit;
-    auto reply = refusalReply(tooLong ? caller_refusal{431, "headers-too-large"}
+    auto reply = refusalReply(*connection->names,
+                              tooLong ? caller_refusal{431, "headers-too-large"}
                                       : caller_refusal{400, "bad-request: " + code.message()});
     co_await writeReply(connection, std::move(reply));
 }
 
+caller_limits limitsOf(const daemon_shared &shared)
+{
+    const auto view = shared.routing.load();
+    return view->table ? view->table->rows.limits : caller_limits{};
+}
+
 asio::awaitable<void> serveCaller(traffic_thread &thread, tcp::socket socket)
 {
     auto connection = std::make_shared<caller_connection>(std::move(socket));
+    connection->names = &thread.shared->names;
     error_code code;
     connection->stream.socket().set_option(tcp::no_delay(true), code);
     const auto remote = connection->stream.socket().remote_endpoint(code);
     connection->address = remote.address().to_string();
     while (connection->keepAlive && !connection->broken) {
         const auto parser = std::make_shared<caller_parser>();
-        parser->header_limit(headerLimit);
+        const auto limits = limitsOf(*thread.shared);
+        parser->header_limit(limits.headerBytes);
         parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // The route's limit is checked once it is known.
-        connection->stream.expires_after(idleTimeout);
+        connection->stream.expires_after(limits.idleTime);
         co_await http::async_read_header(connection->stream, connection->buffer, *parser, reporting(code));
         if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
             break;
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -26,6 +26,7 @@
     std::shared_ptr<answer_sink> sink; ///< Where the answer goes.
     std::set<instance_id> tried; ///< Targets already tried, for pools not divided by key.
     std::uint32_t attempts = 0; ///< Attempts made.
+    std::uint32_t handOvers = 0; ///< Targets that it was handed to.
     milliseconds waited{0}; ///< Waits between attempts.
 };
 
@@ -60,10 +61,11 @@
         return choice;
     }
     if (pool->second.row.keyed) {
-        const auto slot = slotOf(request.key, pool->second.row.slots);
-        if (const auto owner = findOwner(*choice.view, request.pool, slot)) {
+        const auto slot = slotIn(request.key, pool->second.row);
+        const auto owner = slot ? findOwner(*choice.view, request.pool, *slot) : std::nullopt;
+        if (owner) {
             choice.member = owner->member;
-            choice.slot = fenced_slot{request.pool, slot, owner->fence};
+            choice.slot = fenced_slot{request.pool, *slot, owner->fence};
         }
         return choice;
     }
@@ -217,8 +219,10 @@
     question.reason = outcome.reason;
     question.reachedOwner = outcome.reachedOwner;
     question.idempotent = state.request->idempotent;
-    question.keyed = !state.request->key.empty();
+    question.keyed = state.request->slot.has_value() || !state.request->key.empty();
     question.attempts = state.attempts;
+    question.handOvers = state.handOvers;
+    question.handOversAllowed = state.request->targetsAllowed;
     question.waited = state.waited;
     question.deadline = state.request->deadline;
     return question;
@@ -254,6 +258,7 @@
         if (outcome.result == attempt_result::answered || state.sink->abandoned()) {
             co_return outcome;
         }
+        state.handOvers += outcome.handedOver || outcome.result == attempt_result::unknown ? 1 : 0;
         const auto answer = decideRetry(questionOf(state, outcome), thread.budget, thread.retryLimits, clock::now());
         if (!answer.again) {
             co_return outcome;
--- a/packages/daemon/src/gate.h
+++ b/packages/daemon/src/gate.h
@@ -20,6 +20,7 @@
     std::map<std::uint64_t, std::function<void(const admission_verdict &)>> waiters; ///< Called once decided.
     std::uint64_t nextId = 1; ///< Number of the next request.
     endpoint target; ///< Address of the target.
+    std::string targetLife; ///< Life of the target, for deployments that name lives; else empty.
     bool checksGrants = false; ///< Whether the target refuses older fences.
 };
 
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -13,8 +13,9 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds connectTimeout{500}; ///< Bound on connecting to the target beside this daemon.
-constexpr milliseconds abandonCheck{100}; ///< Between two looks whether the caller still waits.
+constexpr milliseconds abandonCheck{150}; ///< Between two looks whether the caller still waits.
 constexpr std::string_view staleGrant = "stale-grant"; ///< The contract's reason for a grant that does not hold.
+constexpr milliseconds targetRetry{200}; ///< When to come back if the target refused.
 constexpr milliseconds unreachableRetry{1000}; ///< When to come back if the target can't be reached.
 
 request_outcome notRun(refusal reason, milliseconds retryAfter)
@@ -108,21 +109,40 @@
         : refusal::cancelled;
 }
 
-http_request withGrant(const routed_request &request)
+void addHeader(http_request &request, const std::string &name, std::string value)
+{
+    if (!name.empty()) {
+        request.headers.emplace_back(name, std::move(value));
+    }
+}
+
+http_request withGrant(const routed_request &request, const wire_names &names, const std::string &targetLife)
 {
     auto out = request.http;
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - clock::now());
-    out.headers.emplace_back("Quetzalspool-Request-Id", request.id);
-    out.headers.emplace_back("Quetzalspool-Deadline-Ms", std::to_string(left.count()));
-    out.headers.emplace_back("Quetzalspool-Pool", request.pool.value);
+    if (names.ownIds) {
+        addHeader(out, names.requestId, request.id);
+    }
+    addHeader(out, names.deadline, std::to_string(left.count()));
+    addHeader(out, names.pool, request.pool.value);
+    if (!targetLife.empty()) {
+        addHeader(out, names.expectedTarget, targetLife);
+    }
     if (request.slot) {
-        out.headers.emplace_back("Quetzalspool-Key", request.key);
-        out.headers.emplace_back("Quetzalspool-Slot", std::to_string(request.slot->slot.value));
-        out.headers.emplace_back("Quetzalspool-Fence", std::to_string(request.slot->fence.value));
+        addHeader(out, names.key, request.key);
+        addHeader(out, names.slot, std::to_string(request.slot->slot.value));
+        addHeader(out, names.fence, std::to_string(request.slot->fence.value));
     }
     return out;
 }
 
+/** Life of the target that is meant, if this deployment names lives. */
+std::string targetLifeOf(daemon_shared &shared)
+{
+    const std::lock_guard lock(shared.admission.mutex);
+    return shared.admission.targetLife;
+}
+
 /** Passes the body on. Returns whether it was whole and wanted to its end. */
 asio::awaitable<bool> passBody(std::shared_ptr<target_exchange> exchange, std::shared_ptr<answer_sink> sink,
                                steady_time deadline, last_reason &why)
@@ -156,12 +176,13 @@
 }
 
 /** Everything from hand-over to the end of the answer. */
-asio::awaitable<request_outcome> exchangeWithTarget(std::shared_ptr<const routed_request> request,
+asio::awaitable<request_outcome> exchangeWithTarget(daemon_shared &shared,
+                                                    std::shared_ptr<const routed_request> request,
                                                     std::shared_ptr<target_exchange> exchange,
                                                     std::shared_ptr<answer_sink> sink, bool &progress)
 {
     last_reason why;
-    auto granted = withGrant(*request);
+    auto granted = withGrant(*request, shared.names, targetLifeOf(shared));
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
     std::optional<target_head> head;
     if (sent) {
@@ -169,13 +190,17 @@
     }
     if (!head) {
         logEvent(log_level::warn, "target-lost", {{"id", request->id}, {"reason", describe(why)}});
-        co_return request_outcome{attempt_result::unknown, refusal::none, "target-lost"};
+        request_outcome lost{attempt_result::unknown, refusal::none, "target-lost"};
+        lost.handedOver = true;
+        co_return lost;
     }
     progress = true;
     if (!head->notRun.empty()) {
         // A target that has not yet heard of the lease, or no longer, refuses like a daemon without one.
         const auto reason = head->notRun == staleGrant ? refusal::no_lease : refusal::none;
-        co_return request_outcome{attempt_result::not_run, reason, "target-refused-" + head->notRun, milliseconds(200)};
+        request_outcome refused{attempt_result::not_run, reason, "target-refused-" + head->notRun, targetRetry};
+        refused.handedOver = true;
+        co_return refused;
     }
     const bool wanted = co_await sink->head(head->status, std::move(head->headers), head->length);
     bool whole = false;
@@ -225,7 +250,7 @@
             track.take("hand_over");
             const auto done = std::make_shared<bool>(false);
             asio::co_spawn(co_await asio::this_coro::executor, watchCaller(exchange, sink, done), asio::detached);
-            outcome = co_await exchangeWithTarget(request, exchange, sink, progress);
+            outcome = co_await exchangeWithTarget(shared, request, exchange, sink, progress);
             *done = true;
         } else {
             outcome = notRun(reason, milliseconds(100));
@@ -256,7 +281,7 @@
         }
     }
     const auto box = std::make_shared<verdict_box>(co_await asio::this_coro::executor);
-    admission_request asked{0, request->slot, request->kind, request->deadline};
+    admission_request asked{0, request->slot, request->kind, request->deadline, request->rank};
     auto verdict = askAdmission(shared, asked, box);
     if (verdict.queued) {
         advanceGate(shared.admission, clock::now()); // Whoever lost its place hears of it at once.
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -22,6 +22,8 @@
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
     request_class kind = request_class::lookup; ///< Class.
     bool idempotent = false; ///< Whether it may run more than once.
+    std::uint32_t rank = 2; ///< Urgency; smaller goes first.
+    std::uint32_t targetsAllowed = 6; ///< Targets that it may be handed to.
     steady_time deadline{}; ///< When the caller no longer waits.
     steady_time answerBy{steady_time::max()}; ///< When this attempt is given up if no answer has begun.
 };
@@ -34,6 +36,7 @@
     std::string text; ///< Reason in one word or a few, for the caller.
     milliseconds retryAfter{0}; ///< When to come back, after not run.
     bool reachedOwner = true; ///< Whether the other daemon could be reached.
+    bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
     bool whole = false; ///< Whether the answer was passed on whole.
 };
 
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -45,6 +45,7 @@
                       {"qs-pool", request.pool.value},
                       {"qs-class", request.kind == request_class::order ? "order" : "lookup"},
                       {"qs-idempotent", request.idempotent ? "1" : "0"},
+                      {"qs-rank", std::to_string(request.rank)},
                       {"qs-deadline-ms", std::to_string(left.count())}},
                      request.http.body};
     if (request.slot) {
@@ -68,6 +69,7 @@
     in.pool.value = headerOf(request.headers, "qs-pool");
     in.kind = headerOf(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
     in.idempotent = headerOf(request.headers, "qs-idempotent") == "1";
+    in.rank = static_cast<std::uint32_t>(numberOf(request.headers, "qs-rank"));
     in.deadline = now + milliseconds(numberOf(request.headers, "qs-deadline-ms"));
     const auto fence = headerOf(request.headers, "qs-fence");
     if (!fence.empty()) {
@@ -87,6 +89,7 @@
     return {{"qs-outcome", nameOf(outcome.result)},
             {"qs-reason", std::to_string(static_cast<int>(outcome.reason))},
             {"qs-text", outcome.text},
+            {"qs-handed-over", outcome.handedOver ? "1" : "0"},
             {"qs-retry-ms", std::to_string(outcome.retryAfter.count())}};
 }
 
@@ -102,6 +105,7 @@
         outcome.reason = static_cast<refusal>(reason);
     }
     outcome.text = headerOf(headers, "qs-text");
+    outcome.handedOver = headerOf(headers, "qs-handed-over") == "1";
     outcome.retryAfter = milliseconds(numberOf(headers, "qs-retry-ms"));
     return outcome;
 }
--- /dev/null
+++ b/packages/daemon/src/roster_control.cpp
@@ -0,0 +1,253 @@
+/** @file roster_control.cpp The control thread of a daemon whose keys are owned by leases of the store. */
+#include "roster_control.h"
+
+#include "admission_func.h"
+#include "http_server.h"
+#include "log_func.h"
+#include "roster_func.h"
+#include "roster_sync.h"
+#include "routing_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds tickInterval{50}; ///< Between two looks at what is due.
+constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
+const cell_id rosterCell{"roster"}; ///< Name under which the roster stands in the routing view.
+
+/** Nodes as the members that traffic chooses from. */
+std::vector<cell_member> usableMembers(const roster_control &control, steady_time now)
+{
+    std::vector<cell_member> members;
+    for (const auto &[id, seen] : control.state.nodes) {
+        if (isUsable(control.state, seen, now)) {
+            members.push_back(id == control.state.self.member.id ? control.state.self.member : seen.node->member);
+        }
+    }
+    return members;
+}
+
+slot_run ownersOf(const run_record &record, const std::vector<cell_member> &members)
+{
+    slot_run owners;
+    owners.owners.resize(numericSlots);
+    for (const auto &run : record.runs) {
+        const auto found = std::find_if(members.begin(), members.end(),
+                                        [&](const auto &member) { return member.id == run.owner; });
+        const auto index = found == members.end() ? -1 : static_cast<std::int32_t>(found - members.begin());
+        for (auto slot = run.first; slot <= run.last; ++slot) {
+            owners.owners[slot] = {index, run.fence};
+        }
+    }
+    return owners;
+}
+
+/** Makes the view that traffic reads. */
+void publishView(roster_control &control, steady_time now)
+{
+    auto view = std::make_shared<routing_view>();
+    auto cell = std::make_shared<cell_view>();
+    cell->id = rosterCell;
+    cell->members = usableMembers(control, now);
+    for (const auto &[pool, stored] : control.state.records) {
+        cell->pools[pool] = ownersOf(stored.record, cell->members);
+    }
+    view->cells[rosterCell] = std::move(cell);
+    view->table = control.tables;
+    if (control.tables) {
+        for (const auto &row : control.tables->rows.pools) {
+            auto &pool = view->pools[row.name];
+            pool.row = row;
+            if (row.keyed) {
+                pool.row.homes = {{rosterCell, 1}};
+                pool.ends = {numericSlots};
+            }
+        }
+    }
+    control.shared->routing.store(std::move(view));
+}
+
+/** Opens and closes slots at the gate, and tells it about the target. */
+void publishGate(roster_control &control, steady_time now)
+{
+    const auto &target = control.state.target;
+    std::vector<fenced_slot> served;
+    for (const auto &[pool, run] : servedRuns(control.state)) {
+        for (auto slot = run.first; slot <= run.last; ++slot) {
+            served.push_back({pool, {slot}, run.fence});
+        }
+    }
+    auto &gate = control.shared->admission;
+    const std::lock_guard lock(gate.mutex);
+    auto &admission = gate.admission;
+    admission.leaseUntil = target.holdsUntil;
+    admission.leaving = target.leaving || target.gone;
+    if (served != control.served) {
+        setServed(admission, served, target.holdsUntil, milliseconds(0), now);
+        control.served = std::move(served);
+    }
+}
+
+void publish(roster_control &control)
+{
+    const auto now = clock::now();
+    if (control.state.dirty) {
+        control.state.dirty = false;
+        publishView(control, now);
+    }
+    publishGate(control, now);
+}
+
+void advance(roster_control &control)
+{
+    for (auto &action : tick(control.state, clock::now())) {
+        asio::co_spawn(control.context,
+                       performAction(control, std::move(action), [&control] { advance(control); }), asio::detached);
+    }
+    publish(control);
+}
+
+asio::awaitable<void> tickLoop(roster_control &control)
+{
+    for (;;) {
+        advance(control);
+        advanceGate(control.shared->admission, clock::now());
+        setGauge(*control.shared->numbers, "store_calls", static_cast<double>(control.port.storeCalls()));
+        setGauge(*control.shared->numbers, "slots_owned", static_cast<double>(control.served.size()));
+        co_await sleepFor(tickInterval);
+    }
+}
+
+/** Tells the gate about a life of the target that has just reported for the first time. */
+void noteLife(roster_control &control, const target_report &report)
+{
+    auto &gate = control.shared->admission;
+    const std::lock_guard lock(gate.mutex);
+    gate.target = report.facts.address;
+    gate.targetLife = report.life.id;
+    gate.checksGrants = true;
+    gate.admission.hasTarget = true;
+    gate.admission.announcedAt = clock::now();
+    gate.admission.limits.warmUp = milliseconds(1);
+    gate.admission.limits.stallLimit = stallLimit;
+    gate.admission.limits.concurrency = std::max<std::uint32_t>(report.facts.slots, 1);
+    if (control.tables) {
+        for (const auto &pool : control.tables->rows.pools) {
+            gate.admission.limits.queue = pool.name == report.facts.pool ? pool.queue : gate.admission.limits.queue;
+        }
+    }
+}
+
+target_events eventsOf(roster_control &control)
+{
+    target_events events;
+    events.report = [&control](const target_report &report) {
+        const auto before = control.state.target.life;
+        auto grant = takeReport(control.state, report, clock::now());
+        const auto &target = control.state.target;
+        if (target.life != before) {
+            noteLife(control, report);
+            logEvent(log_level::info, "target-life",
+                     {{"target", target.life.id},
+                      {"born", std::to_string(target.life.born)},
+                      {"pool", report.facts.pool.value}});
+        }
+        advance(control);
+        return grant;
+    };
+    events.leave = [&control](const std::string &id) {
+        const bool known = takeLeave(control.state, id, clock::now());
+        logEvent(log_level::info, "target-leaves", {{"target", id}, {"known", known ? "1" : "0"}});
+        advance(control);
+        return known;
+    };
+    events.isKeyed = [&control](const pool_id &pool) { return control.state.keyedPools.contains(pool); };
+    events.isKnown = [&control](const pool_id &pool) {
+        const auto view = control.shared->routing.load();
+        return view->pools.contains(pool);
+    };
+    return events;
+}
+
+/** Callers are taken once routes and nodes are known; an outage of the store later changes nothing. */
+bool isReady(roster_control &control)
+{
+    control.wasReady = control.wasReady || (control.tables && control.state.listed && control.state.lease.entered);
+    return control.wasReady && !control.stopping;
+}
+
+bool serve(roster_control &control, const endpoint &at, http_handler handler, last_reason &why)
+{
+    auto acceptor = listenOn(control.context, at, why);
+    if (!acceptor) {
+        return false;
+    }
+    asio::co_spawn(control.context,
+                   serveHttp(std::make_shared<tcp::acceptor>(std::move(*acceptor)), std::move(handler), {}),
+                   asio::detached);
+    return true;
+}
+
+/** Answers the target's reports, questions about readiness, and readers of metrics, each on its own address. */
+bool startListeners(roster_control &control, last_reason &why)
+{
+    const auto &settings = control.shared->settings;
+    http_handler target = [&control](http_request request) -> asio::awaitable<http_reply> {
+        co_return control.port.answerTarget(request, eventsOf(control));
+    };
+    http_handler readiness = [&control](http_request request) -> asio::awaitable<http_reply> {
+        co_return control.port.answerReadiness(request, isReady(control));
+    };
+    http_handler metrics = [&control](http_request /*request*/) -> asio::awaitable<http_reply> {
+        co_return http_reply{200, {{"Content-Type", "text/plain"}}, formatMetrics(*control.shared->numbers)};
+    };
+    return serve(control, settings.roster->reports, target, why)
+        && serve(control, settings.roster->readiness, readiness, why)
+        && serve(control, {settings.host, settings.adminPort}, metrics, why);
+}
+
+roster_node makeSelf(const daemon_shared &shared)
+{
+    const auto &settings = shared.settings;
+    roster_node self;
+    self.member.id = settings.instance;
+    self.member.incarnation = shared.incarnation;
+    self.member.region = settings.region;
+    self.member.domain = settings.domain;
+    self.member.at = {settings.host, settings.callersPort, settings.peersPort, settings.adminPort};
+    return self;
+}
+
+} // namespace
+
+bool startRosterControl(roster_control &control, last_reason &why)
+{
+    const auto &roster = *control.shared->settings.roster;
+    roster_timing timing;
+    timing.leasePeriod = roster.leasePeriod;
+    timing.holdPeriod = roster.holdPeriod;
+    control.state = startRoster(makeSelf(*control.shared), timing, clock::now());
+    if (!startListeners(control, why)) {
+        return false;
+    }
+    const auto onChange = [&control] { advance(control); };
+    asio::co_spawn(control.context, followTables(control, onChange), asio::detached);
+    asio::co_spawn(control.context, followRoster(control, onChange), asio::detached);
+    asio::co_spawn(control.context, tickLoop(control), asio::detached);
+    return true;
+}
+
+void beginStop(roster_control &control)
+{
+    control.stopping = true;
+    control.state.stopping = true;
+    control.state.self.member.leaving = true;
+    advance(control);
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/roster_control.h
@@ -0,0 +1,43 @@
+/** @file roster_control.h The control thread of a daemon whose keys are owned by leases of the store. */
+#ifndef ROSTER_CONTROL_H
+#define ROSTER_CONTROL_H
+
+#include "roster_base.h"
+#include "roster_port.h"
+#include "shared_base.h"
+
+namespace quetzalspool {
+
+/** What the control thread owns. */
+struct roster_control
+{
+    daemon_shared *shared = nullptr; ///< Shared state.
+    asio::io_context context{1}; ///< Runs on one thread.
+    roster_port port; ///< The deployment.
+    roster_state state; ///< Decisions.
+    store_lease_id lease; ///< Store lease under the own entry; 0 while none.
+    std::shared_ptr<const route_table> tables; ///< Tables in force; null before the first.
+    revision_number tablesRevision; ///< Their revision in the store.
+    std::vector<fenced_slot> served; ///< Slots open at the gate.
+    bool storeHeard = true; ///< Whether the last call to the store was answered.
+    bool wasReady = false; ///< Whether callers were taken at any time.
+    bool stopping = false; ///< Whether a planned stop is under way.
+};
+
+/**
+ * Starts all loops on the thread's context.
+ * @param control Control state with shared state and port set.
+ * @param why Receives the reason if something can't be started.
+ * @return Whether it was started.
+ */
+bool startRosterControl(roster_control &control, last_reason &why);
+
+/**
+ * Starts a planned stop: no new callers, other daemons choose other targets.
+ * @param control Control state.
+ */
+void beginStop(roster_control &control);
+
+} // namespace quetzalspool
+
+#endif // ROSTER_CONTROL_H
--- /dev/null
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -0,0 +1,93 @@
+/** @file roster_daemon.cpp A whole daemon whose keys are owned by leases of the store: start and planned stop. */
+#include "roster_daemon.h"
+
+#include "log_func.h"
+#include "roster_control.h"
+#include "traffic_start.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <random>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds stopCheck{20}; ///< Between two looks whether a planned stop is complete.
+constexpr milliseconds quietTime{200}; ///< No request for this long ends a planned stop.
+
+/** Everything that lives as long as the daemon. */
+struct roster_parts
+{
+    daemon_shared shared; ///< Shared state.
+    roster_control control; ///< Control thread.
+    traffic_threads traffic; ///< Traffic threads.
+};
+
+/** Waits until callers know that they should go elsewhere, then until nothing is under way. */
+asio::awaitable<void> finishStop(roster_parts &parts)
+{
+    const auto limit = clock::now() + parts.shared.settings.drainLimit;
+    co_await sleepFor(parts.shared.settings.roster->stopNotice);
+    parts.shared.leaving = true;
+    closeListeners(parts.traffic);
+    auto quietSince = clock::now();
+    while (clock::now() - quietSince < quietTime && clock::now() < limit) {
+        if (parts.shared.requestsOpen > 0) {
+            quietSince = clock::now();
+        }
+        co_await sleepFor(stopCheck);
+    }
+    logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(parts.shared.requestsOpen.load())}});
+    parts.control.context.stop();
+}
+
+asio::awaitable<void> awaitSignals(roster_parts &parts)
+{
+    asio::signal_set signals(parts.control.context, SIGTERM, SIGINT, SIGHUP);
+    for (;;) {
+        error_code code;
+        const int signal = co_await signals.async_wait(reporting(code));
+        if (code) {
+            continue;
+        }
+        if (signal != SIGHUP) {
+            break;
+        }
+        // Addresses and names hold for the whole run of a process; what changes daily comes through the store.
+        logEvent(log_level::info, "reload");
+    }
+    logEvent(log_level::info, "stopping");
+    beginStop(parts.control);
+    co_await finishStop(parts);
+}
+
+} // namespace
+
+bool runRosterDaemon(const daemon_settings &settings, roster_port port, last_reason &why)
+{
+    roster_parts parts;
+    parts.shared.settings = settings;
+    parts.shared.names = port.names;
+    std::random_device device;
+    parts.shared.incarnation.value = (static_cast<std::uint64_t>(device()) << 31U) ^ device();
+    parts.shared.routing.store(std::make_shared<const routing_view>());
+    parts.shared.catalog.store(std::make_shared<const catalog_state>());
+    parts.control.shared = &parts.shared;
+    parts.control.port = std::move(port);
+    if (!prepareTraffic(parts.shared, parts.traffic, why) || !startRosterControl(parts.control, why)) {
+        return false;
+    }
+    asio::co_spawn(parts.control.context, awaitSignals(parts), asio::detached);
+    logEvent(log_level::info, "started",
+             {{"pool", settings.roster->pool.value},
+              {"run", std::to_string(parts.shared.incarnation.value)},
+              {"callers", std::to_string(settings.callersPort)}});
+    runTraffic(parts.traffic);
+    parts.control.context.run();
+    stopTraffic(parts.traffic);
+    return true;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/daemon/src/roster_port.h
@@ -0,0 +1,36 @@
+/** @file roster_port.h What a deployment brings: its store, its tables, and the speech of its targets. */
+#ifndef ROSTER_PORT_H
+#define ROSTER_PORT_H
+
+#include "http_type.h"
+#include "lease_store.h"
+#include "roster_type.h"
+#include "snapshot_type.h"
+#include "wire_names.h"
+
+namespace quetzalspool {
+
+/** What the daemon does with the reports of the target beside it. */
+struct target_events
+{
+    std::function<std::optional<target_grant>(const target_report &)> report; ///< Takes a report.
+    std::function<bool(const std::string &)> leave; ///< Takes the word that a life ends; false if it is unknown.
+    std::function<bool(const pool_id &)> isKeyed; ///< Tells whether a pool is divided by key.
+    std::function<bool(const pool_id &)> isKnown; ///< Tells whether a pool is in the tables.
+};
+
+/** Translations between the product and one deployment. */
+struct roster_port
+{
+    wire_names names; ///< Header names.
+    lease_store store; ///< Store.
+    std::string tablesKey; ///< Key of the tables in the store.
+    std::function<std::optional<tables_snapshot>(std::string_view text, last_reason &why)> readTables; ///< Reads them.
+    std::function<http_reply(const http_request &, const target_events &)> answerTarget; ///< Answers the target.
+    std::function<http_reply(const http_request &, bool ready)> answerReadiness; ///< Says whether it takes callers.
+    std::function<std::uint64_t()> storeCalls; ///< Calls made to the store, for metrics.
+};
+
+} // namespace quetzalspool
+
+#endif // ROSTER_PORT_H
--- /dev/null
+++ b/packages/daemon/src/roster_sync.cpp
@@ -0,0 +1,349 @@
+/** @file roster_sync.cpp Calls to the store for the roster. */
+#include "roster_sync.h"
+
+#include "log_func.h"
+#include "roster_func.h"
+#include "routing_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+constexpr std::string_view rootPrefix = "quetzalspool/"; ///< All keys of this product.
+constexpr std::string_view entryPrefix = "quetzalspool/nodes/"; ///< Entries, bound to leases.
+constexpr std::string_view markerPrefix = "quetzalspool/markers/"; ///< Markers, which stay.
+constexpr std::string_view runsPrefix = "quetzalspool/owners/"; ///< Owners of keys by pool.
+constexpr milliseconds watchWait{10000}; ///< One wait for changes; a longer one would hide a dead connection longer.
+constexpr milliseconds followRetry{200}; ///< Wait after a failed read or watch.
+
+std::string entryKey(const instance_id &id)
+{
+    return std::string(entryPrefix) + id.value;
+}
+
+std::string markerKey(const instance_id &id)
+{
+    return std::string(markerPrefix) + id.value;
+}
+
+std::string runsKey(const pool_id &pool)
+{
+    return std::string(runsPrefix) + pool.value;
+}
+
+/** Logs when the store is lost and when it is back, once each. */
+void noteStore(roster_control &control, bool heard, const last_reason &why)
+{
+    if (heard != control.storeHeard) {
+        control.storeHeard = heard;
+        if (heard) {
+            logEvent(log_level::info, "store-back");
+        } else {
+            logEvent(log_level::warn, "store-lost", {{"reason", describe(why)}});
+        }
+    }
+}
+
+void takeStoredEntry(roster_control &control, const instance_id &id, const stored_value &value, steady_time now)
+{
+    last_reason why;
+    const auto node = parseNode(value.value, why);
+    if (!node) {
+        logEvent(log_level::error, "entry-damaged", {{"node", id.value}, {"reason", describe(why)}});
+        return;
+    }
+    takeEntry(control.state, id, node, value.revision, now);
+}
+
+void takeStoredRuns(roster_control &control, const stored_value &value)
+{
+    last_reason why;
+    auto record = parseRuns(value.value, why);
+    if (!record) {
+        logEvent(log_level::error, "owners-damaged", {{"key", value.key}, {"reason", describe(why)}});
+        return;
+    }
+    takeRuns(control.state, {std::move(*record), value.revision});
+}
+
+/** Takes one value of the product's own keys. */
+void takeValue(roster_control &control, const stored_value &value, steady_time now)
+{
+    const std::string_view key = value.key;
+    if (key.starts_with(entryPrefix)) {
+        takeStoredEntry(control, {std::string(key.substr(entryPrefix.size()))}, value, now);
+    } else if (key.starts_with(markerPrefix)) {
+        takeMarker(control.state, {std::string(key.substr(markerPrefix.size()))}, value.revision);
+    } else if (key.starts_with(runsPrefix)) {
+        takeStoredRuns(control, value);
+    }
+}
+
+void takeRemoved(roster_control &control, const stored_value &value, steady_time now)
+{
+    const std::string_view key = value.key;
+    if (key.starts_with(entryPrefix)) {
+        const instance_id id{std::string(key.substr(entryPrefix.size()))};
+        const auto seen = control.state.nodes.find(id);
+        // An event that is older than the entry known says nothing about it.
+        if (seen == control.state.nodes.end() || value.revision > seen->second.marker) {
+            logEvent(log_level::info, "node-gone", {{"node", id.value}});
+            takeEntry(control.state, id, std::nullopt, value.revision, now);
+        }
+    }
+}
+
+/** Takes a whole list: nodes that it does not name are missing. */
+void takeList(roster_control &control, const range_result &all, steady_time now)
+{
+    std::set<instance_id> listed;
+    for (const auto &value : all.values) {
+        takeValue(control, value, now);
+        if (value.key.starts_with(entryPrefix)) {
+            listed.insert({value.key.substr(entryPrefix.size())});
+        }
+    }
+    std::vector<instance_id> missing;
+    for (const auto &[id, seen] : control.state.nodes) {
+        if (!listed.contains(id) && seen.marker <= all.revision) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto &id : missing) {
+        takeEntry(control.state, id, std::nullopt, all.revision, now);
+    }
+    control.state.listed = true;
+}
+
+void takeTables(roster_control &control, const stored_value &value)
+{
+    if (value.revision <= control.tablesRevision) {
+        return;
+    }
+    last_reason why;
+    auto rows = control.port.readTables(value.value, why);
+    if (!rows) {
+        logEvent(log_level::error, "tables-refused",
+                 {{"revision", std::to_string(value.revision.value)}, {"reason", describe(why)}});
+        countMetric(*control.shared->numbers, "tables_refused_total");
+        return;
+    }
+    if (control.tables && rows->version <= control.tables->rows.version) {
+        logEvent(log_level::error, "tables-older", {{"version", std::to_string(rows->version)}});
+        return;
+    }
+    control.tablesRevision = value.revision;
+    control.tables = makeRouteTable(std::move(*rows));
+    control.state.keyedPools.clear();
+    for (const auto &pool : control.tables->rows.pools) {
+        if (pool.keyed) {
+            control.state.keyedPools.insert(pool.name);
+        }
+    }
+    control.state.dirty = true;
+    logEvent(log_level::info, "tables-taken",
+             {{"version", std::to_string(control.tables->rows.version)},
+              {"routes", std::to_string(control.tables->rows.routes.size())}});
+}
+
+asio::awaitable<void> enter(roster_control &control, enter_action action)
+{
+    last_reason why;
+    const auto &id = action.entry.member.id;
+    if (control.lease.value == 0) {
+        const auto opened = co_await control.port.store.openLease(control.state.timing.entryTtl, why);
+        noteStore(control, opened.has_value(), why);
+        if (!opened) {
+            takeEntered(control.state, action.entry, roster_outcome::unclear, {}, {}, clock::now());
+            co_return;
+        }
+        control.lease = *opened;
+    }
+    const auto sentAt = clock::now();
+    leased_txn txn{{{markerKey(id), action.marker}},
+                   {{entryKey(id), formatNode(action.entry), control.lease},
+                    {markerKey(id), std::to_string(action.entry.member.incarnation.value), {}}}};
+    const auto result = co_await control.port.store.commit(std::move(txn), why);
+    const auto now = clock::now();
+    noteStore(control, result.has_value(), why);
+    if (!result) {
+        takeEntered(control.state, action.entry, roster_outcome::unclear, {}, sentAt, now);
+        co_return;
+    }
+    if (result->status == commit_status::lease_ended) {
+        control.lease = {};
+    }
+    for (const auto &value : result->current) {
+        takeValue(control, value, now);
+    }
+    const bool stored = result->status == commit_status::stored;
+    takeEntered(control.state, action.entry, stored ? roster_outcome::stored : roster_outcome::conflicted,
+                result->revision, sentAt, now);
+    if (stored) {
+        logEvent(log_level::info, "entered",
+                 {{"revision", std::to_string(result->revision.value)},
+                  {"target", action.entry.life.id},
+                  {"leaving", action.entry.member.leaving ? "1" : "0"}});
+    }
+}
+
+asio::awaitable<void> confirm(roster_control &control)
+{
+    last_reason why;
+    const auto sentAt = clock::now();
+    const auto result = co_await control.port.store.read(entryKey(control.state.self.member.id), why);
+    const auto now = clock::now();
+    noteStore(control, result.has_value(), why);
+    if (!result) {
+        takeUnconfirmed(control.state, now);
+        co_return;
+    }
+    std::optional<roster_node> found;
+    if (result->value) {
+        found = parseNode(result->value->value, why);
+    }
+    if (!found) {
+        logEvent(log_level::warn, "own-entry-missing");
+    }
+    takeConfirmed(control.state, found, result->value ? result->value->revision : revision_number{}, sentAt, now);
+}
+
+asio::awaitable<void> renew(roster_control &control)
+{
+    last_reason why;
+    const auto status = co_await control.port.store.renewLease(control.lease, why);
+    noteStore(control, status != renewal_status::unanswered, why);
+    if (status == renewal_status::ended) {
+        logEvent(log_level::warn, "store-lease-ended", {{"lease", std::to_string(control.lease.value)}});
+        control.lease = {};
+        takeLapsed(control.state, clock::now());
+    }
+}
+
+asio::awaitable<void> assign(roster_control &control, assign_action action)
+{
+    last_reason why;
+    const auto &self = control.state.self.member.id;
+    leased_txn txn{{{runsKey(action.record.pool), action.expected}, {markerKey(self), action.marker}},
+                   {{runsKey(action.record.pool), formatRuns(action.record), {}}}};
+    for (const auto &absent : action.absent) {
+        txn.compares.push_back({entryKey(absent.node), {}});
+        txn.compares.push_back({markerKey(absent.node), absent.marker});
+    }
+    const auto result = co_await control.port.store.commit(std::move(txn), why);
+    const auto now = clock::now();
+    noteStore(control, result.has_value(), why);
+    if (!result) {
+        takeAssigned(control.state, action.record, roster_outcome::unclear, {}, now);
+        co_return;
+    }
+    for (const auto &value : result->current) {
+        takeValue(control, value, now);
+    }
+    const bool stored = result->status == commit_status::stored;
+    takeAssigned(control.state, action.record, stored ? roster_outcome::stored : roster_outcome::conflicted,
+                 result->revision, now);
+    logEvent(log_level::info, stored ? "owners-written" : "owners-conflict",
+             {{"pool", action.record.pool.value},
+              {"expected", std::to_string(action.expected.value)},
+              {"revision", std::to_string(result->revision.value)},
+              {"runs", std::to_string(action.record.runs.size())},
+              {"absent", std::to_string(action.absent.size())}});
+}
+
+} // namespace
+
+asio::awaitable<void> followRoster(roster_control &control, std::function<void()> onChange)
+{
+    for (;;) {
+        last_reason why;
+        const auto all = co_await control.port.store.list(std::string(rootPrefix), why);
+        noteStore(control, all.has_value(), why);
+        if (!all) {
+            co_await sleepFor(followRetry);
+            continue;
+        }
+        takeList(control, *all, clock::now());
+        onChange();
+        auto after = all->revision;
+        for (;;) {
+            const auto seen = co_await control.port.store.watch(std::string(rootPrefix), after, watchWait, why);
+            noteStore(control, seen.has_value(), why);
+            if (!seen) {
+                co_await sleepFor(followRetry);
+                continue;
+            }
+            if (seen->forgotten) {
+                logEvent(log_level::warn, "history-forgotten", {{"after", std::to_string(after.value)}});
+                break;
+            }
+            const auto now = clock::now();
+            for (const auto &event : seen->events) {
+                event.removed ? takeRemoved(control, event.value, now) : takeValue(control, event.value, now);
+            }
+            after = std::max(after, seen->revision);
+            if (!seen->events.empty()) {
+                onChange();
+            }
+        }
+    }
+}
+
+asio::awaitable<void> followTables(roster_control &control, std::function<void()> onChange)
+{
+    const auto key = control.port.tablesKey;
+    for (;;) {
+        last_reason why;
+        const auto read = co_await control.port.store.read(key, why);
+        noteStore(control, read.has_value(), why);
+        if (!read) {
+            co_await sleepFor(followRetry);
+            continue;
+        }
+        if (read->value) {
+            takeTables(control, *read->value);
+            onChange();
+        }
+        auto after = read->revision;
+        for (;;) {
+            const auto seen = co_await control.port.store.watch(key, after, watchWait, why);
+            noteStore(control, seen.has_value(), why);
+            if (!seen) {
+                co_await sleepFor(followRetry);
+                continue;
+            }
+            if (seen->forgotten) {
+                break;
+            }
+            for (const auto &event : seen->events) {
+                if (!event.removed && event.value.key == key) {
+                    takeTables(control, event.value);
+                }
+            }
+            after = std::max(after, seen->revision);
+            if (!seen->events.empty()) {
+                onChange();
+            }
+        }
+    }
+}
+
+asio::awaitable<void> performAction(roster_control &control, roster_action action, std::function<void()> onChange)
+{
+    if (auto *entering = std::get_if<enter_action>(&action)) {
+        co_await enter(control, std::move(*entering));
+    } else if (auto *assigning = std::get_if<assign_action>(&action)) {
+        co_await assign(control, std::move(*assigning));
+    } else if (std::holds_alternative<confirm_action>(action)) {
+        co_await confirm(control);
+    } else {
+        co_await renew(control);
+    }
+    onChange();
+}
+
+} // namespace quetzalspool
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -25,6 +25,7 @@
     std::optional<fenced_slot> slot; ///< Slot and fence for keyed pools.
     request_class kind = request_class::lookup; ///< Orders go first.
     steady_time deadline{}; ///< When the caller no longer waits.
+    std::uint32_t rank = 2; ///< Within a class, smaller goes first.
 };
 
 /** Why a request was refused. All of these prove that it did not run. */
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -115,7 +115,7 @@
 bool goesBefore(const admission_request &a, const admission_request &b)
 {
     const auto rank = [](const admission_request &request) { return request.kind == request_class::order ? 0 : 1; };
-    return std::pair(rank(a), a.deadline) < std::pair(rank(b), b.deadline);
+    return std::tuple(rank(a), a.rank, a.deadline) < std::tuple(rank(b), b.rank, b.deadline);
 }
 
 admission_verdict enqueue(admission_state &state, const admission_request &request, steady_time now)
--- a/packages/decisions/src/record.cpp
+++ b/packages/decisions/src/record.cpp
@@ -1,8 +1,9 @@
 /** @file record.cpp Cell records as JSON, and queries on them. */
 #include "record_func.h"
 
+#include "record_codec.h"
+
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace quetzalspool {
 
@@ -10,41 +11,6 @@
 
 using json = nlohmann::json;
 
-json memberToJson(const cell_member &member)
-{
-    return {{"id", member.id.value},
-            {"incarnation", member.incarnation.value},
-            {"term", member.term.value},
-            {"region", member.region.value},
-            {"domain", member.domain.value},
-            {"host", member.at.host},
-            {"ports", {member.at.callers, member.at.peers, member.at.admin}},
-            {"pool", member.target.pool.value},
-            {"target", {member.target.address.host, member.target.address.port}},
-            {"slots", member.target.slots},
-            {"connections", member.target.connections},
-            {"checks_grants", member.target.checksGrants},
-            {"leaving", member.leaving}};
-}
-
-cell_member memberFromJson(const json &from)
-{
-    cell_member member;
-    member.id.value = from.at("id").get<std::string>();
-    member.incarnation.value = from.at("incarnation");
-    member.term.value = from.at("term");
-    member.region.value = from.at("region").get<std::string>();
-    member.domain.value = from.at("domain").get<std::string>();
-    member.at = {from.at("host"), from.at("ports").at(0), from.at("ports").at(1), from.at("ports").at(2)};
-    member.target.pool.value = from.at("pool").get<std::string>();
-    member.target.address = {from.at("target").at(0), from.at("target").at(1)};
-    member.target.slots = from.at("slots");
-    member.target.connections = from.at("connections");
-    member.target.checksGrants = from.at("checks_grants");
-    member.leaving = from.at("leaving");
-    return member;
-}
-
 json votersToJson(const std::vector<cell_voter> &voters)
 {
     auto list = json::array();
@@ -109,6 +75,41 @@
 
 } // namespace
 
+json memberToJson(const cell_member &member)
+{
+    return {{"id", member.id.value},
+            {"incarnation", member.incarnation.value},
+            {"term", member.term.value},
+            {"region", member.region.value},
+            {"domain", member.domain.value},
+            {"host", member.at.host},
+            {"ports", {member.at.callers, member.at.peers, member.at.admin}},
+            {"pool", member.target.pool.value},
+            {"target", {member.target.address.host, member.target.address.port}},
+            {"slots", member.target.slots},
+            {"connections", member.target.connections},
+            {"checks_grants", member.target.checksGrants},
+            {"leaving", member.leaving}};
+}
+
+cell_member memberFromJson(const json &from)
+{
+    cell_member member;
+    member.id.value = from.at("id").get<std::string>();
+    member.incarnation.value = from.at("incarnation");
+    member.term.value = from.at("term");
+    member.region.value = from.at("region").get<std::string>();
+    member.domain.value = from.at("domain").get<std::string>();
+    member.at = {from.at("host"), from.at("ports").at(0), from.at("ports").at(1), from.at("ports").at(2)};
+    member.target.pool.value = from.at("pool").get<std::string>();
+    member.target.address = {from.at("target").at(0), from.at("target").at(1)};
+    member.target.slots = from.at("slots");
+    member.target.connections = from.at("connections");
+    member.target.checksGrants = from.at("checks_grants");
+    member.leaving = from.at("leaving");
+    return member;
+}
+
 std::string formatRecord(const cell_record &record)
 {
     json out{{"id", record.id.value},
--- a/packages/decisions/src/retry_cmd.cpp
+++ b/packages/decisions/src/retry_cmd.cpp
@@ -34,7 +34,13 @@
         || question.reason == refusal::too_late || question.reason == refusal::cancelled) {
         return {};
     }
-    if (isMoving(question) && question.result == attempt_result::not_run) {
+    if (question.handOvers >= question.handOversAllowed) {
+        return {};
+    }
+    // A repeat of what a target has already got is paid for, whoever refused it.
+    const bool free = question.handOvers == 0;
+    if (isMoving(question) && question.result == attempt_result::not_run && (free || budget.tokens >= 1)) {
+        budget.tokens -= free ? 0 : 1;
         const bool patient =
             question.waited + limits.movingWait <= limits.waitLimit && now + limits.movingWait < question.deadline;
         return {patient, limits.movingWait};
--- a/packages/decisions/src/retry_type.h
+++ b/packages/decisions/src/retry_type.h
@@ -39,6 +39,8 @@
     bool idempotent = false; ///< Whether it may run more than once.
     bool keyed = false; ///< Whether only one target can serve it.
     std::uint32_t attempts = 1; ///< Attempts made.
+    std::uint32_t handOvers = 0; ///< Targets that it was handed to, also those that refused it.
+    std::uint32_t handOversAllowed = 6; ///< Targets that it may be handed to.
     milliseconds waited{0}; ///< Waits made between attempts.
     steady_time deadline{}; ///< When the caller no longer waits.
 };
--- /dev/null
+++ b/packages/decisions/src/roster_plan.cpp
@@ -0,0 +1,323 @@
+/** @file roster_plan.cpp Working out the next owners of a pool. Each step checks first, then changes the copy. */
+#include "roster_func.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr milliseconds balanceInterval{1000}; ///< Between two looks whether a planned move pays.
+constexpr double leastSpeed = 0.05; ///< A target is never reckoned slower than this.
+
+/** Owners of a pool that are being changed. */
+struct run_draft
+{
+    run_record record; ///< The copy.
+    fence_number fence; ///< Fence of every assignment that this write makes.
+    std::vector<key_run> given; ///< Runs that the target beside this daemon loses by it.
+    std::vector<absent_node> absent; ///< Nodes that lose their runs because they are gone.
+    bool changed = false; ///< Whether it differs.
+};
+
+bool wantsWork(const roster_state &state, const seen_node &seen, const pool_id &pool)
+{
+    const bool self = seen.node && seen.node->member.id == state.self.member.id;
+    const auto &node = self ? state.self : *seen.node;
+    return !node.life.id.empty() && node.member.target.pool == pool && !node.member.leaving;
+}
+
+/** Nodes that can own slots of a pool now. */
+std::vector<const roster_node *> candidatesOf(const roster_state &state, const pool_id &pool)
+{
+    std::vector<const roster_node *> candidates;
+    for (const auto &[id, seen] : state.nodes) {
+        if (seen.present && seen.node && wantsWork(state, seen, pool)) {
+            candidates.push_back(id == state.self.member.id ? &state.self : &*seen.node);
+        }
+    }
+    return candidates;
+}
+
+const roster_node *findCandidate(const std::vector<const roster_node *> &candidates, const instance_id &id)
+{
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+                                    [&](const auto *candidate) { return candidate->member.id == id; });
+    return found == candidates.end() ? nullptr : *found;
+}
+
+/** The token that the target gave with slots that it gave back. */
+std::string tokenFor(const target_watch &target, const key_run &run)
+{
+    std::string token;
+    for (const auto &freed : target.freed) {
+        if (freed.first <= run.first && run.last <= freed.last) {
+            token = freed.handover; // The latest counts.
+        }
+    }
+    return token;
+}
+
+/** Whether the target has surely stopped to serve a run that is not granted any more. */
+bool isReleased(const roster_state &state, const pool_id &pool, const key_run &run, steady_time now)
+{
+    const auto &target = state.target;
+    if (now >= target.holdsUntil) {
+        return true;
+    }
+    const auto leftOut = target.leftOut.find({pool, run.first});
+    if (leftOut == target.leftOut.end() || target.sequence <= leftOut->second) {
+        return false;
+    }
+    return std::none_of(target.holds.begin(), target.holds.end(),
+                        [&](const auto &held) { return held.first <= run.last && run.first <= held.last; });
+}
+
+void giveTo(run_draft &draft, key_run &run, const roster_node *node, std::string handover)
+{
+    run.owner = node == nullptr ? instance_id{} : node->member.id;
+    run.life = node == nullptr ? target_life{} : node->life;
+    run.fence = draft.fence;
+    run.handover = std::move(handover);
+    run.next = {};
+    draft.changed = true;
+}
+
+/** Changes the runs of the target beside this daemon: a new life takes over, or a released run goes on. */
+void planOwnRuns(const roster_state &state, run_draft &draft, const std::vector<const roster_node *> &candidates,
+                 steady_time now)
+{
+    const auto &target = state.target;
+    const auto &pool = draft.record.pool;
+    for (auto &run : draft.record.runs) {
+        if (run.owner != state.self.member.id) {
+            continue;
+        }
+        const bool otherLife = !target.life.id.empty() && run.life != target.life;
+        if (otherLife && run.life.born < target.life.born) {
+            // The life that had them has ended, since another one has started in its place.
+            const auto *self = findCandidate(candidates, state.self.member.id);
+            giveTo(draft, run, self, "");
+            continue;
+        }
+        const auto *next = run.next.value.empty() ? nullptr : findCandidate(candidates, run.next);
+        const bool silent = now >= target.holdsUntil;
+        const bool leaves = !run.next.value.empty() || target.leaving || target.gone;
+        if ((silent || leaves) && isReleased(state, pool, run, now)) {
+            draft.given.push_back(run);
+            giveTo(draft, run, next, tokenFor(target, run));
+        }
+    }
+}
+
+/** Takes the runs of nodes that have been missing for so long that all they granted is over. */
+void planAbsent(const roster_state &state, run_draft &draft, steady_time now)
+{
+    const auto over = state.timing.withDrift(state.timing.leasePeriod);
+    for (auto &run : draft.record.runs) {
+        if (run.owner.value.empty() || run.owner == state.self.member.id) {
+            continue;
+        }
+        const auto seen = state.nodes.find(run.owner);
+        if (seen == state.nodes.end() || seen->second.present || seen->second.absentSince == steady_time{}
+            || now - seen->second.absentSince < over) {
+            continue;
+        }
+        const absent_node gone{run.owner, seen->second.marker};
+        if (std::none_of(draft.absent.begin(), draft.absent.end(),
+                         [&](const auto &known) { return known.node == gone.node; })) {
+            draft.absent.push_back(gone);
+        }
+        giveTo(draft, run, nullptr, "");
+    }
+}
+
+double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
+{
+    if (load == nullptr || load->slots.empty()) {
+        return last - first + 1;
+    }
+    double sum = 0;
+    for (auto slot = first; slot <= last; ++slot) {
+        sum += load->slots[slot];
+    }
+    return sum;
+}
+
+double speedOf(const roster_node &node, const pool_load *load)
+{
+    double speed = std::max<std::uint32_t>(node.member.target.slots, 1);
+    if (load != nullptr) {
+        const auto known = load->speed.find(node.member.id);
+        speed *= known == load->speed.end() ? 1.0 : std::max(known->second, leastSpeed);
+    }
+    return speed;
+}
+
+/** Load of one candidate's runs and its fair share. */
+struct candidate_load
+{
+    const roster_node *node = nullptr; ///< Candidate.
+    double load = 0; ///< Load of its runs.
+    double fair = 0; ///< Load that it should have.
+};
+
+std::vector<candidate_load> loadsOf(const run_record &record, const std::vector<const roster_node *> &candidates,
+                                    const pool_load *load)
+{
+    std::vector<candidate_load> loads;
+    double speeds = 0;
+    for (const auto *node : candidates) {
+        loads.push_back({node, 0, speedOf(*node, load)});
+        speeds += loads.back().fair;
+    }
+    double total = 0;
+    for (const auto &run : record.runs) {
+        const auto part = loadBetween(load, run.first, run.last);
+        total += part;
+        const auto &holder = run.next.value.empty() ? run.owner : run.next;
+        for (auto &entry : loads) {
+            entry.load += entry.node->member.id == holder ? part : 0;
+        }
+    }
+    for (auto &entry : loads) {
+        entry.fair = total * entry.fair / speeds;
+    }
+    return loads;
+}
+
+candidate_load *mostLacking(std::vector<candidate_load> &loads)
+{
+    return &*std::max_element(loads.begin(), loads.end(), [](const auto &a, const auto &b) {
+        return a.fair - a.load < b.fair - b.load;
+    });
+}
+
+/** Splits a run after so many of its slots that their load fills a lack; at least one slot. */
+std::uint32_t lastWithin(const key_run &run, const pool_load *load, double lack)
+{
+    double sum = 0;
+    for (auto slot = run.first; slot < run.last; ++slot) {
+        sum += loadBetween(load, slot, slot);
+        if (sum >= lack) {
+            return slot;
+        }
+    }
+    return run.last;
+}
+
+/** Whether the first owners of a pool may be chosen: the set of nodes has been quiet for a moment. */
+bool isSettled(const roster_state &state, steady_time now)
+{
+    return now - state.nodesChanged >= state.timing.settleTime;
+}
+
+} // namespace
+
+void joinRuns(run_record &record)
+{
+    std::vector<key_run> joined;
+    for (auto &run : record.runs) {
+        if (!joined.empty()) {
+            auto &last = joined.back();
+            auto same = run;
+            same.first = last.first;
+            same.last = last.last;
+            if (same == last) {
+                last.last = run.last;
+                continue;
+            }
+        }
+        joined.push_back(std::move(run));
+    }
+    record.runs = std::move(joined);
+}
+
+const key_run *findRun(const run_record &record, std::uint32_t slot)
+{
+    const auto after = std::upper_bound(record.runs.begin(), record.runs.end(), slot,
+                                        [](std::uint32_t value, const auto &run) { return value < run.first; });
+    return after == record.runs.begin() ? nullptr : &*std::prev(after);
+}
+
+bool placeRuns(run_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load,
+               fence_number fence)
+{
+    if (candidates.empty()) {
+        return false;
+    }
+    auto loads = loadsOf(record, candidates, load);
+    std::vector<key_run> placed;
+    bool changed = false;
+    for (auto run : record.runs) {
+        while (run.owner.value.empty()) {
+            auto *taker = mostLacking(loads);
+            auto part = run;
+            part.last = lastWithin(run, load, taker->fair - taker->load);
+            part.owner = taker->node->member.id;
+            part.life = taker->node->life;
+            part.fence = fence;
+            taker->load += loadBetween(load, part.first, part.last);
+            placed.push_back(part);
+            changed = true;
+            if (part.last == run.last) {
+                break;
+            }
+            run.first = part.last + 1;
+        }
+        if (!run.owner.value.empty()) {
+            placed.push_back(run);
+        }
+    }
+    record.runs = std::move(placed);
+    return changed;
+}
+
+std::optional<assign_action> planRuns(roster_state &state, const pool_id &pool, steady_time now)
+{
+    const auto &stored = state.records[pool];
+    const auto candidates = candidatesOf(state, pool);
+    const bool planner = plansForAll(state);
+    run_draft draft{stored.record, {static_cast<std::uint64_t>(stored.revision.value) + 1}, {}, {}, false};
+    draft.record.pool = pool;
+    if (draft.record.runs.empty()) {
+        if (!planner || candidates.empty() || !isSettled(state, now)) {
+            return std::nullopt;
+        }
+        draft.record.runs.push_back({0, numericSlots - 1, {}, {}, {}, "", {}});
+    }
+    const auto learnt = state.loads.find(pool);
+    const auto *load = learnt == state.loads.end() ? nullptr : &learnt->second;
+    planOwnRuns(state, draft, candidates, now);
+    if (planner) {
+        planAbsent(state, draft, now);
+    }
+    if (planner || draft.changed) {
+        draft.changed = placeRuns(draft.record, candidates, load, draft.fence) || draft.changed;
+    }
+    if (planner && !draft.changed && load != nullptr && now >= state.nextBalance) {
+        state.nextBalance = now + balanceInterval;
+        draft.changed = planMoves(draft.record, candidates, *load);
+    }
+    // After a write without an answer, another one under the same condition tells which of the two took effect.
+    if (!draft.changed && !state.unclearWrites.contains(pool)) {
+        return std::nullopt;
+    }
+    joinRuns(draft.record);
+    auto &withheld = state.withheld[pool];
+    withheld.insert(withheld.end(), draft.given.begin(), draft.given.end());
+    const auto own = state.nodes.find(state.self.member.id);
+    return assign_action{std::move(draft.record), stored.revision,
+                         own == state.nodes.end() ? revision_number{} : own->second.marker, std::move(draft.absent)};
+}
+
+bool planMoves(run_record & /*record*/, const std::vector<const roster_node *> & /*candidates*/,
+               const pool_load & /*load*/)
+{
+    return false;
+}
+
+} // namespace quetzalspool
--- a/packages/decisions/src/routing.cpp
+++ b/packages/decisions/src/routing.cpp
@@ -1,10 +1,12 @@
 /** @file routing.cpp Routing views. */
 #include "placement_func.h"
 #include "record_func.h"
+#include "roster_type.h"
 #include "routing_func.h"
 #include "row_func.h"
 
 #include <algorithm>
+#include <charconv>
 #include <xxhash.h>
 
 namespace quetzalspool {
@@ -83,6 +85,27 @@
             || path[prefix.size()] == '?');
 }
 
+std::string placeOf(std::string_view host, std::string_view prefix)
+{
+    std::string place(host);
+    std::transform(place.begin(), place.end(), place.begin(), [](unsigned char c) { return std::tolower(c); });
+    return place.append(" ").append(prefix);
+}
+
+/** Tries the prefixes of a path that end with a slash, the longest first. */
+const route_row *findIndexed(const route_table &table, std::string_view host, std::string_view path)
+{
+    path = path.substr(0, path.find('?'));
+    host = host.substr(0, host.find(':'));
+    for (auto end = path.rfind('/'); end != std::string_view::npos; end = end == 0 ? end - 1 : path.rfind('/', end - 1)) {
+        const auto found = table.byPlace.find(placeOf(host, path.substr(0, end + 1)));
+        if (found != table.byPlace.end()) {
+            return &table.rows.routes[found->second];
+        }
+    }
+    return nullptr;
+}
+
 } // namespace
 
 std::optional<routing_view> withDocument(const routing_view &old, const document &changed, last_reason &why)
@@ -111,8 +134,22 @@
     return view;
 }
 
-const route_row *findRoute(const routing_view &view, std::string_view path)
+std::shared_ptr<const route_table> makeRouteTable(tables_snapshot rows)
 {
+    auto table = std::make_shared<route_table>();
+    table->rows = std::move(rows);
+    for (std::uint32_t index = 0; index < table->rows.routes.size(); ++index) {
+        const auto &route = table->rows.routes[index];
+        table->byPlace.emplace(placeOf(route.host, route.prefix), index);
+    }
+    return table;
+}
+
+const route_row *findRoute(const routing_view &view, std::string_view host, std::string_view path)
+{
+    if (view.table) {
+        return findIndexed(*view.table, host, path);
+    }
     const auto found = std::find_if(view.routes.begin(), view.routes.end(),
                                     [&](const auto &route) { return matches(path, route.prefix); });
     return found == view.routes.end() ? nullptr : &*found;
@@ -123,6 +160,19 @@
     return {static_cast<std::uint32_t>(XXH3_64bits(key.data(), key.size()) % slots)};
 }
 
+std::optional<slot_number> slotIn(std::string_view key, const pool_row &pool)
+{
+    if (!pool.numeric) {
+        return slotOf(key, pool.slots);
+    }
+    std::uint32_t number = 0;
+    const auto [end, error] = std::from_chars(key.data(), key.data() + key.size(), number);
+    if (error != std::errc() || end != key.data() + key.size() || number >= numericKeys) {
+        return std::nullopt;
+    }
+    return slot_number{number / keysPerSlot};
+}
+
 std::optional<slot_owner> findOwner(const routing_view &view, const pool_id &pool, slot_number slot)
 {
     const auto row = view.pools.find(pool);
--- a/packages/decisions/src/routing_base.h
+++ b/packages/decisions/src/routing_base.h
@@ -3,7 +3,7 @@
 #define ROUTING_BASE_H
 
 #include "record_base.h"
-#include "row_type.h"
+#include "snapshot_type.h"
 
 #include <memory>
 #include <unordered_map>
@@ -41,6 +41,13 @@
     std::vector<std::uint32_t> ends; ///< For each home, the first slot after its run.
 };
 
+/** Tables that came whole from elsewhere, with an index of their routes. */
+struct route_table
+{
+    tables_snapshot rows; ///< The rows.
+    std::unordered_map<std::string, std::uint32_t> byPlace; ///< Index of a route by host, a blank, and prefix.
+};
+
 /** Everything needed to route. */
 struct routing_view
 {
@@ -49,6 +56,7 @@
     std::map<cell_id, std::shared_ptr<const cell_view>> cells; ///< By name.
     rules_row rules; ///< The customer's rules for changes.
     revision_number tables; ///< Highest revision of a row.
+    std::shared_ptr<const route_table> table; ///< Routes that came whole from elsewhere; null if they are rows here.
 };
 
 /** Who owns a slot. */
--- a/packages/decisions/src/routing_func.h
+++ b/packages/decisions/src/routing_func.h
@@ -22,10 +22,18 @@
 /**
  * Finds the route of a path.
  * @param view View.
+ * @param host Host that the request names; routes without a host match any.
  * @param path Path of a request.
  * @return The route with the longest matching prefix, or null.
  */
-const route_row *findRoute(const routing_view &view, std::string_view path);
+const route_row *findRoute(const routing_view &view, std::string_view host, std::string_view path);
+
+/**
+ * Indexes tables that came whole from elsewhere.
+ * @param rows Rows; every prefix ends with a slash.
+ * @return The table.
+ */
+std::shared_ptr<const route_table> makeRouteTable(tables_snapshot rows);
 
 /**
  * Maps a key to its slot.
@@ -35,6 +43,14 @@
  */
 slot_number slotOf(std::string_view key, std::uint32_t slots);
 
+/**
+ * Maps a key of a pool to its slot.
+ * @param key Key.
+ * @param pool Pool, which tells whether keys are numbers.
+ * @return Slot, or nothing if the key is no number where it has to be one.
+ */
+std::optional<slot_number> slotIn(std::string_view key, const pool_row &pool);
+
 /**
  * Finds the owner of a slot.
  * @param view View.
--- a/packages/decisions/tests/routing_test.cpp
+++ b/packages/decisions/tests/routing_test.cpp
@@ -66,12 +66,12 @@
     last_reason why;
     view = *withDocument(view, rowDocument("routes/short", 1, route_row{"short", "/a", pool_id{"p"}}), why);
     view = *withDocument(view, rowDocument("routes/long", 2, route_row{"long", "/a/b", pool_id{"p"}}), why);
-    EXPECT_EQ(findRoute(view, "/a/b/c")->name, "long");
-    EXPECT_EQ(findRoute(view, "/a/bc")->name, "short");
-    EXPECT_EQ(findRoute(view, "/a?x=1")->name, "short");
-    EXPECT_EQ(findRoute(view, "/ab"), nullptr);
+    EXPECT_EQ(findRoute(view, "", "/a/b/c")->name, "long");
+    EXPECT_EQ(findRoute(view, "", "/a/bc")->name, "short");
+    EXPECT_EQ(findRoute(view, "", "/a?x=1")->name, "short");
+    EXPECT_EQ(findRoute(view, "", "/ab"), nullptr);
     view = *withDocument(view, rowDocument("routes/long", 3, removed_row{}), why);
-    EXPECT_EQ(findRoute(view, "/a/b/c")->name, "short");
+    EXPECT_EQ(findRoute(view, "", "/a/b/c")->name, "short");
 }
 
 TEST(routing, keepsTheLastGoodRowWhenADocumentIsDamaged)
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -85,6 +85,40 @@
     settings.logFormat = format == "json" ? log_format::json : log_format::text;
 }
 
+milliseconds readSpan(toml_reader &reader, const std::string &name, milliseconds fallback)
+{
+    return milliseconds(readNumber(reader, name, 1, maxDrainSeconds * 1000, fallback.count()));
+}
+
+/** Reads the table of ownership by leases, which also gives the callers' address. */
+void readRoster(toml_reader &outer, daemon_settings &settings)
+{
+    outer.known.insert("roster");
+    const auto *node = outer.table.get("roster");
+    if (node == nullptr) {
+        return;
+    }
+    if (!node->is_table()) {
+        refuse(outer, node->source(), "\"roster\" must be a table");
+        return;
+    }
+    toml_reader reader{*node->as_table(), outer.file, outer.why};
+    roster_settings roster;
+    const auto callers = readEndpoint(reader, "callers");
+    settings.store = readEndpoint(reader, "store");
+    settings.callersPort = callers.port;
+    roster.reports = readEndpoint(reader, "reports");
+    roster.readiness = readEndpoint(reader, "readiness");
+    roster.target = readEndpoint(reader, "target");
+    roster.pool.value = readString(reader, "pool");
+    roster.leasePeriod = readSpan(reader, "lease_ms", roster.leasePeriod);
+    roster.holdPeriod = readSpan(reader, "hold_ms", roster.holdPeriod);
+    roster.stopNotice = readSpan(reader, "stop_notice_ms", roster.stopNotice);
+    refuseUnknown(reader);
+    outer.good = outer.good && reader.good;
+    settings.roster = roster;
+}
+
 } // namespace
 
 std::optional<endpoint> parseEndpoint(const std::string &text)
@@ -130,12 +164,15 @@
     settings.domain.value = readString(reader, "failure_domain");
     settings.cell.value = readString(reader, "cell");
     settings.host = readString(reader, "host");
-    settings.callersPort = readPort(reader, "callers_port");
+    readRoster(reader, settings);
+    if (!settings.roster) {
+        settings.callersPort = readPort(reader, "callers_port");
+        settings.store = readEndpoint(reader, "store");
+    }
     settings.peersPort = readPort(reader, "peers_port");
     settings.adminPort = readPort(reader, "admin_port");
     settings.trafficThreads = static_cast<std::uint32_t>(readNumber(reader, "traffic_threads", 1, maxThreads, 1));
     settings.drainLimit = std::chrono::seconds(readNumber(reader, "drain_limit_s", 1, maxDrainSeconds, 30));
-    settings.store = readEndpoint(reader, "store");
     readSeeds(reader, settings);
     readLog(reader, settings);
     refuseUnknown(reader);
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -16,6 +16,18 @@
     json, ///< One JSON object per event.
 };
 
+/** Settings of a daemon whose keys are owned by leases of the store, and which finds others there. */
+struct roster_settings
+{
+    endpoint reports; ///< Where the target beside it reports.
+    endpoint readiness; ///< Where it says whether it takes callers.
+    endpoint target; ///< Where that target listens.
+    pool_id pool; ///< Pool that it belongs to.
+    milliseconds leasePeriod{6000}; ///< Right to grant keys that one confirmation by the store gives.
+    milliseconds holdPeriod{5000}; ///< How long a target may serve its keys after one report.
+    milliseconds stopNotice{2600}; ///< Between the news that it stops and its last new caller.
+};
+
 /** Settings of one daemon. */
 struct daemon_settings
 {
@@ -32,6 +44,7 @@
     std::vector<endpoint> seeds; ///< Peer ports of other daemons, asked at the start when the store is out.
     std::string logLevel = "info"; ///< Least severe events that are logged.
     log_format logFormat = log_format::text; ///< Form of the log.
+    std::optional<roster_settings> roster; ///< Present if keys are owned by leases of the store.
     milliseconds drainLimit{30000}; ///< A planned stop waits at most this long for requests in flight.
 };
 
--- a/packages/tables/src/row_type.h
+++ b/packages/tables/src/row_type.h
@@ -25,12 +25,23 @@
     order, ///< Work that is not idempotent.
 };
 
+/** Share of a route's requests that one pool gets. */
+struct pool_share
+{
+    pool_id pool; ///< Pool.
+    std::uint32_t weight = 1; ///< Its weight.
+
+    bool operator==(const pool_share &) const = default;
+};
+
 /** One route: which requests it takes, and how they are treated. */
 struct route_row
 {
     std::string name; ///< Name of the row.
+    std::string host; ///< Host that it is for; empty for all hosts.
     std::string prefix; ///< Path prefix; the longest match wins.
     pool_id pool; ///< Pool that serves it.
+    std::vector<pool_share> shares; ///< Pools that serve it by weight, in place of the one pool; empty for one.
     key_source keyFrom = key_source::none; ///< Where the key is found.
     std::uint32_t keySegment = 0; ///< Index of the path segment, from 0, for key_source::path.
     std::string keyHeader; ///< Header, for key_source::header.
@@ -38,6 +49,9 @@
     std::vector<std::string> idempotentMethods{"GET", "HEAD"}; ///< Methods that may run more than once.
     milliseconds deadline{5000}; ///< Bound on the whole request.
     std::uint64_t maxBody = 262144; ///< Bytes of a request body at most.
+    bool idempotent = false; ///< Whether all its methods may run more than once.
+    std::uint32_t rank = 2; ///< Urgency of its requests; smaller goes first.
+    std::uint32_t targetsPerRequest = 6; ///< Targets that one request may be handed to.
     std::vector<std::string> callers; ///< IP addresses or networks that may use it; empty means all.
 
     bool operator==(const route_row &) const = default;
@@ -57,6 +71,7 @@
 {
     pool_id name; ///< Name of the row.
     bool keyed = false; ///< Whether targets own keys exclusively.
+    bool numeric = false; ///< Whether keys are numbers, and slots are ranges of them.
     std::uint32_t slots = 0; ///< Hash slots, if keyed.
     std::vector<cell_share> homes; ///< Cells that hold the slots, if keyed.
     bool weighsChurn = false; ///< Whether few moves weigh more than even load.
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -16,7 +16,7 @@
 
 constexpr milliseconds keptIdleLimit{800}; ///< A kept connection older than this is not used again.
 constexpr std::size_t partSize = 32768; ///< Bytes of a body read at once.
-constexpr const char *notRunHeader = "Quetzalspool-Not-Run"; ///< The contract's refusal.
+constexpr unsigned misdirected = 421; ///< Status of a target that is not the one meant; it ran nothing.
 
 } // namespace
 
@@ -27,6 +27,8 @@
     { }
 
     endpoint address; ///< Target.
+    target_rules rules; ///< Names in its answers.
+    std::string requestId; ///< Id of the request under way, if it is echoed.
     beast::tcp_stream stream; ///< Connection.
     beast::flat_buffer buffer; ///< Bytes read ahead.
     std::optional<http::response_parser<http::buffer_body>> parser; ///< The answer being read.
@@ -37,6 +39,7 @@
 
 struct target_client
 {
+    target_rules rules; ///< Names in the targets' answers.
     std::map<endpoint, std::vector<std::shared_ptr<target_exchange>>> kept; ///< Idle connections.
 };
 
@@ -67,9 +70,11 @@
 
 } // namespace
 
-std::shared_ptr<target_client> makeTargetClient()
+std::shared_ptr<target_client> makeTargetClient(target_rules rules)
 {
-    return std::make_shared<target_client>();
+    auto client = std::make_shared<target_client>();
+    client->rules = std::move(rules);
+    return client;
 }
 
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
@@ -82,6 +87,7 @@
     }
     exchange = std::make_shared<target_exchange>(co_await asio::this_coro::executor);
     exchange->address = address;
+    exchange->rules = client->rules;
     exchange->stream.expires_after(timeout);
     error_code code;
     co_await exchange->stream.async_connect(resolved<tcp>(address), reporting(code));
@@ -109,6 +115,8 @@
     message.body() = std::move(request.body);
     message.prepare_payload();
     exchange->headOnly = request.method == "HEAD";
+    exchange->requestId =
+        exchange->rules.requestId.empty() ? "" : headerOf(request.headers, exchange->rules.requestId);
     exchange->stream.expires_at(until);
     error_code code;
     co_await http::async_write(exchange->stream, message, reporting(code));
@@ -130,16 +138,24 @@
     if (code) {
         co_return failed(why, "read the target's answer", toString(exchange->address), code.message());
     }
-    if (parser.need_eof() && !exchange->headOnly) {
+    if (parser.need_eof() && !exchange->headOnly && !exchange->rules.unframed) {
         co_return failed(why, "read the target's answer", toString(exchange->address),
                          "neither a length nor chunks: its end could not be told from a break");
     }
     const auto &message = parser.get();
+    const auto echoed = exchange->requestId.empty() ? "" : std::string(message[exchange->rules.requestId]);
+    if (echoed != exchange->requestId && !echoed.empty()) {
+        co_return failed(why, "read the target's answer", toString(exchange->address),
+                         "it is the answer to another request");
+    }
     target_head head{message.result_int(), copyHeaders(message), std::nullopt, ""};
     if (const auto length = parser.content_length()) {
         head.length = *length;
     }
-    head.notRun = headerOf(head.headers, notRunHeader);
+    head.notRun = headerOf(head.headers, exchange->rules.notRun);
+    if (head.status == misdirected && head.notRun.empty()) {
+        head.notRun = "stale-grant";
+    }
     co_return head;
 }
 
@@ -169,7 +185,7 @@
 
 void closeTarget(target_client &client, const std::shared_ptr<target_exchange> &exchange)
 {
-    if (exchange->whole && exchange->parser && exchange->parser->keep_alive()) {
+    if (exchange->whole && exchange->parser && exchange->parser->keep_alive() && exchange->buffer.size() == 0) {
         exchange->idleSince = std::chrono::steady_clock::now();
         exchange->stream.expires_never();
         client.kept[exchange->address].push_back(exchange);
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -15,6 +15,14 @@
 /** One exchange with a target. */
 struct target_exchange;
 
+/** Names by which a target's answers are understood. */
+struct target_rules
+{
+    std::string notRun; ///< Header of the contract's refusal.
+    std::string requestId; ///< Header that echoes the request's id; empty if it is not checked.
+    bool unframed = false; ///< Whether an answer may end with its connection, without a length.
+};
+
 /** The head of a target's answer. */
 struct target_head
 {
@@ -26,9 +34,10 @@
 
 /**
  * Makes a client without connections.
+ * @param rules Names in the targets' answers.
  * @return The client.
  */
-std::shared_ptr<target_client> makeTargetClient();
+std::shared_ptr<target_client> makeTargetClient(target_rules rules);
 
 /**
  * Gets a connection to a target.
@@ -54,7 +63,8 @@
                                    last_reason &why);
 
 /**
- * Waits for the head of the answer.
+ * Waits for the head of the answer. One that bears another request's id belongs to an earlier request: the connection
+ * is then of no use.
  * @param exchange Exchange.
  * @param until Latest moment.
  * @param why Receives the reason.
--- a/packages/target/tests/target_test.cpp
+++ b/packages/target/tests/target_test.cpp
@@ -41,7 +41,7 @@
     const endpoint at{"127.0.0.1", acceptor->local_endpoint().port()};
     asio::co_spawn(context, answerOnce(acceptor, bytes), asio::detached);
     auto work = [&]() -> asio::awaitable<void> {
-        const auto client = makeTargetClient();
+        const auto client = makeTargetClient({"Quetzalspool-Not-Run", "", false});
         const auto exchange = co_await openTarget(client, at, true, seconds(1), end.why);
         http_request request{"GET", "/", {}, ""};
         const auto until = clock::now() + seconds(1);
