Add: placement by learnt load, choice of targets by reported load; Fix: kept connections pile up

Ruled out: the servers' speed; the store. Change: daemons tell the planner requests by slot and speed; windows of slots move; kept connections are bounded; an attempt moves on after ten times the usual time, never from the last target allowed. The product's tests were not run on this commit.

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -16,7 +16,7 @@
 
 constexpr milliseconds connectTimeout{400}; ///< Bound on connecting to another daemon.
 constexpr milliseconds cancelTimeout{300}; ///< Bound on asking whether an attempt was handed over.
-constexpr milliseconds ownerCheck{100}; ///< Between two looks whether the awaited owner is still the owner.
+constexpr milliseconds ownerCheck{150}; ///< Between two looks whether the awaited owner is still the owner.
 constexpr milliseconds noOwnerRetry{1000}; ///< When to come back if no owner is known.
 
 /** One request while it is being tried. */
@@ -125,7 +125,8 @@
                                             std::shared_ptr<const routed_request> request,
                                             std::shared_ptr<answer_sink> sink)
 {
-    request_outcome outcome{attempt_result::answered, refusal::none, "target"};
+    auto outcome = outcomeFrom(head.headers);
+    outcome.text = "target";
     std::optional<std::uint64_t> length;
     std::vector<http_header> headers;
     for (auto &header : head.headers) {
@@ -207,6 +208,9 @@
         }
     }
     const auto now = clock::now();
+    if (outcome.busy) {
+        noteBusy(thread.balance, member.id, *outcome.busy, now);
+    }
     noteEnd(thread.balance, member.id, outcome.result == attempt_result::answered,
             std::chrono::duration_cast<milliseconds>(now - startedAt), now);
     co_return outcome;
@@ -248,7 +252,8 @@
             state.request = std::make_shared<routed_request>(*state.request);
             state.request->attempt = makeToken(thread);
             state.request->slot = choice.slot;
-            const bool mayMoveOn = choice.another && state.request->idempotent;
+            const bool lastTarget = state.handOvers + 1 >= state.request->targetsAllowed;
+            const bool mayMoveOn = choice.another && state.request->idempotent && !lastTarget;
             state.request->answerBy =
                 mayMoveOn ? clock::now() + patienceWith(thread.balance, choice.member->id) : steady_time::max();
             state.tried.insert(choice.member->id);
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -13,6 +13,8 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds connectTimeout{500}; ///< Bound on connecting to the target beside this daemon.
+constexpr milliseconds lookupIdle{3000}; ///< Idle time of a connection that a lookup may use; it can be repeated.
+constexpr milliseconds orderIdle{500}; ///< Idle time of a connection that an order may use; targets close later.
 constexpr milliseconds abandonCheck{150}; ///< Between two looks whether the caller still waits.
 constexpr std::string_view staleGrant = "stale-grant"; ///< The contract's reason for a grant that does not hold.
 constexpr milliseconds targetRetry{200}; ///< When to come back if the target refused.
@@ -143,6 +145,12 @@
     return shared.admission.targetLife;
 }
 
+/** How long a kept connection may have been idle for this request. */
+milliseconds idleFor(const routed_request &request)
+{
+    return request.idempotent ? lookupIdle : orderIdle;
+}
+
 /** Passes the body on. Returns whether it was whole and wanted to its end. */
 asio::awaitable<bool> passBody(std::shared_ptr<target_exchange> exchange, std::shared_ptr<answer_sink> sink,
                                steady_time deadline, last_reason &why)
@@ -243,7 +251,7 @@
     request_outcome outcome = notRun(refusal::no_target, unreachableRetry);
     bool progress = false;
     const auto startedAt = clock::now();
-    const auto exchange = co_await openTarget(targets, address, !request->idempotent, connectTimeout, why);
+    const auto exchange = co_await openTarget(targets, address, idleFor(*request), connectTimeout, why);
     if (exchange) {
         const auto reason = passHandOver(shared, *request, asked);
         if (reason == refusal::none) {
--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -1,6 +1,7 @@
 /** @file peer_answer.cpp Answering other daemons: runs, cancellations, documents. */
 #include "peer_answer.h"
 
+#include "admission_func.h"
 #include "documents.h"
 #include "local_run.h"
 #include "peer_wire.h"
@@ -11,13 +12,19 @@
 
 using clock = std::chrono::steady_clock;
 
+double busyNow(daemon_shared &shared)
+{
+    const std::lock_guard lock(shared.admission.mutex);
+    return busyOf(shared.admission.admission);
+}
+
 /** A sink that passes an answer back to another daemon. */
-std::shared_ptr<answer_sink> sinkTo(const std::shared_ptr<peer_responder> &responder)
+std::shared_ptr<answer_sink> sinkTo(daemon_shared &shared, const std::shared_ptr<peer_responder> &responder)
 {
     auto sink = std::make_shared<answer_sink>();
-    sink->head = [responder](unsigned status, std::vector<http_header> headers,
+    sink->head = [&shared, responder](unsigned status, std::vector<http_header> headers,
                              std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
-        sendHead(*responder, status, answerHeaders(headers, length));
+        sendHead(*responder, status, answerHeaders(headers, length, busyNow(shared)));
         co_return !isAbandoned(*responder);
     };
     sink->part = [responder](std::string part) { return sendPart(responder, std::move(part)); };
@@ -32,9 +39,10 @@
     request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
     if (request) {
         const auto held = std::make_shared<routed_request>(std::move(*request));
-        outcome = co_await runLocally(*thread.shared, thread.targets, held, sinkTo(responder));
+        outcome = co_await runLocally(*thread.shared, thread.targets, held, sinkTo(*thread.shared, responder));
     }
     if (outcome.result != attempt_result::answered) {
+        outcome.busy = busyNow(*thread.shared);
         sendHead(*responder, 200, outcomeHeaders(outcome));
         endAnswer(*responder);
     }
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -2,12 +2,14 @@
 #include "peer_wire.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace quetzalspool {
 
 namespace {
 
 constexpr std::string_view ownPrefix = "qs-"; ///< Headers of this protocol; all others are the caller's.
+constexpr const char *busyHeader = "qs-busy"; ///< Requests at the target in hundredths of its slots.
 constexpr const char *passedPrefix = "qs-h-"; ///< In front of a caller's header, so that none can pass for ours.
 
 std::string lower(std::string text)
@@ -21,6 +23,11 @@
     return std::atoll(headerOf(headers, name).c_str());
 }
 
+std::string busyText(double busy)
+{
+    return std::to_string(std::lround(busy * 100));
+}
+
 std::vector<http_header> passedHeaders(const std::vector<http_header> &headers)
 {
     std::vector<http_header> passed;
@@ -86,11 +93,15 @@
 
 std::vector<http_header> outcomeHeaders(const request_outcome &outcome)
 {
-    return {{"qs-outcome", nameOf(outcome.result)},
+    std::vector<http_header> headers{{"qs-outcome", nameOf(outcome.result)},
             {"qs-reason", std::to_string(static_cast<int>(outcome.reason))},
             {"qs-text", outcome.text},
             {"qs-handed-over", outcome.handedOver ? "1" : "0"},
             {"qs-retry-ms", std::to_string(outcome.retryAfter.count())}};
+    if (outcome.busy) {
+        headers.emplace_back(busyHeader, busyText(*outcome.busy));
+    }
+    return headers;
 }
 
 request_outcome outcomeFrom(const std::vector<http_header> &headers)
@@ -107,12 +118,17 @@
     outcome.text = headerOf(headers, "qs-text");
     outcome.handedOver = headerOf(headers, "qs-handed-over") == "1";
     outcome.retryAfter = milliseconds(numberOf(headers, "qs-retry-ms"));
+    const auto busy = headerOf(headers, busyHeader);
+    if (!busy.empty()) {
+        outcome.busy = std::atof(busy.c_str()) / 100;
+    }
     return outcome;
 }
 
-std::vector<http_header> answerHeaders(const std::vector<http_header> &headers, std::optional<std::uint64_t> length)
+std::vector<http_header> answerHeaders(const std::vector<http_header> &headers, std::optional<std::uint64_t> length,
+                                       double busy)
 {
-    std::vector<http_header> out{{"qs-outcome", "answered"}};
+    std::vector<http_header> out{{"qs-outcome", "answered"}, {busyHeader, busyText(busy)}};
     if (length) {
         out.emplace_back("qs-length", std::to_string(*length));
     }
--- a/packages/daemon/src/peer_wire.h
+++ b/packages/daemon/src/peer_wire.h
@@ -46,9 +46,11 @@
  * Turns a target's headers into those of the answer between daemons.
  * @param headers Headers.
  * @param length Bytes of the body, if known.
+ * @param busy How busy the target is.
  * @return Headers, names in lower case.
  */
-std::vector<http_header> answerHeaders(const std::vector<http_header> &headers, std::optional<std::uint64_t> length);
+std::vector<http_header> answerHeaders(const std::vector<http_header> &headers, std::optional<std::uint64_t> length,
+                                       double busy);
 
 } // namespace quetzalspool
 
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -4,6 +4,7 @@
 #include "admission_func.h"
 #include "http_server.h"
 #include "log_func.h"
+#include "message_type.h"
 #include "roster_func.h"
 #include "roster_sync.h"
 #include "routing_func.h"
@@ -17,6 +18,8 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds tickInterval{50}; ///< Between two looks at what is due.
+constexpr milliseconds loadInterval{1000}; ///< Between two messages about the own load.
+constexpr double speedUnit = 1e6; ///< A time of work in milliseconds divides it into requests in 1000 seconds.
 constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
 const cell_id rosterCell{"roster"}; ///< Name under which the roster stands in the routing view.
 
@@ -112,10 +115,90 @@
     publish(control);
 }
 
+/** What was asked of the own slots since the last call. */
+load_message takeOwnLoad(roster_control &control)
+{
+    load_message message{control.state.self.member.id, control.state.self.member.target.pool, 0, {}};
+    auto &gate = control.shared->admission;
+    const std::lock_guard lock(gate.mutex);
+    for (const auto &[slot, count] : gate.admission.demand) {
+        message.slots.emplace_back(slot.value, count);
+    }
+    if (!gate.admission.demand.empty()) {
+        message.speed = static_cast<std::uint64_t>(speedUnit / std::max(gate.admission.serviceMs, 1.0));
+    }
+    gate.admission.demand.clear();
+    return message;
+}
+
+/** Tells the daemon that plans for all about the own load. */
+void tellLoad(roster_control &control, steady_time now)
+{
+    if (now < control.nextLoad) {
+        return;
+    }
+    control.nextLoad = now + loadInterval;
+    const auto message = takeOwnLoad(control);
+    if (message.slots.empty()) {
+        return;
+    }
+    if (plansForAll(control.state)) {
+        takeLoad(control.state, message, now);
+        return;
+    }
+    for (const auto &[id, seen] : control.state.nodes) {
+        if (seen.present && seen.node) {
+            const auto bytes = encodeMessage(message);
+            const auto &at = seen.node->member.at;
+            error_code code;
+            // A datagram that can't be sent at once is lost like any other.
+            control.socket.send_to(asio::buffer(bytes), resolved<udp>({at.host, at.peers}), 0, code);
+            return;
+        }
+    }
+}
+
+asio::awaitable<void> receiveLoads(roster_control &control)
+{
+    for (;;) {
+        udp::endpoint from;
+        error_code code;
+        const auto length =
+            co_await control.socket.async_receive_from(asio::buffer(control.received), from, reporting(code));
+        if (code == asio::error::operation_aborted) {
+            co_return;
+        }
+        last_reason why;
+        const auto message =
+            code ? std::nullopt : decodeMessage({control.received.data(), length}, why);
+        if (message && std::holds_alternative<load_message>(*message)) {
+            takeLoad(control.state, std::get<load_message>(*message), clock::now());
+        } else {
+            logEvent(log_level::debug, "bad-datagram", {{"peer", from.address().to_string()}, {"reason", why.text}});
+        }
+    }
+}
+
+bool bindSocket(roster_control &control, last_reason &why)
+{
+    const auto &settings = control.shared->settings;
+    const auto at = resolved<udp>({settings.host, settings.peersPort});
+    error_code code;
+    control.socket.open(at.protocol(), code);
+    if (!code) {
+        control.socket.bind(at, code);
+    }
+    if (code) {
+        failed(why, "bind the control socket", settings.host, code.message());
+    }
+    return !code;
+}
+
 asio::awaitable<void> tickLoop(roster_control &control)
 {
     for (;;) {
         advance(control);
+        tellLoad(control, clock::now());
         advanceGate(control.shared->admission, clock::now());
         setGauge(*control.shared->numbers, "store_calls", static_cast<double>(control.port.storeCalls()));
         setGauge(*control.shared->numbers, "slots_owned", static_cast<double>(control.served.size()));
@@ -232,9 +315,10 @@
     timing.leasePeriod = roster.leasePeriod;
     timing.holdPeriod = roster.holdPeriod;
     control.state = startRoster(makeSelf(*control.shared), timing, clock::now());
-    if (!startListeners(control, why)) {
+    if (!bindSocket(control, why) || !startListeners(control, why)) {
         return false;
     }
+    asio::co_spawn(control.context, receiveLoads(control), asio::detached);
     const auto onChange = [&control] { advance(control); };
     asio::co_spawn(control.context, followTables(control, onChange), asio::detached);
     asio::co_spawn(control.context, followRoster(control, onChange), asio::detached);
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -6,6 +6,8 @@
 #include "roster_port.h"
 #include "shared_base.h"
 
+#include <array>
+
 namespace quetzalspool {
 
 /** What the control thread owns. */
@@ -19,6 +21,9 @@
     std::shared_ptr<const route_table> tables; ///< Tables in force; null before the first.
     revision_number tablesRevision; ///< Their revision in the store.
     std::vector<fenced_slot> served; ///< Slots open at the gate.
+    udp::socket socket{context}; ///< Datagrams about loads.
+    std::array<char, 8192> received{}; ///< The datagram being received.
+    steady_time nextLoad{}; ///< When to tell about the own load next.
     bool storeHeard = true; ///< Whether the last call to the store was answered.
     bool wasReady = false; ///< Whether callers were taken at any time.
     bool stopping = false; ///< Whether a planned stop is under way.
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -83,6 +83,7 @@
     steady_time lastProgress{}; ///< Last time a request finished, or the target became busy.
     bool probing = false; ///< Whether only one request at a time is tried, after a stall.
     double serviceMs = 5.0; ///< Smoothed service time in milliseconds.
+    std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since it was last taken.
     std::map<refusal, std::uint64_t> refusals; ///< Refusals by reason, for metrics.
 };
 
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -147,6 +147,9 @@
     if (const auto reason = checkAll(state, request, now); reason != refusal::none) {
         return refuse(state, reason, retryFor(state, reason));
     }
+    if (request.slot) {
+        ++state.demand[request.slot->slot];
+    }
     if (state.inFlight < concurrencyNow(state, now) && state.queue.empty()) {
         start(state, request, now);
         return {true};
@@ -233,6 +236,11 @@
     state.slots = std::move(next);
 }
 
+double busyOf(const admission_state &state)
+{
+    return static_cast<double>(state.inFlight + state.queue.size()) / std::max<std::uint32_t>(state.limits.concurrency, 1);
+}
+
 void closeSlot(admission_state &state, const fenced_slot &slot)
 {
     const auto found = state.slots.find({slot.pool, slot.slot});
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -61,6 +61,13 @@
 void setServed(admission_state &state, const std::vector<fenced_slot> &served, steady_time leaseUntil,
                milliseconds grace, steady_time now);
 
+/**
+ * Tells how busy the target is.
+ * @param state Admission.
+ * @return Requests admitted and waiting per slot of the target.
+ */
+double busyOf(const admission_state &state);
+
 /**
  * Closes a slot for new requests.
  * @param state Admission.
--- a/packages/decisions/src/balance_base.h
+++ b/packages/decisions/src/balance_base.h
@@ -16,6 +16,8 @@
     steady_time ejectedUntil{}; ///< Not chosen before this moment, unless nothing else is left.
     milliseconds ejection{0}; ///< Length of the last ejection.
     double latencyMs = 0; ///< Smoothed time to an answer.
+    double busy = 0; ///< Requests admitted and waiting there per slot, as its daemon last said.
+    steady_time busyAt{}; ///< When it said so.
 };
 
 /** Limits of ejection. */
--- a/packages/decisions/src/balance_cmd.cpp
+++ b/packages/decisions/src/balance_cmd.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
-constexpr int farthest = 3; ///< Distance of an ejected target, tried as a last resort.
-constexpr double patienceFactor = 20; ///< Times the usual latency.
-constexpr milliseconds leastPatience{250}; ///< Shortest patience with one target.
+constexpr double domainPenalty = 0.15; ///< Load by which a target of the own domain may exceed another one.
+constexpr double farPenalty = 1.0; ///< The same for the own region: near targets are full at a load of 1.
+constexpr double ejectedPenalty = 100; ///< An ejected target is tried as a last resort.
+constexpr std::uint64_t jitterSteps = 1024; ///< Steps of the random part of a score.
+constexpr double mostJitter = 0.05; ///< Random part of a score, so that daemons don't all choose the same target.
+constexpr milliseconds busyAge{1500}; ///< After this long a target's word about its load counts for nothing.
+constexpr double patienceFactor = 10; ///< Times the usual latency.
+constexpr milliseconds leastPatience{1000}; ///< Shortest patience with one target.
 constexpr milliseconds mostPatience{5000}; ///< Longest patience with one target.
 constexpr double latencySmoothing = 0.2; ///< Weight of the newest latency.
 
@@ -21,23 +26,21 @@
     return found == state.targets.end() ? unknown : found->second;
 }
 
-/** 0 in the same failure domain, 1 in the same region, 2 in another, 3 if ejected. */
-int distanceOf(const balance_state &state, const cell_member &member, const balance_place &place, steady_time now)
+/** What distance adds to the load of a target. The slow link is worth it only if the near targets are overloaded. */
+double distanceOf(const cell_member &member, const balance_place &place)
 {
-    if (now < evidenceOf(state, member.id).ejectedUntil) {
-        return farthest;
-    }
     if (member.region != place.region) {
-        return 2;
+        return farPenalty;
     }
-    return member.domain == place.domain ? 0 : 1;
+    return member.domain == place.domain ? 0 : domainPenalty;
 }
 
-/** Requests under way per slot, with latency as the tie-breaker. */
-double loadOf(const balance_state &state, const cell_member &member)
+/** Requests per slot: what its daemon said, unless that is old, and at least what went there from here. */
+double loadOf(const balance_state &state, const cell_member &member, steady_time now)
 {
     const auto &evidence = evidenceOf(state, member.id);
-    return (evidence.inFlight + 1.0) * (1.0 + evidence.latencyMs) / std::max<std::uint32_t>(member.target.slots, 1);
+    const auto own = static_cast<double>(evidence.inFlight) / std::max<std::uint32_t>(member.target.slots, 1);
+    return now - evidence.busyAt < busyAge ? std::max(own, evidence.busy) : own;
 }
 
 } // namespace
@@ -46,32 +49,38 @@
                                 const std::set<instance_id> &tried, const balance_place &place, std::mt19937_64 &random,
                                 steady_time now)
 {
-    std::vector<const cell_member *> nearest;
-    int best = farthest + 1;
+    const cell_member *best = nullptr;
+    double bestScore = 0;
     for (const auto *member : members) {
         if (member->leaving || tried.contains(member->id)) {
             continue;
         }
-        const auto distance = distanceOf(state, *member, place, now);
-        if (distance < best) {
-            best = distance;
-            nearest.clear();
-        }
-        if (distance == best) {
-            nearest.push_back(member);
+        const bool ejected = now < evidenceOf(state, member->id).ejectedUntil;
+        const auto jitter = static_cast<double>(random() % jitterSteps) / jitterSteps * mostJitter;
+        const auto score =
+            loadOf(state, *member, now) + distanceOf(*member, place) + (ejected ? ejectedPenalty : 0) + jitter;
+        if (best == nullptr || score < bestScore) {
+            best = member;
+            bestScore = score;
         }
     }
-    if (nearest.empty()) {
-        return nullptr;
-    }
-    const auto *first = nearest[random() % nearest.size()];
-    const auto *second = nearest[random() % nearest.size()];
-    return loadOf(state, *first) <= loadOf(state, *second) ? first : second;
+    return best;
+}
+
+void noteBusy(balance_state &state, const instance_id &target, double busy, steady_time now)
+{
+    auto &evidence = state.targets[target];
+    evidence.busy = busy;
+    evidence.busyAt = now;
 }
 
 milliseconds patienceWith(const balance_state &state, const instance_id &target)
 {
-    const milliseconds usual(std::llround(evidenceOf(state, target).latencyMs * patienceFactor));
+    const auto latency = evidenceOf(state, target).latencyMs;
+    if (latency <= 0) {
+        return mostPatience; // Nothing is known yet.
+    }
+    const milliseconds usual(std::llround(latency * patienceFactor));
     return std::clamp(usual, leastPatience, mostPatience);
 }
 
--- a/packages/decisions/src/balance_func.h
+++ b/packages/decisions/src/balance_func.h
@@ -18,8 +18,8 @@
 };
 
 /**
- * Chooses a target: of the nearest failure domain that has a usable one, the better of two picked at random.
- * A target in another region is chosen only if none of this region is usable.
+ * Chooses the target with the least load, where distance counts as load: a near target is preferred until it is
+ * clearly busier, and another region is chosen only if the targets of this one are full or unusable.
  * @param state Evidence.
  * @param members Targets of the pool.
  * @param tried Targets already tried for this request.
@@ -40,6 +40,15 @@
  */
 milliseconds patienceWith(const balance_state &state, const instance_id &target);
 
+/**
+ * Notes how busy a target is, as the daemon beside it said in an answer.
+ * @param state Evidence.
+ * @param target Target.
+ * @param busy Requests admitted and waiting there per slot.
+ * @param now Present time.
+ */
+void noteBusy(balance_state &state, const instance_id &target, double busy, steady_time now);
+
 /**
  * Notes that a request goes to a target.
  * @param state Evidence.
--- a/packages/decisions/src/message.cpp
+++ b/packages/decisions/src/message.cpp
@@ -45,6 +45,8 @@
         return use(m.cell, m.owner, m.pool, m.slots);
     } else if constexpr (std::is_same_v<kind, announce_message>) {
         return use(m.sender, m.key, m.revision);
+    } else if constexpr (std::is_same_v<kind, load_message>) {
+        return use(m.sender, m.pool, m.speed, m.slots);
     } else {
         return use(m.sender, m.summary, m.reply);
     }
--- a/packages/decisions/src/message_type.h
+++ b/packages/decisions/src/message_type.h
@@ -103,9 +103,18 @@
     bool reply = false; ///< Whether it answers a digest that differed; such a one is not answered.
 };
 
+/** How much is asked of the slots of one daemon, and how fast its target works. */
+struct load_message
+{
+    instance_id sender; ///< Daemon.
+    pool_id pool; ///< Pool of its target.
+    std::uint64_t speed = 0; ///< Requests that one slot of its target finishes in 1000 seconds; 0 if unknown.
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> slots; ///< Slots, each with requests since the last message.
+};
+
 using control_message =
     std::variant<renew_message, vouch_message, end_message, ended_message, retire_message, retired_message,
-                 release_message, released_message, announce_message, digest_message>;
+                 release_message, released_message, announce_message, digest_message, load_message>;
 
 /**
  * Encodes a message as MessagePack.
--- a/packages/decisions/src/retry_cmd.cpp
+++ b/packages/decisions/src/retry_cmd.cpp
@@ -49,6 +49,9 @@
     if (question.keyed && question.result == attempt_result::not_run && question.reachedOwner) {
         return {};
     }
+    if (question.reason == refusal::leaving && free) {
+        return {true, milliseconds(0)}; // The next choice goes elsewhere.
+    }
     if (budget.tokens < 1) {
         return {};
     }
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -53,9 +53,9 @@
 /** Load of each slot of one pool and how fast its targets work, as far as learnt. */
 struct pool_load
 {
-    std::vector<double> slots; ///< Work asked for, by slot, in target-seconds a second at usual speed.
-    std::map<instance_id, double> speed; ///< Speed of the target beside a daemon; 1 is usual.
-    steady_time since{}; ///< Start of learning.
+    std::vector<double> slots; ///< Smoothed requests a second, by slot.
+    std::map<instance_id, double> speed; ///< Requests that one slot of a daemon's target finishes in a second.
+    steady_time decayedAt{}; ///< When the loads were last aged.
 };
 
 /** One daemon's view of the roster. */
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -2,6 +2,7 @@
 #ifndef ROSTER_FUNC_H
 #define ROSTER_FUNC_H
 
+#include "message_type.h"
 #include "roster_base.h"
 
 #include <string_view>
@@ -161,14 +162,22 @@
 bool placeRuns(run_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load,
                fence_number fence);
 
+/**
+ * Takes what a daemon says of the load of its slots and the speed of its target.
+ * @param state Roster.
+ * @param message What it says.
+ * @param now Present time.
+ */
+void takeLoad(roster_state &state, const load_message &message, steady_time now);
+
 /**
  * Marks runs for planned moves from loaded to idle owners, if that pays.
  * @param record Owners; changed.
  * @param candidates Nodes whose target belongs to the pool and wants work.
- * @param load Learnt load.
+ * @param load Learnt load, or null.
  * @return Whether anything changed.
  */
-bool planMoves(run_record &record, const std::vector<const roster_node *> &candidates, const pool_load &load);
+bool planMoves(run_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load);
 
 /**
  * Joins neighbouring runs that differ in nothing but their slots.
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -11,7 +11,16 @@
 namespace {
 
 constexpr milliseconds balanceInterval{1000}; ///< Between two looks whether a planned move pays.
-constexpr double leastSpeed = 0.05; ///< A target is never reckoned slower than this.
+constexpr double leastSpeed = 0.02; ///< Requests a second and slot; a target is never reckoned slower.
+constexpr double unaskedLoad = 2.0 / numericSlots; ///< Load of a slot without requests: 2 a second for all slots.
+constexpr double fullRatio = 1.2; ///< A target with more than this part of its fair load gives some away.
+constexpr double idleRatio = 0.6; ///< A target with less than this part of its fair load gets some.
+constexpr double leastOfWanted = 0.4; ///< A move of less than this part of the wanted load isn't worth it.
+constexpr double mostOfWanted = 1.1; ///< A move of more than this part of the wanted load would overshoot.
+constexpr std::size_t movesAtOnce = 4; ///< Windows of slots that one write marks to move.
+constexpr milliseconds decayInterval{1000}; ///< Between two steps of ageing.
+constexpr double decayFactor = 0.7; ///< What remains of a load after one step: some three seconds are remembered.
+constexpr double speedUnit = 1000; ///< Speeds are sent in thousandths.
 
 /** Owners of a pool that are being changed. */
 struct run_draft
@@ -135,12 +144,13 @@
     }
 }
 
+/** Load of some slots. Each slot counts a little, so that slots nobody asked for yet are spread too. */
 double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
 {
+    double sum = (last - first + 1) * unaskedLoad;
     if (load == nullptr || load->slots.empty()) {
-        return last - first + 1;
+        return sum;
     }
-    double sum = 0;
     for (auto slot = first; slot <= last; ++slot) {
         sum += load->slots[slot];
     }
@@ -149,12 +159,19 @@
 
 double speedOf(const roster_node &node, const pool_load *load)
 {
-    double speed = std::max<std::uint32_t>(node.member.target.slots, 1);
-    if (load != nullptr) {
-        const auto known = load->speed.find(node.member.id);
-        speed *= known == load->speed.end() ? 1.0 : std::max(known->second, leastSpeed);
+    const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
+    if (load == nullptr || load->speed.empty()) {
+        return slots;
+    }
+    const auto known = load->speed.find(node.member.id);
+    if (known != load->speed.end()) {
+        return slots * std::max(known->second, leastSpeed);
+    }
+    double sum = 0;
+    for (const auto &entry : load->speed) {
+        sum += entry.second;
     }
-    return speed;
+    return slots * std::max(sum / static_cast<double>(load->speed.size()), leastSpeed);
 }
 
 /** Load of one candidate's runs and its fair share. */
@@ -209,6 +226,72 @@
     return run.last;
 }
 
+/** Neighbouring slots of one owner. */
+struct slot_window
+{
+    std::uint32_t first = 0; ///< First slot.
+    std::uint32_t last = 0; ///< Last slot, inclusive.
+    double load = 0; ///< Their load.
+};
+
+/** The fewest neighbouring slots of one run with about the wanted load: moving few keys costs least. */
+void searchRun(const key_run &run, const pool_load *load, double wanted, std::optional<slot_window> &best)
+{
+    double sum = 0;
+    auto first = run.first;
+    for (auto last = run.first; last <= run.last; ++last) {
+        sum += loadBetween(load, last, last);
+        while (sum > wanted * mostOfWanted && first <= last) {
+            sum -= loadBetween(load, first, first);
+            ++first;
+        }
+        const bool enough = first <= last && sum >= wanted * leastOfWanted;
+        if (enough && (!best || last - first < best->last - best->first)) {
+            best = slot_window{first, last, sum};
+        }
+    }
+}
+
+std::optional<slot_window> cheapestWindow(const run_record &record, const instance_id &owner, const pool_load *load,
+                                          double wanted)
+{
+    std::optional<slot_window> best;
+    for (const auto &run : record.runs) {
+        if (run.owner == owner && run.next.value.empty()) {
+            searchRun(run, load, wanted, best);
+        }
+    }
+    return best;
+}
+
+/** Cuts a window out of its run and names its next owner. */
+void markWindow(run_record &record, const slot_window &window, const instance_id &next)
+{
+    std::vector<key_run> runs;
+    for (const auto &run : record.runs) {
+        if (window.first < run.first || window.first > run.last) {
+            runs.push_back(run);
+            continue;
+        }
+        auto part = run;
+        if (run.first < window.first) {
+            part.last = window.first - 1;
+            runs.push_back(part);
+        }
+        part = run;
+        part.first = window.first;
+        part.last = window.last;
+        part.next = next;
+        runs.push_back(part);
+        if (window.last < run.last) {
+            part = run;
+            part.first = window.last + 1;
+            runs.push_back(part);
+        }
+    }
+    record.runs = std::move(runs);
+}
+
 /** Whether the first owners of a pool may be chosen: the set of nodes has been quiet for a moment. */
 bool isSettled(const roster_state &state, steady_time now)
 {
@@ -298,9 +381,11 @@
     if (planner || draft.changed) {
         draft.changed = placeRuns(draft.record, candidates, load, draft.fence) || draft.changed;
     }
-    if (planner && !draft.changed && load != nullptr && now >= state.nextBalance) {
+    const bool moving = std::any_of(draft.record.runs.begin(), draft.record.runs.end(),
+                                    [](const auto &run) { return !run.next.value.empty(); });
+    if (planner && !draft.changed && !moving && now >= state.nextBalance) {
         state.nextBalance = now + balanceInterval;
-        draft.changed = planMoves(draft.record, candidates, *load);
+        draft.changed = planMoves(draft.record, candidates, load);
     }
     // After a write without an answer, another one under the same condition tells which of the two took effect.
     if (!draft.changed && !state.unclearWrites.contains(pool)) {
@@ -314,10 +399,55 @@
                          own == state.nodes.end() ? revision_number{} : own->second.marker, std::move(draft.absent)};
 }
 
-bool planMoves(run_record & /*record*/, const std::vector<const roster_node *> & /*candidates*/,
-               const pool_load & /*load*/)
+bool planMoves(run_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
 {
-    return false;
+    bool changed = false;
+    if (candidates.size() < 2) {
+        return false;
+    }
+    auto loads = loadsOf(record, candidates, load);
+    for (std::size_t move = 0; move < movesAtOnce; ++move) {
+        const auto ratio = [](const candidate_load &entry) { return entry.load / entry.fair; };
+        const auto [idle, full] = std::minmax_element(
+            loads.begin(), loads.end(), [&](const auto &a, const auto &b) { return ratio(a) < ratio(b); });
+        if (ratio(*full) < fullRatio && ratio(*idle) > idleRatio) {
+            break;
+        }
+        const auto wanted = std::min(full->load - full->fair, idle->fair - idle->load);
+        const auto window = cheapestWindow(record, full->node->member.id, load, wanted);
+        if (!window) {
+            break;
+        }
+        markWindow(record, *window, idle->node->member.id);
+        full->load -= window->load;
+        idle->load += window->load;
+        changed = true;
+    }
+    return changed;
+}
+
+void takeLoad(roster_state &state, const load_message &message, steady_time now)
+{
+    auto &load = state.loads[message.pool];
+    if (load.slots.empty()) {
+        load.slots.assign(numericSlots, 0);
+        load.decayedAt = now;
+    }
+    // Ageing by steps keeps the sum of all slots an estimate of requests a second.
+    while (now - load.decayedAt >= decayInterval) {
+        load.decayedAt += decayInterval;
+        for (auto &slot : load.slots) {
+            slot *= decayFactor;
+        }
+    }
+    for (const auto &[slot, count] : message.slots) {
+        if (slot < numericSlots) {
+            load.slots[slot] += (1 - decayFactor) * static_cast<double>(count);
+        }
+    }
+    if (message.speed > 0) {
+        load.speed[message.sender] = static_cast<double>(message.speed) / speedUnit;
+    }
 }
 
 } // namespace quetzalspool
--- a/packages/decisions/src/roster_type.h
+++ b/packages/decisions/src/roster_type.h
@@ -25,7 +25,7 @@
     milliseconds entryTtl{3000}; ///< Time to live of the store lease under the own entry.
     milliseconds entryRenewal{900}; ///< Between two renewals of that store lease.
     milliseconds holdPeriod{5000}; ///< How long a target may serve its keys after one report.
-    milliseconds settleTime{1000}; ///< Quiet time before the first owners of a pool are chosen.
+    milliseconds settleTime{1500}; ///< Quiet time before the first owners of a pool are chosen.
     milliseconds absentLimit{3000}; ///< A node whose entry is missing for this long gets no new work.
     milliseconds retryInterval{150}; ///< Wait after a failed call to the store.
     std::uint32_t driftPercent = 3; ///< Margin for clocks that run at different rates.
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr milliseconds keptIdleLimit{800}; ///< A kept connection older than this is not used again.
+constexpr milliseconds keptIdleLimit{4000}; ///< A kept connection that is idle for longer is closed.
+constexpr std::size_t keptAtMost = 24; ///< Kept connections to one target at most.
 constexpr std::size_t partSize = 32768; ///< Bytes of a body read at once.
 constexpr unsigned misdirected = 421; ///< Status of a target that is not the one meant; it ran nothing.
 
@@ -55,13 +56,19 @@
     return code == asio::error::would_block;
 }
 
-std::shared_ptr<target_exchange> takeKept(target_client &client, const endpoint &address)
+/** The connection that was used last, if it is fresh enough. Older ones are closed as they age. */
+std::shared_ptr<target_exchange> takeKept(target_client &client, const endpoint &address, milliseconds idleAtMost)
 {
     auto &kept = client.kept[address];
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(kept, [&](const auto &exchange) { return now - exchange->idleSince >= keptIdleLimit; });
     while (!kept.empty()) {
+        if (now - kept.back()->idleSince >= idleAtMost) {
+            return nullptr;
+        }
         auto exchange = std::move(kept.back());
         kept.pop_back();
-        if (std::chrono::steady_clock::now() - exchange->idleSince < keptIdleLimit && looksOpen(*exchange)) {
+        if (looksOpen(*exchange)) {
             return exchange;
         }
     }
@@ -78,9 +85,9 @@
 }
 
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
-                                                             bool fresh, milliseconds timeout, last_reason &why)
+                                                             milliseconds idleAtMost, milliseconds timeout, last_reason &why)
 {
-    auto exchange = fresh ? nullptr : takeKept(*client, address);
+    auto exchange = takeKept(*client, address, idleAtMost);
     if (exchange) {
         exchange->whole = false;
         co_return exchange;
@@ -188,7 +195,11 @@
     if (exchange->whole && exchange->parser && exchange->parser->keep_alive() && exchange->buffer.size() == 0) {
         exchange->idleSince = std::chrono::steady_clock::now();
         exchange->stream.expires_never();
-        client.kept[exchange->address].push_back(exchange);
+        auto &kept = client.kept[exchange->address];
+        kept.push_back(exchange);
+        if (kept.size() > keptAtMost) {
+            kept.erase(kept.begin());
+        }
         return;
     }
     cancelTarget(*exchange);
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -43,13 +43,14 @@
  * Gets a connection to a target.
  * @param client Client.
  * @param address Target.
- * @param fresh Whether to make a new one: a kept one may be closed by the target while a request is on its way.
+ * @param idleAtMost A kept connection that was idle for longer is not used: the target may close it while a request
+ *                   is on its way. 0 always makes a new one.
  * @param timeout Bound on connecting.
  * @param why Receives the reason.
  * @return The exchange, or null; then nothing was sent.
  */
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
-                                                             bool fresh, milliseconds timeout, last_reason &why);
+                                                             milliseconds idleAtMost, milliseconds timeout, last_reason &why);
 
 /**
  * Sends a request. From the call on, the target may run it.
--- a/packages/target/tests/target_test.cpp
+++ b/packages/target/tests/target_test.cpp
@@ -42,7 +42,7 @@
     asio::co_spawn(context, answerOnce(acceptor, bytes), asio::detached);
     auto work = [&]() -> asio::awaitable<void> {
         const auto client = makeTargetClient({"Quetzalspool-Not-Run", "", false});
-        const auto exchange = co_await openTarget(client, at, true, seconds(1), end.why);
+        const auto exchange = co_await openTarget(client, at, milliseconds(0), seconds(1), end.why);
         http_request request{"GET", "/", {}, ""};
         const auto until = clock::now() + seconds(1);
         end.sent = co_await sendToTarget(exchange, request, until, end.why);
