--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -142,6 +142,7 @@
         deadline = std::min(deadline, milliseconds(wanted));
     }
     request.deadline = origin.now + deadline;
+    request.goal = route.latencyGoal.count() > 0 ? origin.now + route.latencyGoal : request.deadline;
     auto id = headerOf(http.headers, names.requestId);
     id = id.empty() ? headerOf(http.headers, "Idempotency-Key") : id;
     const bool given = !id.empty() && id.size() <= maxIdBytes;
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -27,6 +27,7 @@
     std::set<instance_id> tried; ///< Targets already tried, for pools not divided by key.
     std::uint32_t attempts = 0; ///< Attempts made.
     std::uint32_t handOvers = 0; ///< Targets that it was handed to.
+    bool mayHaveRun = false; ///< Whether the outcome of an attempt is unknown.
     milliseconds waited{0}; ///< Waits between attempts.
 };
 
@@ -263,9 +264,14 @@
         if (outcome.result == attempt_result::answered || state.sink->abandoned()) {
             co_return outcome;
         }
+        state.mayHaveRun = state.mayHaveRun || outcome.result == attempt_result::unknown;
         state.handOvers += outcome.handedOver || outcome.result == attempt_result::unknown ? 1 : 0;
         const auto answer = decideRetry(questionOf(state, outcome), thread.budget, thread.retryLimits, clock::now());
         if (!answer.again) {
+            if (state.mayHaveRun) {
+                // The last attempt was not run, but "not run" must be true of the whole request.
+                outcome.result = attempt_result::unknown;
+            }
             co_return outcome;
         }
         countMetric(*thread.shared->numbers, "retries_total");
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -25,6 +25,7 @@
     std::uint32_t rank = 2; ///< Urgency; smaller goes first.
     std::uint32_t targetsAllowed = 6; ///< Targets that it may be handed to.
     steady_time deadline{}; ///< When the caller no longer waits.
+    steady_time goal = steady_time::max(); ///< An answer is worth less after this moment.
     steady_time answerBy{steady_time::max()}; ///< When this attempt is given up if no answer has begun.
 };
 
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -44,6 +44,7 @@
 peer_request toPeer(const routed_request &request, steady_time now)
 {
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now);
+    const auto untilGoal = std::chrono::duration_cast<milliseconds>(std::min(request.goal, request.deadline) - now);
     peer_request out{runPath,
                      {{"qs-method", request.http.method},
                       {"qs-path", request.http.path},
@@ -52,6 +53,7 @@
                       {"qs-pool", request.pool.value},
                       {"qs-class", request.kind == request_class::order ? "order" : "lookup"},
                       {"qs-idempotent", request.idempotent ? "1" : "0"},
+                      {"qs-goal-ms", std::to_string(untilGoal.count())},
                       {"qs-rank", std::to_string(request.rank)},
                       {"qs-deadline-ms", std::to_string(left.count())}},
                      request.http.body};
@@ -77,6 +79,7 @@
     in.kind = headerOf(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
     in.idempotent = headerOf(request.headers, "qs-idempotent") == "1";
     in.rank = static_cast<std::uint32_t>(numberOf(request.headers, "qs-rank"));
+    in.goal = now + milliseconds(numberOf(request.headers, "qs-goal-ms"));
     in.deadline = now + milliseconds(numberOf(request.headers, "qs-deadline-ms"));
     const auto fence = headerOf(request.headers, "qs-fence");
     if (!fence.empty()) {
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds tickInterval{50}; ///< Between two looks at what is due.
 constexpr milliseconds loadInterval{1000}; ///< Between two messages about the own load.
 constexpr double speedUnit = 1e6; ///< A time of work in milliseconds divides it into requests in 1000 seconds.
+constexpr double firstService = 200; ///< Time of work in milliseconds that is assumed before any was seen.
 constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
 const cell_id rosterCell{"roster"}; ///< Name under which the roster stands in the routing view.
 
@@ -80,7 +81,7 @@
 {
     const auto &target = control.state.target;
     std::vector<fenced_slot> served;
-    for (const auto &[pool, run] : servedRuns(control.state)) {
+    for (const auto &[pool, run] : grantedRuns(control.state)) {
         for (auto slot = run.first; slot <= run.last; ++slot) {
             served.push_back({pool, {slot}, run.fence});
         }
@@ -88,10 +89,10 @@
     auto &gate = control.shared->admission;
     const std::lock_guard lock(gate.mutex);
     auto &admission = gate.admission;
-    admission.leaseUntil = target.holdsUntil;
+    admission.leaseUntil = target.servesUntil;
     admission.leaving = target.leaving || target.gone;
     if (served != control.served) {
-        setServed(admission, served, target.holdsUntil, milliseconds(0), now);
+        setServed(admission, served, target.servesUntil, milliseconds(0), now);
         control.served = std::move(served);
     }
 }
@@ -218,6 +219,8 @@
     gate.admission.announcedAt = clock::now();
     gate.admission.limits.warmUp = milliseconds(1);
     gate.admission.limits.stallLimit = stallLimit;
+    gate.admission.goalBound = true;
+    gate.admission.serviceMs = firstService;
     gate.admission.limits.concurrency = std::max<std::uint32_t>(report.facts.slots, 1);
     if (control.tables) {
         for (const auto &pool : control.tables->rows.pools) {
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -145,6 +145,18 @@
         }
     }
     control.state.dirty = true;
+    for (const auto &route : control.tables->rows.routes) {
+        logEvent(log_level::debug, "route-taken",
+                 {{"route", route.name},
+                  {"prefix", route.prefix},
+                  {"pool", route.pool.value},
+                  {"pools", std::to_string(route.shares.size())},
+                  {"rank", std::to_string(route.rank)},
+                  {"idempotent", route.idempotent ? "1" : "0"},
+                  {"targets", std::to_string(route.targetsPerRequest)},
+                  {"goal_ms", std::to_string(route.latencyGoal.count())},
+                  {"deadline_ms", std::to_string(route.deadline.count())}});
+    }
     logEvent(log_level::info, "tables-taken",
              {{"version", std::to_string(control.tables->rows.version)},
               {"routes", std::to_string(control.tables->rows.routes.size())}});
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -26,6 +26,7 @@
     request_class kind = request_class::lookup; ///< Orders go first.
     steady_time deadline{}; ///< When the caller no longer waits.
     std::uint32_t rank = 2; ///< Within a class, smaller goes first.
+    steady_time goal = steady_time::max(); ///< An answer is worth less after this moment.
 };
 
 /** Why a request was refused. All of these prove that it did not run. */
@@ -82,6 +83,7 @@
     std::vector<waiting_request> displaced; ///< Requests that lost their place to more urgent ones.
     steady_time lastProgress{}; ///< Last time a request finished, or the target became busy.
     bool probing = false; ///< Whether only one request at a time is tried, after a stall.
+    bool goalBound = false; ///< Whether requests that will surely miss their goal are refused at once.
     double serviceMs = 5.0; ///< Smoothed service time in milliseconds.
     std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since it was last taken.
     std::map<refusal, std::uint64_t> refusals; ///< Refusals by reason, for metrics.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -10,10 +10,12 @@
 namespace {
 
 constexpr double warmUpStart = 0.25; ///< Share of the concurrency that a cold target gets at once.
+constexpr double leastWork = 0.5; ///< Part of the usual time of work that hardly any work is shorter than.
 constexpr double serviceSmoothing = 0.1; ///< Weight of the newest service time.
 constexpr milliseconds movingRetry{50}; ///< When to come back for a slot that moves.
 constexpr milliseconds ownerRetry{200}; ///< When to come back if another owner is to be found.
 constexpr milliseconds leastRetry{20}; ///< Shortest wait that a refusal names.
+constexpr std::uint32_t usualRank = 2; ///< Requests of a smaller rank are urgent.
 constexpr milliseconds mostRetry{5000}; ///< Longest wait that a refusal names.
 
 /** Requests that may be in flight now: fewer while the target is cold or was stalled. */
@@ -118,13 +120,26 @@
     return std::tuple(rank(a), a.rank, a.deadline) < std::tuple(rank(b), b.rank, b.deadline);
 }
 
+/**
+ * Latest moment at which a queued request should be answered. Under a load that lasts, a queue in which all can just
+ * meet their deadlines makes all miss their goals; a queue bounded by the goal serves as many, and in time. The most
+ * urgent ones, and the calls that targets make within other work, may use more of their time: refusing them wastes more.
+ */
+steady_time latestAnswer(const admission_state &state, const admission_request &request)
+{
+    if (!state.goalBound || request.goal >= request.deadline) {
+        return request.deadline;
+    }
+    return request.rank < usualRank ? request.goal + (request.deadline - request.goal) / 2 : request.goal;
+}
+
 admission_verdict enqueue(admission_state &state, const admission_request &request, steady_time now)
 {
     const auto at = std::find_if(state.queue.begin(), state.queue.end(),
                                  [&](const auto &other) { return goesBefore(request, other.request); });
     const auto before = static_cast<std::size_t>(at - state.queue.begin());
     const auto wait = predictedWait(state, before, now);
-    const bool fits = now + wait + milliseconds(std::llround(state.serviceMs)) <= request.deadline;
+    const bool fits = now + wait + milliseconds(std::llround(state.serviceMs)) <= latestAnswer(state, request);
     const bool full = state.queue.size() >= state.limits.queue;
     // An order takes the place of the least urgent lookup; lookups never displace each other.
     const bool displaces = full && fits && request.kind == request_class::order && !state.queue.empty()
@@ -202,8 +217,12 @@
         decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
     }
     state.displaced.clear();
+    const milliseconds service(state.goalBound ? std::llround(state.serviceMs * leastWork) : 0);
     std::erase_if(state.queue, [&](const waiting_request &waiting) {
-        const auto reason = checkAll(state, waiting.request, now);
+        auto reason = checkAll(state, waiting.request, now);
+        if (reason == refusal::none && now + service >= waiting.request.deadline) {
+            reason = refusal::too_late; // It could not end in time any more.
+        }
         if (reason != refusal::none) {
             decided.push_back({waiting.request.id, refuse(state, reason, retryFor(state, reason))});
         }
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -42,7 +42,10 @@
     std::uint64_t sequence = 0; ///< Greatest sequence number seen of this life.
     bool leaving = false; ///< Whether it wants no new work.
     bool gone = false; ///< Whether it said that it ends.
+    steady_time heardAt{}; ///< Its last report.
     steady_time holdsUntil{}; ///< No grant that this daemon or its run before gave lasts longer.
+    steady_time servesUntil{}; ///< It surely serves what it was granted until then.
+    std::vector<key_run> granted; ///< What the answer to its last report let it hold.
     steady_time coldUntil{}; ///< It works slowly until then.
     std::vector<reported_run> holds; ///< What it last said it holds.
     std::vector<reported_run> freed; ///< Tokens for slots that it gave back.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -25,13 +25,14 @@
 }
 
 /** Starts to follow a new life of the target. The life before has ended, and its holds with it. */
-void followLife(roster_state &state, const target_report &report)
+void followLife(roster_state &state, const target_report &report, steady_time now)
 {
     auto &target = state.target;
     const bool replaces = !target.life.id.empty();
     const auto holdsUntil = target.holdsUntil;
     target = {};
     target.life = report.life;
+    target.heardAt = now;
     // Grants of an earlier run of this daemon may have gone to this very life.
     target.holdsUntil = replaces ? steady_time{} : holdsUntil;
     state.dirty = true;
@@ -256,6 +257,18 @@
     return served;
 }
 
+std::vector<std::pair<pool_id, key_run>> grantedRuns(const roster_state &state)
+{
+    auto served = servedRuns(state);
+    std::erase_if(served, [&](const auto &row) {
+        const auto &run = row.second;
+        return std::none_of(state.target.granted.begin(), state.target.granted.end(), [&](const auto &granted) {
+            return granted.fence == run.fence && granted.first <= run.first && run.last <= granted.last;
+        });
+    });
+    return served;
+}
+
 std::optional<target_grant> takeReport(roster_state &state, const target_report &report, steady_time now)
 {
     auto &target = state.target;
@@ -266,11 +279,12 @@
         if (!target.life.id.empty() && report.life.born == target.life.born) {
             return std::nullopt; // Two names with one start can't be put in order.
         }
-        followLife(state, report);
+        followLife(state, report, now);
     } else if (report.sequence <= target.sequence) {
         return std::nullopt;
     }
     target.sequence = report.sequence;
+    target.heardAt = now;
     takeFacts(state, report, now);
     const auto &timing = state.timing;
     const auto right = std::chrono::duration_cast<milliseconds>(state.lease.validUntil - now);
@@ -286,6 +300,8 @@
     for (const auto &row : served) {
         grant.runs.push_back(row.second);
     }
+    target.granted = grant.runs;
+    target.servesUntil = now + hold;
     if (!grant.runs.empty()) {
         target.holdsUntil = std::max(target.holdsUntil, now + timing.withDrift(hold));
     }
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -126,6 +126,13 @@
  */
 std::vector<std::pair<pool_id, key_run>> servedRuns(const roster_state &state);
 
+/**
+ * Lists those of the served runs that the target has been told of.
+ * @param state Roster.
+ * @return Runs that requests may be handed over for.
+ */
+std::vector<std::pair<pool_id, key_run>> grantedRuns(const roster_state &state);
+
 /**
  * Tells whether a node may get work.
  * @param state Roster.
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -113,7 +113,7 @@
             continue;
         }
         const auto *next = run.next.value.empty() ? nullptr : findCandidate(candidates, run.next);
-        const bool silent = now >= target.holdsUntil;
+        const bool silent = now - std::max(target.heardAt, state.startedAt) >= state.timing.holdPeriod;
         const bool leaves = !run.next.value.empty() || target.leaving || target.gone;
         if ((silent || leaves) && isReleased(state, pool, run, now)) {
             draft.given.push_back(run);
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -87,6 +87,9 @@
 
 void drainPeerServer(peer_server &server)
 {
+    // A new session would not know that this end takes no more requests.
+    error_code ignored;
+    server.acceptor.close(ignored);
     for (const auto &session : server.sessions) {
         const auto last = nghttp2_session_get_last_proc_stream_id(session->session);
         nghttp2_submit_goaway(session->session, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
--- a/packages/tables/src/row_type.h
+++ b/packages/tables/src/row_type.h
@@ -48,6 +48,7 @@
     request_class kind = request_class::lookup; ///< Class of methods that are not listed as idempotent.
     std::vector<std::string> idempotentMethods{"GET", "HEAD"}; ///< Methods that may run more than once.
     milliseconds deadline{5000}; ///< Bound on the whole request.
+    milliseconds latencyGoal{0}; ///< Time within which an answer is worth most; 0 if any time is as good.
     std::uint64_t maxBody = 262144; ///< Bytes of a request body at most.
     bool idempotent = false; ///< Whether all its methods may run more than once.
     std::uint32_t rank = 2; ///< Urgency of its requests; smaller goes first.
