--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -190,6 +190,24 @@
     countMetric(*shared.numbers, "requests_total{outcome=\"" + outcome + "\",reason=\"" + reason + "\"}");
 }
 
+/** One line for a request that got no answer of a target; what was answered shows in the metrics. */
+void logOutcome(traffic_thread &thread, const std::string &id, const std::string &route, const request_outcome &outcome,
+                milliseconds took)
+{
+    if (outcome.result == attempt_result::answered || !takeLine(thread.lines, clock::now())) {
+        return;
+    }
+    logEvent(log_level::info, "request-ended",
+             {{"id", id},
+              {"route", route},
+              {"outcome", nameOf(outcome.result)},
+              {"reason", outcome.text},
+              {"attempts", std::to_string(outcome.attempts)},
+              {"took_ms", std::to_string(took.count())},
+              {"retry_ms", std::to_string(outcome.retryAfter.count())},
+              {"lines_dropped", std::to_string(std::exchange(thread.lines.dropped, 0))}});
+}
+
 using caller_parser = http::request_parser<http::string_body>;
 
 /** Reads the body within the route's limit. */
@@ -270,6 +288,8 @@
     }
     connection->headOnly = request->http.method == "HEAD";
     const auto sink = sinkTo(connection, request->deadline);
+    const auto id = headerOf(request->http.headers, thread.shared->names.requestId);
+    const auto path = request->http.path;
     const auto outcome = co_await routeRequest(thread, std::move(*request), sink);
     if (outcome.result != attempt_result::answered && !connection->broken) {
         auto reply = replyFor(thread.shared->names, outcome);
@@ -281,6 +301,7 @@
         connection->broken = connection->broken || code;
     }
     countOutcome(*thread.shared, nameOf(outcome.result), outcome.text);
+    logOutcome(thread, id, path, outcome, std::chrono::duration_cast<milliseconds>(clock::now() - startedAt));
     observeDuration(*thread.shared->numbers, "request_seconds",
                     std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - startedAt));
 }
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -27,6 +27,7 @@
     std::set<instance_id> tried; ///< Targets already tried, for pools not divided by key.
     std::uint32_t attempts = 0; ///< Attempts made.
     std::uint32_t handOvers = 0; ///< Targets that it was handed to.
+    request_outcome last; ///< How the last attempt ended.
     bool mayHaveRun = false; ///< Whether the outcome of an attempt is unknown.
     milliseconds waited{0}; ///< Waits between attempts.
 };
@@ -245,6 +246,9 @@
     for (;;) {
         ++state.attempts;
         const auto choice = chooseOwner(thread, state);
+        if (choice.member == nullptr && !state.tried.empty() && state.request->key.empty()) {
+            co_return state.last; // All targets were tried: the last of them said why not.
+        }
         request_outcome outcome{attempt_result::not_run, refusal::none, choice.known ? "no-owner" : "no-pool",
                                 noOwnerRetry};
         outcome.reachedOwner = false;
@@ -261,17 +265,19 @@
             const auto member = *choice.member;
             outcome = co_await attemptAt(thread, member, state.request, state.sink);
         }
+        outcome.attempts = state.attempts;
+        state.mayHaveRun = state.mayHaveRun || outcome.result == attempt_result::unknown;
+        if (state.mayHaveRun && outcome.result == attempt_result::not_run) {
+            // This attempt was not run, but "not run" must be true of the whole request.
+            outcome.result = attempt_result::unknown;
+        }
+        state.last = outcome;
         if (outcome.result == attempt_result::answered || state.sink->abandoned()) {
             co_return outcome;
         }
-        state.mayHaveRun = state.mayHaveRun || outcome.result == attempt_result::unknown;
         state.handOvers += outcome.handedOver || outcome.result == attempt_result::unknown ? 1 : 0;
         const auto answer = decideRetry(questionOf(state, outcome), thread.budget, thread.retryLimits, clock::now());
         if (!answer.again) {
-            if (state.mayHaveRun) {
-                // The last attempt was not run, but "not run" must be true of the whole request.
-                outcome.result = attempt_result::unknown;
-            }
             co_return outcome;
         }
         countMetric(*thread.shared->numbers, "retries_total");
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -38,6 +38,7 @@
     milliseconds retryAfter{0}; ///< When to come back, after not run.
     bool reachedOwner = true; ///< Whether the other daemon could be reached.
     std::optional<double> busy; ///< How busy the target is, if the daemon beside it said.
+    std::uint32_t attempts = 0; ///< Attempts made, once the request is over.
     bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
     bool whole = false; ///< Whether the answer was passed on whole.
 };
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -7,6 +7,12 @@
 
 namespace quetzalspool {
 
+namespace {
+
+constexpr double rosterBudgetCap = 4; ///< Retries saved up by one daemon; all daemons share one allowance.
+
+} // namespace
+
 bool prepareTraffic(daemon_shared &shared, traffic_threads &traffic, last_reason &why)
 {
     const auto &settings = shared.settings;
@@ -14,6 +20,10 @@
     for (std::uint32_t index = 0; index < settings.trafficThreads; ++index) {
         auto thread = std::make_unique<traffic_thread>();
         thread->shared = &shared;
+        if (settings.roster) {
+            thread->retryLimits.budgetCap = rosterBudgetCap;
+            thread->budget.tokens = rosterBudgetCap;
+        }
         auto callers = listenOn(thread->context, {settings.host, settings.callersPort}, why);
         if (!callers) {
             return false;
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -81,6 +81,7 @@
     std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
     std::vector<waiting_request> queue; ///< Requests that wait, in order of class and deadline.
     std::vector<waiting_request> displaced; ///< Requests that lost their place to more urgent ones.
+    steady_time urgentAt{}; ///< Last time an urgent request came.
     steady_time lastProgress{}; ///< Last time a request finished, or the target became busy.
     bool probing = false; ///< Whether only one request at a time is tried, after a stall.
     bool goalBound = false; ///< Whether requests that will surely miss their goal are refused at once.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds ownerRetry{200}; ///< When to come back if another owner is to be found.
 constexpr milliseconds leastRetry{20}; ///< Shortest wait that a refusal names.
 constexpr std::uint32_t usualRank = 2; ///< Requests of a smaller rank are urgent.
+constexpr std::uint32_t reservePart = 6; ///< One slot in so many is left free for urgent requests.
+constexpr milliseconds urgentTime{2000}; ///< Slots are left free for this long after an urgent request.
 constexpr milliseconds mostRetry{5000}; ///< Longest wait that a refusal names.
 
 /** Requests that may be in flight now: fewer while the target is cold or was stalled. */
@@ -37,6 +39,17 @@
     return milliseconds(std::llround(rounds * state.serviceMs));
 }
 
+/**
+ * Slots that a request may use. While urgent ones come, the others leave some free: urgent ones are short and often
+ * part of work that holds a slot elsewhere.
+ */
+std::uint32_t slotsFor(const admission_state &state, const admission_request &request, steady_time now)
+{
+    const auto slots = concurrencyNow(state, now);
+    const bool yields = state.goalBound && request.rank >= usualRank && !request.slot && now - state.urgentAt < urgentTime;
+    return yields ? std::max<std::uint32_t>(slots - slots / reservePart, 1) : slots;
+}
+
 milliseconds clampRetry(milliseconds wait)
 {
     return std::clamp(wait, leastRetry, mostRetry);
@@ -165,7 +178,9 @@
     if (request.slot) {
         ++state.demand[request.slot->slot];
     }
-    if (state.inFlight < concurrencyNow(state, now) && state.queue.empty()) {
+    state.urgentAt = request.rank < usualRank ? now : state.urgentAt;
+    const bool first = state.queue.empty() || goesBefore(request, state.queue.front().request);
+    if (first && state.inFlight < slotsFor(state, request, now)) {
         start(state, request, now);
         return {true};
     }
@@ -228,7 +243,7 @@
         }
         return reason != refusal::none;
     });
-    while (!state.queue.empty() && state.inFlight < concurrencyNow(state, now)) {
+    while (!state.queue.empty() && state.inFlight < slotsFor(state, state.queue.front().request, now)) {
         start(state, state.queue.front().request, now);
         decided.push_back({state.queue.front().request.id, {true}});
         state.queue.erase(state.queue.begin());
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -14,7 +14,8 @@
 constexpr double leastSpeed = 0.02; ///< Requests a second and slot; a target is never reckoned slower.
 constexpr double unaskedLoad = 2.0 / numericSlots; ///< Load of a slot without requests: 2 a second for all slots.
 constexpr double fullRatio = 1.2; ///< A target with more than this part of its fair load gives some away.
-constexpr double idleRatio = 0.6; ///< A target with less than this part of its fair load gets some.
+constexpr double strainedUse = 0.6; ///< Targets that use less than this part of their capacity keep their slots.
+constexpr double idleRatio = 0.3; ///< A target with less than this part of its fair load gets some.
 constexpr double leastOfWanted = 0.4; ///< A move of less than this part of the wanted load isn't worth it.
 constexpr double mostOfWanted = 1.1; ///< A move of more than this part of the wanted load would overshoot.
 constexpr std::size_t movesAtOnce = 4; ///< Windows of slots that one write marks to move.
@@ -213,6 +214,15 @@
     });
 }
 
+/** Part of a target's capacity that its load uses; 1 if its speed is not known. */
+double usedOf(const candidate_load &entry, const pool_load *load)
+{
+    if (load == nullptr || load->speed.empty()) {
+        return 1;
+    }
+    return entry.load / speedOf(*entry.node, load);
+}
+
 /** Splits a run after so many of its slots that their load fills a lack; at least one slot. */
 std::uint32_t lastWithin(const key_run &run, const pool_load *load, double lack)
 {
@@ -410,7 +420,8 @@
         const auto ratio = [](const candidate_load &entry) { return entry.load / entry.fair; };
         const auto [idle, full] = std::minmax_element(
             loads.begin(), loads.end(), [&](const auto &a, const auto &b) { return ratio(a) < ratio(b); });
-        if (ratio(*full) < fullRatio && ratio(*idle) > idleRatio) {
+        const bool strained = ratio(*full) >= fullRatio && usedOf(*full, load) >= strainedUse;
+        if (!strained && ratio(*idle) > idleRatio) {
             break;
         }
         const auto wanted = std::min(full->load - full->fair, idle->fair - idle->load);
--- a/packages/telemetry/src/log.cpp
+++ b/packages/telemetry/src/log.cpp
@@ -1,6 +1,7 @@
 /** @file log.cpp Structured log lines through log4cxx. */
 #include "log_func.h"
 
+#include <algorithm>
 #include <atomic>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -57,6 +58,21 @@
 
 } // namespace
 
+bool takeLine(log_budget &budget, steady_time now)
+{
+    if (budget.refilledAt != steady_time{}) {
+        const std::chrono::duration<double> past = now - budget.refilledAt;
+        budget.tokens = std::min(budget.most, budget.tokens + past.count() * budget.perSecond);
+    }
+    budget.refilledAt = now;
+    if (budget.tokens < 1) {
+        ++budget.dropped;
+        return false;
+    }
+    budget.tokens -= 1;
+    return true;
+}
+
 void startLog(const std::string &level, bool json, const std::string &instance)
 {
     asJson = json;
@@ -65,7 +81,7 @@
     const auto pattern = json ? std::string("%d{yyyy-MM-dd HH:mm:ss.SSS} %p %m%n")
                               : "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [" + instance + "] %m%n";
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::BasicConfigurator::configure(appender);
     logger()->setLevel(log4cxx::Level::toLevel(level));
 }
--- a/packages/telemetry/src/log_func.h
+++ b/packages/telemetry/src/log_func.h
@@ -1,4 +1,4 @@
-/** @file log_func.h Structured log lines to standard error. */
+/** @file log_func.h Structured log lines to standard output. */
 #ifndef LOG_FUNC_H
 #define LOG_FUNC_H
 
@@ -37,6 +37,24 @@
  */
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+/** Lines that may be written about requests, so that load never turns into a flood of lines. */
+struct log_budget
+{
+    double perSecond = 40; ///< Lines a second: some 10 KB.
+    double most = 80; ///< Lines that can be saved up.
+    double tokens = 80; ///< Lines that may be written now.
+    steady_time refilledAt{}; ///< When tokens were last added.
+    std::uint64_t dropped = 0; ///< Lines left out since the last one written.
+};
+
+/**
+ * Takes the right to write one line.
+ * @param budget Budget.
+ * @param now Present time.
+ * @return Whether the line may be written; else it is counted as dropped.
+ */
+bool takeLine(log_budget &budget, steady_time now);
+
 } // namespace quetzalspool
 
 #endif // LOG_FUNC_H
