Fix: a daemon that was away reads the owners before it grants again

Ruled out: lease periods and clocks; the taker had waited in full. Change: an entry that was missing gives no right until the owners were read after it; a rewrite of an entry is conditional on its being there still.

--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -179,6 +179,9 @@
     leased_txn txn{{{markerKey(id), action.marker}},
                    {{entryKey(id), formatNode(action.entry), control.lease},
                     {markerKey(id), std::to_string(action.entry.member.incarnation.value), {}}}};
+    if (action.present) {
+        txn.compares.push_back({entryKey(id), action.marker});
+    }
     const auto result = co_await control.port.store.commit(std::move(txn), why);
     const auto now = clock::now();
     noteStore(control, result.has_value(), why);
@@ -203,6 +206,21 @@
     }
 }
 
+asio::awaitable<void> readOwners(roster_control &control)
+{
+    last_reason why;
+    const auto sentAt = clock::now();
+    const auto all = co_await control.port.store.list(std::string(runsPrefix), why);
+    const auto now = clock::now();
+    noteStore(control, all.has_value(), why);
+    if (all) {
+        for (const auto &value : all->values) {
+            takeValue(control, value, now);
+        }
+    }
+    takeOwnersRead(control.state, all.has_value(), sentAt, now);
+}
+
 asio::awaitable<void> confirm(roster_control &control)
 {
     last_reason why;
@@ -350,6 +368,8 @@
         co_await enter(control, std::move(*entering));
     } else if (auto *assigning = std::get_if<assign_action>(&action)) {
         co_await assign(control, std::move(*assigning));
+    } else if (std::holds_alternative<read_owners_action>(action)) {
+        co_await readOwners(control);
     } else if (std::holds_alternative<confirm_action>(action)) {
         co_await confirm(control);
     } else {
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -29,6 +29,11 @@
 {
     bool entered = false; ///< Whether the own entry is in the store, as far as known.
     bool busy = false; ///< Whether a call about the entry is under way.
+    bool ownersKnown = false; ///< Whether the owners were read since the entry was last found missing. Others may have
+                              ///< taken slots while it was.
+    bool reading = false; ///< Whether that read is under way.
+    steady_time nextRead{}; ///< No such read before this moment, after a failure.
+    steady_time enteredAt{}; ///< When the entry was last known to be there after it had been missing.
     roster_node written; ///< The entry as last written.
     steady_time validUntil{}; ///< No grant runs beyond this moment.
     steady_time nextConfirm{}; ///< When to confirm the entry next.
@@ -89,8 +94,13 @@
 {
     roster_node entry; ///< The entry.
     revision_number marker; ///< Revision that the own marker must have; 0 if there must be none.
+    bool present = false; ///< Whether the entry must still be there, under that revision too.
 };
 
+/** Read the owners of all pools: others may have taken slots while the own entry was missing. */
+struct read_owners_action
+{ };
+
 /** Read the own entry. */
 struct confirm_action
 { };
@@ -115,7 +125,7 @@
     std::vector<absent_node> absent; ///< Nodes that lose their slots because they are gone.
 };
 
-using roster_action = std::variant<enter_action, confirm_action, renew_action, assign_action>;
+using roster_action = std::variant<enter_action, read_owners_action, confirm_action, renew_action, assign_action>;
 using roster_actions = std::vector<roster_action>;
 
 /** How a conditional write ended. */
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -99,17 +99,21 @@
         const auto marker = own == state.nodes.end() ? revision_number{} : own->second.marker;
         if ((!lease.entered || lease.written != state.self) && now >= lease.nextConfirm) {
             lease.busy = true;
-            actions.push_back(enter_action{state.self, marker});
+            actions.push_back(enter_action{state.self, marker, lease.entered});
         } else if (now >= lease.nextConfirm) {
             lease.busy = true;
             actions.push_back(confirm_action{});
         }
     }
+    if (lease.entered && !lease.ownersKnown && !lease.reading && now >= lease.nextRead) {
+        lease.reading = true;
+        actions.push_back(read_owners_action{});
+    }
     if (lease.entered && now >= lease.nextRenewal) {
         lease.nextRenewal = now + state.timing.entryRenewal;
         actions.push_back(renew_action{});
     }
-    if (!state.writing && now >= state.nextWrite && lease.entered && now < lease.validUntil) {
+    if (!state.writing && now >= state.nextWrite && mayGrant(state, now)) {
         for (const auto &pool : state.keyedPools) {
             if (auto write = planRuns(state, pool, now)) {
                 state.writing = true;
@@ -142,8 +146,7 @@
         state.nodesChanged = now;
     }
     if (id == state.self.member.id && state.lease.entered) {
-        state.lease.entered = false;
-        state.lease.nextConfirm = now;
+        takeLapsed(state, now);
     }
 }
 
@@ -178,9 +181,14 @@
     auto &lease = state.lease;
     lease.busy = false;
     if (outcome != roster_outcome::stored) {
+        if (outcome == roster_outcome::conflicted) {
+            lease.entered = false; // If the entry was to be there still, it may be missing.
+            lease.ownersKnown = false;
+        }
         lease.nextConfirm = now + state.timing.retryInterval;
         return;
     }
+    lease.enteredAt = lease.entered ? lease.enteredAt : now;
     lease.entered = true;
     lease.written = entry;
     lease.validUntil = std::max(lease.validUntil, sentAt + state.timing.leasePeriod);
@@ -196,10 +204,10 @@
     lease.busy = false;
     lease.nextConfirm = now + state.timing.confirmInterval;
     if (!found || found->member.incarnation != state.self.member.incarnation) {
-        lease.entered = false;
-        lease.nextConfirm = now;
+        takeLapsed(state, now);
         return;
     }
+    lease.enteredAt = lease.entered ? lease.enteredAt : now;
     lease.entered = true;
     lease.written = *found;
     lease.validUntil = std::max(lease.validUntil, sentAt + state.timing.leasePeriod);
@@ -215,9 +223,24 @@
 void takeLapsed(roster_state &state, steady_time now)
 {
     state.lease.entered = false;
+    state.lease.ownersKnown = false;
     state.lease.nextConfirm = std::min(state.lease.nextConfirm, now);
 }
 
+void takeOwnersRead(roster_state &state, bool answered, steady_time sentAt, steady_time now)
+{
+    auto &lease = state.lease;
+    lease.reading = false;
+    lease.ownersKnown = answered && lease.entered && sentAt >= lease.enteredAt;
+    lease.nextRead = answered ? now : now + state.timing.retryInterval;
+}
+
+bool mayGrant(const roster_state &state, steady_time now)
+{
+    const auto &lease = state.lease;
+    return lease.entered && lease.ownersKnown && now < lease.validUntil;
+}
+
 void takeAssigned(roster_state &state, const run_record &record, roster_outcome outcome, revision_number revision,
                   steady_time now)
 {
@@ -289,7 +312,7 @@
     const auto &timing = state.timing;
     const auto right = std::chrono::duration_cast<milliseconds>(state.lease.validUntil - now);
     const auto hold = std::min(timing.holdPeriod, right * 100 / (100 + timing.driftPercent));
-    if (!state.lease.entered || hold < leastHold) {
+    if (!mayGrant(state, now) || hold < leastHold) {
         return std::nullopt;
     }
     target_grant grant;
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -89,6 +89,23 @@
  */
 void takeLapsed(roster_state &state, steady_time now);
 
+/**
+ * Takes the end of a read of all owners.
+ * @param state Roster, which has taken the owners that were read.
+ * @param answered Whether there was an answer.
+ * @param sentAt Moment before the read was sent.
+ * @param now Present time.
+ */
+void takeOwnersRead(roster_state &state, bool answered, steady_time sentAt, steady_time now);
+
+/**
+ * Tells whether this daemon may grant keys and change owners now.
+ * @param state Roster.
+ * @param now Present time.
+ * @return Whether its entry is there, its right runs, and it knows the owners as they were after it entered.
+ */
+bool mayGrant(const roster_state &state, steady_time now);
+
 /**
  * Takes the end of an assign_action.
  * @param state Roster.
