--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -12,6 +12,8 @@
 
 using clock = std::chrono::steady_clock;
 
+constexpr unsigned noAnswer = 504; ///< The store did not answer.
+
 double busyNow(daemon_shared &shared)
 {
     const std::lock_guard lock(shared.admission.mutex);
@@ -48,6 +50,31 @@
     }
 }
 
+/**
+ * Makes a call to the store for another daemon. One that has lost the store itself says so at once, so that an outage
+ * does not multiply the calls.
+ */
+asio::awaitable<void> answerRelay(traffic_thread &thread, peer_request request,
+                                  std::shared_ptr<peer_responder> responder)
+{
+    last_reason why;
+    std::optional<http_reply> reply;
+    if (thread.shared->storeHeard) {
+        http_request call{headerOf(request.headers, "qs-method"), headerOf(request.headers, "qs-path"), {},
+                          std::move(request.body)};
+        if (!call.body.empty()) {
+            call.headers.emplace_back("Content-Type", headerOf(request.headers, "qs-content-type"));
+        }
+        const milliseconds timeout(std::atoll(headerOf(request.headers, "qs-deadline-ms").c_str()));
+        reply = co_await exchange(thread.storePool, thread.shared->settings.store, std::move(call), timeout, why);
+    }
+    sendHead(*responder, reply ? reply->status : noAnswer, {});
+    if (reply && !reply->body.empty()) {
+        co_await sendPart(responder, std::move(reply->body));
+    }
+    endAnswer(*responder);
+}
+
 } // namespace
 
 asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
@@ -66,6 +93,10 @@
         endAnswer(*responder);
         co_return;
     }
+    if (request.path == storePath) {
+        co_await answerRelay(thread, std::move(request), responder);
+        co_return;
+    }
     const auto body = answerDocuments(*thread.shared->catalog.load(), request);
     sendHead(*responder, body ? 200 : 400, {});
     if (body) {
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -6,6 +6,7 @@
 #include "log_func.h"
 #include "message_type.h"
 #include "roster_func.h"
+#include "roster_relay.h"
 #include "roster_sync.h"
 #include "routing_func.h"
 
@@ -322,6 +323,7 @@
         return false;
     }
     asio::co_spawn(control.context, receiveLoads(control), asio::detached);
+    control.port.setRelay(makeRelay(control));
     const auto onChange = [&control] { advance(control); };
     asio::co_spawn(control.context, followTables(control, onChange), asio::detached);
     asio::co_spawn(control.context, followRoster(control, onChange), asio::detached);
--- a/packages/daemon/src/roster_port.h
+++ b/packages/daemon/src/roster_port.h
@@ -28,6 +28,7 @@
     std::function<std::optional<tables_snapshot>(std::string_view text, last_reason &why)> readTables; ///< Reads them.
     std::function<http_reply(const http_request &, const target_events &)> answerTarget; ///< Answers the target.
     std::function<http_reply(const http_request &, bool ready)> answerReadiness; ///< Says whether it takes callers.
+    std::function<void(store_relay)> setRelay; ///< Gives the store client a way through other daemons.
     std::function<std::uint64_t()> storeCalls; ///< Calls made to the store, for metrics.
 };
 
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -38,6 +38,7 @@
 /** Logs when the store is lost and when it is back, once each. */
 void noteStore(roster_control &control, bool heard, const last_reason &why)
 {
+    control.shared->storeHeard = heard;
     if (heard != control.storeHeard) {
         control.storeHeard = heard;
         if (heard) {
--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -3,6 +3,7 @@
 #define TRAFFIC_BASE_H
 
 #include "balance_base.h"
+#include "http_client.h"
 #include "log_func.h"
 #include "peer_client.h"
 #include "peer_server.h"
@@ -26,6 +27,7 @@
     balance_state balance; ///< Evidence about targets of pools not divided by key.
     retry_limits retryLimits; ///< Limits of retries.
     retry_budget budget; ///< Budget of retries.
+    std::shared_ptr<http_pool> storePool = makeHttpPool(); ///< Connections to the store, for daemons it turns away.
     log_budget lines; ///< Lines about requests.
     std::mt19937_64 random{std::random_device{}()}; ///< For choices and request ids.
 };
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -23,8 +23,8 @@
     endpoint readiness; ///< Where it says whether it takes callers.
     endpoint target; ///< Where that target listens.
     pool_id pool; ///< Pool that it belongs to.
-    milliseconds leasePeriod{6000}; ///< Right to grant keys that one confirmation by the store gives.
-    milliseconds holdPeriod{5000}; ///< How long a target may serve its keys after one report.
+    milliseconds leasePeriod{10000}; ///< Right to grant keys that one confirmation by the store gives.
+    milliseconds holdPeriod{7000}; ///< How long a target may serve its keys after one report.
     milliseconds stopNotice{2600}; ///< Between the news that it stops and its last new caller.
 };
 
--- a/packages/store/src/lease_store.h
+++ b/packages/store/src/lease_store.h
@@ -3,6 +3,7 @@
 #define LEASE_STORE_H
 
 #include "asio_type.h"
+#include "http_type.h"
 #include "store_type.h"
 
 #include <functional>
@@ -65,6 +66,9 @@
     unanswered, ///< There was no answer.
 };
 
+/** Makes a call to the store through another daemon, for a daemon that the store turns away. */
+using store_relay = std::function<asio::awaitable<std::optional<http_reply>>(http_request request, milliseconds timeout)>;
+
 /** A store with leases. Every call returns nothing, with a reason, if there was no answer: it may have been made. */
 struct lease_store
 {
