Fix: a watch that was cut or told nothing is followed by a read, dead connections are noticed

Ruled out: reading and taking the tables (10 ms). Change: cut watches don't count; after each a read; keep-alive probes.

--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -286,6 +286,12 @@
               {"absent", std::to_string(action.absent.size())}});
 }
 
+/** Whether a watch came back with changes. Otherwise it was cut, fell behind the history, or was deaf. */
+bool isTelling(const std::optional<watch_result> &seen)
+{
+    return seen && !seen->forgotten && !seen->events.empty();
+}
+
 } // namespace
 
 asio::awaitable<void> followRoster(roster_control &control, std::function<void()> onChange)
@@ -303,23 +309,15 @@
         auto after = all->revision;
         for (;;) {
             const auto seen = co_await control.port.store.watch(std::string(rootPrefix), after, watchWait, why);
-            noteStore(control, seen.has_value(), why);
-            if (!seen) {
-                co_await sleepFor(followRetry);
-                continue;
-            }
-            if (seen->forgotten) {
-                logEvent(log_level::warn, "history-forgotten", {{"after", std::to_string(after.value)}});
-                break;
+            if (!isTelling(seen)) {
+                break; // A watch that was cut, or told nothing, may have missed changes.
             }
             const auto now = clock::now();
             for (const auto &event : seen->events) {
                 event.removed ? takeRemoved(control, event.value, now) : takeValue(control, event.value, now);
             }
             after = std::max(after, seen->revision);
-            if (!seen->events.empty()) {
-                onChange();
-            }
+            onChange();
         }
     }
 }
@@ -342,12 +340,7 @@
         auto after = read->revision;
         for (;;) {
             const auto seen = co_await control.port.store.watch(key, after, watchWait, why);
-            noteStore(control, seen.has_value(), why);
-            if (!seen) {
-                co_await sleepFor(followRetry);
-                continue;
-            }
-            if (seen->forgotten) {
+            if (!isTelling(seen)) {
                 break;
             }
             for (const auto &event : seen->events) {
@@ -356,9 +349,7 @@
                 }
             }
             after = std::max(after, seen->revision);
-            if (!seen->events.empty()) {
-                onChange();
-            }
+            onChange();
         }
     }
 }
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -2,6 +2,7 @@
 #include "http_client.h"
 
 #include "http_convert.h"
+#include "socket_guard.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/core.hpp>
@@ -69,6 +70,7 @@
     if (!code) {
         error_code ignored;
         stream->socket().set_option(tcp::no_delay(true), ignored);
+        guardSocket(stream->socket());
     }
     co_return stream;
 }
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -2,6 +2,7 @@
 #include "peer_client.h"
 
 #include "h2_session.h"
+#include "socket_guard.h"
 
 #include <map>
 
@@ -76,6 +77,7 @@
         failed(link->why, "connect", toString(to), code ? code.message() : "timeout");
         link->session = nullptr;
     } else {
+        guardSocket(socket);
         link->session = std::make_shared<h2_session>(std::move(socket));
         startSession(link->session, false);
         asio::co_spawn(client->executor, runSession(client, link->session), asio::detached);
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -2,6 +2,7 @@
 #include "peer_server.h"
 
 #include "h2_session.h"
+#include "socket_guard.h"
 
 #include <set>
 
@@ -62,6 +63,7 @@
             co_await sleepFor(milliseconds(10));
             continue;
         }
+        guardSocket(socket);
         auto session = std::make_shared<h2_session>(std::move(socket));
         const std::weak_ptr<h2_session> weak = session;
         session->onRequest = [server, weak](const std::shared_ptr<h2_stream> &stream) {
