Fix: a request is checked against its target's pool; silent daemons are noticed by pings; loads are learnt sooner

Change: admission and hand-over compare pools; a session with open calls is pinged after 250 ms and counts as silent after 700 ms, then new calls are refused at once and lookups go elsewhere; loads are told each 500 ms and scaled while young. Test: admission.aTargetOfAnotherPoolGetsNothing.

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -116,7 +116,9 @@
             co_return head;
         }
         const bool over = failureOf(*call) == peer_failure::not_processed || clock::now() >= until;
-        if (over || ownerChanged(thread, *request) || sink->abandoned() || isClosed(*call)) {
+        // A lookup may be tried again elsewhere; an order waits, since it may be under way there.
+        const bool lost = request->idempotent && isSilent(*call);
+        if (over || lost || ownerChanged(thread, *request) || sink->abandoned() || isClosed(*call)) {
             co_return std::nullopt;
         }
     }
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -19,7 +19,7 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds tickInterval{50}; ///< Between two looks at what is due.
-constexpr milliseconds loadInterval{1000}; ///< Between two messages about the own load.
+constexpr milliseconds loadInterval{500}; ///< Between two messages about the own load.
 constexpr double speedUnit = 1e6; ///< A time of work in milliseconds divides it into requests in 1000 seconds.
 constexpr double firstService = 200; ///< Time of work in milliseconds that is assumed before any was seen.
 constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
@@ -216,6 +216,7 @@
     gate.target = report.facts.address;
     gate.targetLife = report.life.id;
     gate.checksGrants = true;
+    gate.admission.pool = report.facts.pool;
     gate.admission.hasTarget = true;
     gate.admission.announcedAt = clock::now();
     gate.admission.limits.warmUp = milliseconds(1);
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -11,6 +11,9 @@
 
 constexpr double rosterBudgetCap = 4; ///< Retries saved up by one daemon; all daemons share one allowance.
 
+/** An instance that is gone stays so for longer than callers should wait; a new owner shows up sooner only by chance. */
+constexpr milliseconds unreachableWait{50};
+
 } // namespace
 
 bool prepareTraffic(daemon_shared &shared, traffic_threads &traffic, last_reason &why)
@@ -22,6 +25,7 @@
         thread->shared = &shared;
         if (settings.roster) {
             thread->retryLimits.budgetCap = rosterBudgetCap;
+            thread->retryLimits.unreachableWaitLimit = unreachableWait;
             thread->budget.tokens = rosterBudgetCap;
         }
         auto callers = listenOn(thread->context, {settings.host, settings.callersPort}, why);
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -27,6 +27,7 @@
     steady_time deadline{}; ///< When the caller no longer waits.
     std::uint32_t rank = 2; ///< Within a class, smaller goes first.
     steady_time goal = steady_time::max(); ///< An answer is worth less after this moment.
+    pool_id pool; ///< Pool that is meant; empty if it is not checked.
 };
 
 /** Why a request was refused. All of these prove that it did not run. */
@@ -73,6 +74,7 @@
 struct admission_state
 {
     admission_limits limits; ///< Limits.
+    pool_id pool; ///< Pool of the target; empty if it is not checked. A new target may belong to another one.
     bool hasTarget = false; ///< Whether a target has announced itself.
     bool leaving = false; ///< Whether the target is being drained.
     steady_time leaseUntil{}; ///< End of the instance lease.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -82,9 +82,15 @@
     return state.inFlight > 0 && now - state.lastProgress > state.limits.stallLimit;
 }
 
+/** Whether the target belongs to the pool that the request is for. */
+bool isMeant(const admission_state &state, const admission_request &request)
+{
+    return state.pool.value.empty() || request.pool.value.empty() || state.pool == request.pool;
+}
+
 refusal checkAll(const admission_state &state, const admission_request &request, steady_time now)
 {
-    if (!state.hasTarget) {
+    if (!state.hasTarget || !isMeant(state, request)) {
         return refusal::no_target;
     }
     if (const auto reason = checkSlot(state, request, now); reason != refusal::none) {
@@ -192,6 +198,9 @@
     if (now >= request.deadline) {
         return refusal::too_late;
     }
+    if (!isMeant(state, request)) {
+        return refusal::no_target;
+    }
     if (!request.slot) {
         return refusal::none;
     }
--- a/packages/decisions/src/retry_cmd.cpp
+++ b/packages/decisions/src/retry_cmd.cpp
@@ -41,8 +41,9 @@
     const bool free = question.handOvers == 0;
     if (isMoving(question) && question.result == attempt_result::not_run && (free || budget.tokens >= 1)) {
         budget.tokens -= free ? 0 : 1;
+        const auto limit = question.reachedOwner ? limits.waitLimit : limits.unreachableWaitLimit;
         const bool patient =
-            question.waited + limits.movingWait <= limits.waitLimit && now + limits.movingWait < question.deadline;
+            question.waited + limits.movingWait <= limit && now + limits.movingWait < question.deadline;
         return {patient, limits.movingWait};
     }
     // The only target of a key that is overloaded or stalled gains nothing from more of the same.
--- a/packages/decisions/src/retry_type.h
+++ b/packages/decisions/src/retry_type.h
@@ -20,6 +20,7 @@
     std::uint32_t attempts = 6; ///< Attempts at one request at most.
     milliseconds movingWait{25}; ///< Wait before trying a slot again that moves or has no owner.
     milliseconds waitLimit{400}; ///< All such waits of one request together.
+    milliseconds unreachableWaitLimit{400}; ///< The same while the owner can't be reached or nobody owns the slot.
     double budgetShare = 0.1; ///< Retries earned by each first attempt.
     double budgetCap = 50; ///< Retries that can be saved up.
 };
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -64,6 +64,7 @@
     std::vector<double> slots; ///< Smoothed requests a second, by slot.
     std::map<instance_id, double> speed; ///< Requests that one slot of a daemon's target finishes in a second.
     steady_time decayedAt{}; ///< When the loads were last aged.
+    double part = 0; ///< Part of the final weight that the time of learning has reached; divides the loads.
 };
 
 /** One daemon's view of the roster. */
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr milliseconds balanceInterval{1000}; ///< Between two looks whether a planned move pays.
+constexpr milliseconds balanceInterval{500}; ///< Between two looks whether a planned move pays.
 constexpr double leastSpeed = 0.02; ///< Requests a second and slot; a target is never reckoned slower.
 constexpr double unaskedLoad = 2.0 / numericSlots; ///< Load of a slot without requests: 2 a second for all slots.
 constexpr double fullRatio = 1.2; ///< A target with more than this part of its fair load gives some away.
@@ -152,10 +152,11 @@
     if (load == nullptr || load->slots.empty()) {
         return sum;
     }
+    double asked = 0;
     for (auto slot = first; slot <= last; ++slot) {
-        sum += load->slots[slot];
+        asked += load->slots[slot];
     }
-    return sum;
+    return sum + asked / std::max(load->part, 1 - decayFactor);
 }
 
 double speedOf(const roster_node &node, const pool_load *load)
@@ -450,6 +451,7 @@
         for (auto &slot : load.slots) {
             slot *= decayFactor;
         }
+        load.part = load.part * decayFactor + 1 - decayFactor;
     }
     for (const auto &[slot, count] : message.slots) {
         if (slot < numericSlots) {
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -147,6 +147,20 @@
     EXPECT_FALSE(advanceRequest(ledger, "late", "two", ledger_stage::handed_over));
 }
 
+TEST(admission, aTargetOfAnotherPoolGetsNothing)
+{
+    auto gate = makeGate(1, 8);
+    gate.pool.value = "desk";
+    auto request = ask(1);
+    request.pool.value = "ledger";
+    EXPECT_EQ(admit(gate, request, now).refused, refusal::no_target);
+    // The target may be replaced by one of another pool after a request was admitted.
+    request.pool.value = "desk";
+    EXPECT_TRUE(admit(gate, request, now).admitted);
+    gate.pool.value = "ledger";
+    EXPECT_EQ(checkHandOver(gate, request, now), refusal::no_target);
+}
+
 TEST(ledger, handedOverCanNotBeCancelled)
 {
     ledger_state ledger;
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -53,6 +53,7 @@
     bool dead = false; ///< Whether the transport has failed or been closed.
     bool goingAway = false; ///< Whether the other end accepts no new streams.
     steady_time lastReceived{}; ///< Last time that anything came.
+    steady_time pingSentAt{}; ///< When the other end was last asked for a sign of life.
     std::uint64_t bytesIn = 0; ///< Bytes received.
     std::uint64_t bytesOut = 0; ///< Bytes sent.
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams; ///< Open streams.
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -10,7 +10,11 @@
 
 namespace {
 
-constexpr milliseconds quietLimit{2500}; ///< A session with open calls that receives nothing for this long is dropped.
+constexpr milliseconds quietLimit{2500}; ///< A session that leaves a ping unanswered for this long is dropped.
+constexpr milliseconds pingAfter{250}; ///< Without a byte for this long, while calls are open, a sign of life is asked.
+constexpr milliseconds pingLimit{700}; ///< Without one for this long, the other daemon counts as silent.
+constexpr milliseconds watchInterval{150}; ///< Between two looks at sessions with open calls.
+constexpr milliseconds unreachableTime{400}; ///< After a connection timed out, no other one is tried for this long.
 
 constexpr std::chrono::seconds idleLimit{10}; ///< A session without calls is closed after this long.
 constexpr std::chrono::seconds idleCheck{1}; ///< Between two looks for idle sessions.
@@ -26,6 +30,7 @@
     std::shared_ptr<h2_session> session; ///< Session, if connected.
     bool connecting = false; ///< Whether a connection is being made.
     last_reason why; ///< Why the last connection failed.
+    steady_time unreachableUntil{}; ///< No connection is tried before.
     wake_event connected; ///< Wakes those that wait for the connection.
 };
 
@@ -35,6 +40,7 @@
     std::map<endpoint, std::shared_ptr<peer_link>> links; ///< By peer.
     std::uint64_t closedBytes = 0; ///< Bytes of sessions that are closed.
     steady_time nextIdleCheck{}; ///< When to look for idle sessions next.
+    bool watching = false; ///< Whether sessions with open calls are being watched.
 };
 
 struct peer_call
@@ -75,6 +81,9 @@
     link->connecting = false;
     if (code || !socket.is_open()) {
         failed(link->why, "connect", toString(to), code ? code.message() : "timeout");
+        if (code != asio::error::connection_refused) {
+            link->unreachableUntil = std::chrono::steady_clock::now() + unreachableTime;
+        }
         link->session = nullptr;
     } else {
         guardSocket(socket);
@@ -85,15 +94,49 @@
     link->connected.wake();
 }
 
-/** Drops a session whose other end seems frozen: calls are open, and nothing has come for long. */
+/** How long the other end has left a ping unanswered. */
+milliseconds silenceOf(const h2_session &session, steady_time now)
+{
+    const bool unanswered = session.pingSentAt > session.lastReceived;
+    return unanswered ? std::chrono::duration_cast<milliseconds>(now - session.pingSentAt) : milliseconds(0);
+}
+
+/** Drops a session whose other end seems gone. */
 void dropQuiet(peer_link &link, steady_time now)
 {
-    if (link.session && !link.session->dead && !link.session->streams.empty()
-        && now - link.session->lastReceived > quietLimit) {
+    if (link.session && !link.session->dead && silenceOf(*link.session, now) > quietLimit) {
         closeSession(link.session);
     }
 }
 
+bool needsWatch(const peer_link &link)
+{
+    return link.session && !link.session->dead && !link.session->streams.empty();
+}
+
+/** Asks the other ends of quiet sessions with open calls for signs of life. */
+asio::awaitable<void> watchSessions(std::shared_ptr<peer_client> client)
+{
+    for (bool any = true; any;) {
+        co_await sleepFor(watchInterval);
+        const auto now = std::chrono::steady_clock::now();
+        any = false;
+        for (const auto &[to, link] : client->links) {
+            if (!needsWatch(*link)) {
+                continue;
+            }
+            any = true;
+            auto &session = *link->session;
+            if (now - session.lastReceived > pingAfter && session.pingSentAt <= session.lastReceived) {
+                session.pingSentAt = now;
+                nghttp2_submit_ping(session.session, NGHTTP2_FLAG_NONE, nullptr);
+                flush(link->session);
+            }
+        }
+    }
+    client->watching = false;
+}
+
 /** Closes sessions that nobody uses, since a daemon may come to talk to all others in turn. */
 void closeIdle(peer_client &client, steady_time now)
 {
@@ -158,6 +201,12 @@
     }
     auto link = slot;
     dropQuiet(*link, std::chrono::steady_clock::now());
+    opened_call opened;
+    const auto now = std::chrono::steady_clock::now();
+    if (now < link->unreachableUntil || (isUsable(*link) && silenceOf(*link->session, now) > pingLimit)) {
+        failed(opened.why, "connect", toString(to), "it gives no sign of life");
+        co_return opened;
+    }
     if (!isUsable(*link)) {
         if (!link->connecting) {
             co_await connectLink(client, link, to, connectTimeout);
@@ -167,7 +216,6 @@
             co_await link->connected.waitUntil(until);
         }
     }
-    opened_call opened;
     if (!isUsable(*link)) {
         opened.why = link->why;
         if (opened.why.text.empty()) {
@@ -178,6 +226,9 @@
     opened.call = submit(link->session, request, to);
     if (!opened.call) {
         failed(opened.why, "open a stream", toString(to), "the session takes no more streams");
+    } else if (!client->watching) {
+        client->watching = true;
+        asio::co_spawn(client->executor, watchSessions(client), asio::detached);
     }
     co_return opened;
 }
@@ -242,6 +293,11 @@
     return call.stream->closed;
 }
 
+bool isSilent(const peer_call &call)
+{
+    return silenceOf(*call.session, std::chrono::steady_clock::now()) > pingLimit;
+}
+
 void abandonCall(peer_call &call)
 {
     if (!call.session->dead && !call.stream->closed) {
--- a/packages/peer/src/peer_client.h
+++ b/packages/peer/src/peer_client.h
@@ -78,6 +78,13 @@
  */
 bool isClosed(const peer_call &call);
 
+/**
+ * Tells whether the other daemon gives no sign of life: it, its instance or the way there may be gone.
+ * @param call Call.
+ * @return Whether it left a question for a sign of life unanswered.
+ */
+bool isSilent(const peer_call &call);
+
 /**
  * Gives a request up.
  * @param call Call.
