Fix: a target that leaves is listed as leaving before its slots go

Cause: aLeavingTargetHandsItsSlotsOverWithTokens failed: the daemon wrote new owners before its entry said that the target leaves (entries were rewritten only with the next confirmation, up to 1.8 s later), so the planner saw an idle target and moved slots back to it. Ruled out: lost answers of the fake world. Change: entries are rewritten as soon as they differ, and slots go only once the entry says 'leaving'.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -87,7 +87,8 @@
     parts.shared.routing.store(std::make_shared<const routing_view>());
     parts.shared.catalog.store(std::make_shared<const catalog_state>());
     parts.control.shared = &parts.shared;
-    if (!prepareTraffic(parts.shared, parts.traffic, why) || !startControl(parts.control, why) || !startAdmin(parts, why)) {
+    if (!prepareTraffic(parts.shared, parts.traffic, why) || !startControl(parts.control, why)
+        || !startAdmin(parts, why)) {
         return false;
     }
     asio::co_spawn(parts.control.context, awaitStop(parts), asio::detached);
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -289,7 +289,8 @@
         }
     }
     const auto box = std::make_shared<verdict_box>(co_await asio::this_coro::executor);
-    admission_request asked{0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
+    admission_request asked{
+        0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
     auto verdict = askAdmission(shared, asked, box);
     if (verdict.queued) {
         advanceGate(shared.admission, clock::now()); // Whoever lost its place hears of it at once.
--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -25,7 +25,7 @@
 {
     auto sink = std::make_shared<answer_sink>();
     sink->head = [&shared, responder](unsigned status, std::vector<http_header> headers,
-                             std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
+                                      std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
         sendHead(*responder, status, answerHeaders(headers, length, busyNow(shared)));
         co_return !isAbandoned(*responder);
     };
@@ -60,8 +60,8 @@
     last_reason why;
     std::optional<http_reply> reply;
     if (thread.shared->storeHeard) {
-        http_request call{headerOf(request.headers, "qs-method"), headerOf(request.headers, "qs-path"), {},
-                          std::move(request.body)};
+        http_request call{
+            headerOf(request.headers, "qs-method"), headerOf(request.headers, "qs-path"), {}, std::move(request.body)};
         if (!call.body.empty()) {
             call.headers.emplace_back("Content-Type", headerOf(request.headers, "qs-content-type"));
         }
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -97,10 +97,10 @@
 std::vector<http_header> outcomeHeaders(const request_outcome &outcome)
 {
     std::vector<http_header> headers{{"qs-outcome", nameOf(outcome.result)},
-            {"qs-reason", std::to_string(static_cast<int>(outcome.reason))},
-            {"qs-text", outcome.text},
-            {"qs-handed-over", outcome.handedOver ? "1" : "0"},
-            {"qs-retry-ms", std::to_string(outcome.retryAfter.count())}};
+                                     {"qs-reason", std::to_string(static_cast<int>(outcome.reason))},
+                                     {"qs-text", outcome.text},
+                                     {"qs-handed-over", outcome.handedOver ? "1" : "0"},
+                                     {"qs-retry-ms", std::to_string(outcome.retryAfter.count())}};
     if (outcome.busy) {
         headers.emplace_back(busyHeader, busyText(*outcome.busy));
     }
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -42,8 +42,8 @@
     slot_run owners;
     owners.owners.resize(numericSlots);
     for (const auto &run : record.runs) {
-        const auto found = std::find_if(members.begin(), members.end(),
-                                        [&](const auto &member) { return member.id == run.owner; });
+        const auto found =
+            std::find_if(members.begin(), members.end(), [&](const auto &member) { return member.id == run.owner; });
         const auto index = found == members.end() ? -1 : static_cast<std::int32_t>(found - members.begin());
         for (auto slot = run.first; slot <= run.last; ++slot) {
             owners.owners[slot] = {index, run.fence};
@@ -111,8 +111,8 @@
 void advance(roster_control &control)
 {
     for (auto &action : tick(control.state, clock::now())) {
-        asio::co_spawn(control.context,
-                       performAction(control, std::move(action), [&control] { advance(control); }), asio::detached);
+        asio::co_spawn(control.context, performAction(control, std::move(action), [&control] { advance(control); }),
+                       asio::detached);
     }
     publish(control);
 }
@@ -171,8 +171,7 @@
             co_return;
         }
         last_reason why;
-        const auto message =
-            code ? std::nullopt : decodeMessage({control.received.data(), length}, why);
+        const auto message = code ? std::nullopt : decodeMessage({control.received.data(), length}, why);
         if (message && std::holds_alternative<load_message>(*message)) {
             takeLoad(control.state, std::get<load_message>(*message), clock::now());
         } else {
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -25,7 +25,8 @@
     std::vector<fenced_slot> served; ///< Slots open at the gate.
     udp::socket socket{context}; ///< Datagrams about loads.
     std::array<char, 8192> received{}; ///< The datagram being received.
-    std::shared_ptr<peer_client> peers = makePeerClient(context.get_executor()); ///< For calls to the store through others.
+    std::shared_ptr<peer_client> peers =
+        makePeerClient(context.get_executor()); ///< For calls to the store through others.
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing among them.
     steady_time nextLoad{}; ///< When to tell about the own load next.
     bool storeHeard = true; ///< Whether the last call to the store was answered.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -11,7 +11,8 @@
 
 constexpr double rosterBudgetCap = 4; ///< Retries saved up by one daemon; all daemons share one allowance.
 
-/** An instance that is gone stays so for longer than callers should wait; a new owner shows up sooner only by chance. */
+/** An instance that is gone stays so for longer than callers should wait; a new owner shows up sooner only by chance.
+ */
 constexpr milliseconds unreachableWait{50};
 
 } // namespace
@@ -38,8 +39,7 @@
         }
         auto &at = *thread;
         thread->callers = std::make_shared<tcp::acceptor>(std::move(*callers));
-        thread->targets =
-            makeTargetClient({names.notRun, names.ownIds ? "" : names.requestId, names.unframedAnswers});
+        thread->targets = makeTargetClient({names.notRun, names.ownIds ? "" : names.requestId, names.unframedAnswers});
         thread->client = makePeerClient(thread->context.get_executor());
         thread->peers =
             startPeerServer(std::move(*peers), [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -46,7 +46,8 @@
 std::uint32_t slotsFor(const admission_state &state, const admission_request &request, steady_time now)
 {
     const auto slots = concurrencyNow(state, now);
-    const bool yields = state.goalBound && request.rank >= usualRank && !request.slot && now - state.urgentAt < urgentTime;
+    const bool yields =
+        state.goalBound && request.rank >= usualRank && !request.slot && now - state.urgentAt < urgentTime;
     return yields ? std::max<std::uint32_t>(slots - slots / reservePart, 1) : slots;
 }
 
@@ -142,7 +143,8 @@
 /**
  * Latest moment at which a queued request should be answered. Under a load that lasts, a queue in which all can just
  * meet their deadlines makes all miss their goals; a queue bounded by the goal serves as many, and in time. The most
- * urgent ones, and the calls that targets make within other work, may use more of their time: refusing them wastes more.
+ * urgent ones, and the calls that targets make within other work, may use more of their time: refusing them wastes
+ * more.
  */
 steady_time latestAnswer(const admission_state &state, const admission_request &request)
 {
@@ -281,7 +283,8 @@
 
 double busyOf(const admission_state &state)
 {
-    return static_cast<double>(state.inFlight + state.queue.size()) / std::max<std::uint32_t>(state.limits.concurrency, 1);
+    return static_cast<double>(state.inFlight + state.queue.size())
+        / std::max<std::uint32_t>(state.limits.concurrency, 1);
 }
 
 void closeSlot(admission_state &state, const fenced_slot &slot)
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -37,6 +37,7 @@
     roster_node written; ///< The entry as last written.
     steady_time validUntil{}; ///< No grant runs beyond this moment.
     steady_time nextConfirm{}; ///< When to confirm the entry next.
+    steady_time nextEntry{}; ///< No write of the entry before this moment, after a failure.
     steady_time nextRenewal{}; ///< When to renew the store lease next.
 };
 
@@ -55,7 +56,7 @@
     std::vector<reported_run> holds; ///< What it last said it holds.
     std::vector<reported_run> freed; ///< Tokens for slots that it gave back.
     std::map<std::pair<pool_id, std::uint32_t>, std::uint64_t> leftOut; ///< For runs not granted any more, by first
-                                                                         ///< slot: the report answered without them.
+                                                                        ///< slot: the report answered without them.
 };
 
 /** Load of each slot of one pool and how fast its targets work, as far as learnt. */
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -97,7 +97,7 @@
     if (!lease.busy) {
         const auto own = state.nodes.find(state.self.member.id);
         const auto marker = own == state.nodes.end() ? revision_number{} : own->second.marker;
-        if ((!lease.entered || lease.written != state.self) && now >= lease.nextConfirm) {
+        if ((!lease.entered || lease.written != state.self) && now >= lease.nextEntry) {
             lease.busy = true;
             actions.push_back(enter_action{state.self, marker, lease.entered});
         } else if (now >= lease.nextConfirm) {
@@ -185,7 +185,7 @@
             lease.entered = false; // If the entry was to be there still, it may be missing.
             lease.ownersKnown = false;
         }
-        lease.nextConfirm = now + state.timing.retryInterval;
+        lease.nextEntry = now + state.timing.retryInterval;
         return;
     }
     lease.enteredAt = lease.entered ? lease.enteredAt : now;
--- a/packages/decisions/src/roster_codec.cpp
+++ b/packages/decisions/src/roster_codec.cpp
@@ -46,8 +46,8 @@
 {
     auto rows = json::array();
     for (const auto &run : record.runs) {
-        rows.push_back({run.first, run.last, run.owner.value, run.life.id, run.life.born, run.fence.value,
-                        run.handover, run.next.value});
+        rows.push_back({run.first, run.last, run.owner.value, run.life.id, run.life.born, run.fence.value, run.handover,
+                        run.next.value});
     }
     return json{{"pool", record.pool.value}, {"runs", std::move(rows)}}.dump();
 }
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -115,7 +115,8 @@
         }
         const auto *next = run.next.value.empty() ? nullptr : findCandidate(candidates, run.next);
         const bool silent = now - std::max(target.heardAt, state.startedAt) >= state.timing.holdPeriod;
-        const bool leaves = !run.next.value.empty() || target.leaving || target.gone;
+        // Others must know that this target leaves before they see it without slots, or they would give it some.
+        const bool leaves = !run.next.value.empty() || state.lease.written.member.leaving;
         if ((silent || leaves) && isReleased(state, pool, run, now)) {
             draft.given.push_back(run);
             giveTo(draft, run, next, tokenFor(target, run));
@@ -210,9 +211,8 @@
 
 candidate_load *mostLacking(std::vector<candidate_load> &loads)
 {
-    return &*std::max_element(loads.begin(), loads.end(), [](const auto &a, const auto &b) {
-        return a.fair - a.load < b.fair - b.load;
-    });
+    return &*std::max_element(loads.begin(), loads.end(),
+                              [](const auto &a, const auto &b) { return a.fair - a.load < b.fair - b.load; });
 }
 
 /** Part of a target's capacity that its load uses; 1 if its speed is not known. */
--- a/packages/decisions/src/routing.cpp
+++ b/packages/decisions/src/routing.cpp
@@ -97,7 +97,8 @@
 {
     path = path.substr(0, path.find('?'));
     host = host.substr(0, host.find(':'));
-    for (auto end = path.rfind('/'); end != std::string_view::npos; end = end == 0 ? end - 1 : path.rfind('/', end - 1)) {
+    for (auto end = path.rfind('/'); end != std::string_view::npos;
+         end = end == 0 ? end - 1 : path.rfind('/', end - 1)) {
         const auto found = table.byPlace.find(placeOf(host, path.substr(0, end + 1)));
         if (found != table.byPlace.end()) {
             return &table.rows.routes[found->second];
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -85,7 +85,8 @@
 }
 
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
-                                                             milliseconds idleAtMost, milliseconds timeout, last_reason &why)
+                                                             milliseconds idleAtMost, milliseconds timeout,
+                                                             last_reason &why)
 {
     auto exchange = takeKept(*client, address, idleAtMost);
     if (exchange) {
@@ -122,8 +123,7 @@
     message.body() = std::move(request.body);
     message.prepare_payload();
     exchange->headOnly = request.method == "HEAD";
-    exchange->requestId =
-        exchange->rules.requestId.empty() ? "" : headerOf(request.headers, exchange->rules.requestId);
+    exchange->requestId = exchange->rules.requestId.empty() ? "" : headerOf(request.headers, exchange->rules.requestId);
     exchange->stream.expires_at(until);
     error_code code;
     co_await http::async_write(exchange->stream, message, reporting(code));
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -50,7 +50,8 @@
  * @return The exchange, or null; then nothing was sent.
  */
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
-                                                             milliseconds idleAtMost, milliseconds timeout, last_reason &why);
+                                                             milliseconds idleAtMost, milliseconds timeout,
+                                                             last_reason &why);
 
 /**
  * Sends a request. From the call on, the target may run it.
