--- a/packages/decisions/tests/roster_test.cpp
+++ b/packages/decisions/tests/roster_test.cpp
@@ -172,8 +172,7 @@
     const auto &timing = world.nodes[0].roster.timing;
     const auto reportInterval = milliseconds(870);
     const auto callTimeout = milliseconds(900); // A call under way when the store comes back takes this long to fail.
-    world.storeDownUntil =
-        world.now + timing.leasePeriod - timing.confirmInterval - callTimeout - 2 * reportInterval;
+    world.storeDownUntil = world.now + timing.leasePeriod - timing.confirmInterval - callTimeout - 2 * reportInterval;
     for (int part = 0; part < 60; ++part) {
         runFor(world, milliseconds(100));
         ASSERT_EQ(servedSlotCount(world), numericSlots) << part;
