--- a/packages/decisions/tests/interleaving_test.cpp
+++ b/packages/decisions/tests/interleaving_test.cpp
@@ -65,6 +65,30 @@
 
 } // namespace
 
+// Shrunk from a long run: two voters restarted, one lost, then pauses and one cut. Without any outage of the store.
+TEST(interleaving, restartsALossPausesAndACutLeaveOneOwner)
+{
+    cell_world world(762928, daemonCount);
+    world.run(seconds(6));
+    world.restart(2);
+    world.run(milliseconds(311));
+    world.kill(0);
+    world.run(milliseconds(1331));
+    world.restart(3);
+    world.run(milliseconds(541));
+    world.pause(2, milliseconds(1650));
+    world.run(milliseconds(561));
+    world.heal();
+    world.run(milliseconds(21));
+    world.cut(4, 2);
+    world.run(milliseconds(1091));
+    world.pause(3, milliseconds(1600));
+    world.run(milliseconds(1041));
+    mend(world);
+    EXPECT_TRUE(world.runUntilServed(seconds(30)));
+    EXPECT_TRUE(world.violations.empty());
+}
+
 RC_GTEST_PROP(interleaving, noSlotEverHasTwoOwners, ())
 {
     const auto seed = *rc::gen::inRange(1, 1000000);
