--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -268,7 +268,10 @@
     const auto &settings = thread.shared->settings;
     const request_origin origin{thread.shared->names, settings.roster ? settings.roster->pool : pool_id{}, freshId,
                                 thread.random(), clock::now()};
-    co_return makeRouted(route, std::move(request), std::move(*key), origin);
+    auto routed = makeRouted(route, std::move(request), std::move(*key), origin);
+    // What comes during a planned stop is answered before the process has to end.
+    routed.deadline = std::min(routed.deadline, thread.shared->answersUntil.load());
+    co_return routed;
 }
 
 /** Serves one request whose headers have been read. */
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -260,7 +260,10 @@
             state.request->attempt = makeToken(thread);
             state.request->slot = choice.slot;
             const bool lastTarget = state.handOvers + 1 >= state.request->targetsAllowed;
-            const bool mayMoveOn = choice.another && state.request->idempotent && !lastTarget;
+            // With a roster the daemon beside the target queues and notices a stalled one; an attempt that is slow only
+            // since it waits there is not given up from here.
+            const bool patient = thread.shared->settings.roster.has_value();
+            const bool mayMoveOn = choice.another && state.request->idempotent && !lastTarget && !patient;
             state.request->answerBy =
                 mayMoveOn ? clock::now() + patienceWith(thread.balance, choice.member->id) : steady_time::max();
             state.tried.insert(choice.member->id);
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -334,6 +334,7 @@
 void beginStop(roster_control &control)
 {
     control.stopping = true;
+    control.shared->answersUntil = clock::now() + control.shared->settings.drainLimit;
     control.state.stopping = true;
     control.state.self.member.leaving = true;
     advance(control);
--- a/packages/daemon/src/roster_relay.cpp
+++ b/packages/daemon/src/roster_relay.cpp
@@ -30,6 +30,7 @@
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<endpoint> relays;
+    relays.reserve(ranked.size());
     for (const auto &[rank, at] : ranked) {
         relays.push_back(at);
     }
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -28,6 +28,7 @@
     gate admission; ///< Admission beside the target.
     std::shared_ptr<metrics> numbers = makeMetrics(); ///< Metrics.
     std::atomic<bool> storeHeard = true; ///< Whether the store answered the last call made from here.
+    std::atomic<steady_time> answersUntil{steady_time::max()}; ///< In a planned stop: requests are answered by then.
     std::atomic<bool> leaving = false; ///< Whether a planned stop is under way.
     std::atomic<std::uint64_t> requestsOpen = 0; ///< Callers' requests and peers' requests under way.
     std::atomic<std::uint64_t> linkBytes = 0; ///< Body bytes exchanged with other regions.
