--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -7,6 +7,7 @@
 #include "record_func.h"
 #include "spread.h"
 #include "store_sync.h"
+#include "traffic_start.h"
 
 #include <algorithm>
 
@@ -154,17 +155,6 @@
     }
 }
 
-cell_member makeSelf(const daemon_shared &shared)
-{
-    cell_member self;
-    self.id = shared.settings.instance;
-    self.incarnation = shared.incarnation;
-    self.region = shared.settings.region;
-    self.domain = shared.settings.domain;
-    self.at = {shared.settings.host, shared.settings.callersPort, shared.settings.peersPort, shared.settings.adminPort};
-    return self;
-}
-
 /** Grace of a pool's new owner, for targets that check no grants. */
 milliseconds graceOf(const control_state &control)
 {
@@ -185,19 +175,11 @@
     control.startedAt = clock::now();
     control.store = makeStoreClient(settings.store);
     control.peers = makePeerClient(control.context.get_executor());
-    const auto at = resolved<udp>({settings.host, settings.peersPort});
-    error_code code;
-    control.socket.open(at.protocol(), code);
-    if (!code) {
-        control.socket.bind(at, code);
-    }
-    if (code) {
-        failed(why, "bind the control socket", settings.host + ":" + std::to_string(settings.peersPort),
-               code.message());
+    if (!bindDatagrams(control.socket, settings, why)) {
         return false;
     }
     control.cells.emplace(settings.cell,
-                          startCell(settings.cell, makeSelf(*control.shared), true, {}, control.startedAt));
+                          startCell(settings.cell, selfOf(*control.shared), true, {}, control.startedAt));
     asio::co_spawn(control.context, receiveLoop(control), asio::detached);
     asio::co_spawn(control.context, tickLoop(control), asio::detached);
     asio::co_spawn(control.context, loadDocuments(control), asio::detached);
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -9,7 +9,6 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <random>
 
 namespace quetzalspool {
 
@@ -18,7 +17,6 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds stopCheck{20}; ///< Between two looks whether a planned stop is complete.
-constexpr milliseconds quietTime{300}; ///< No request for this long ends a planned stop.
 
 /** Everything that lives as long as the daemon. */
 struct daemon_parts
@@ -53,14 +51,7 @@
     logEvent(log_level::info, "left-cell");
     parts.shared.leaving = true;
     closeListeners(parts.traffic);
-    auto quietSince = clock::now();
-    while (clock::now() - quietSince < quietTime && clock::now() < limit) {
-        if (parts.shared.requestsOpen > 0) {
-            quietSince = clock::now();
-        }
-        co_await sleepFor(stopCheck);
-    }
-    logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(parts.shared.requestsOpen.load())}});
+    co_await awaitQuiet(parts.shared, limit);
     parts.control.context.stop();
 }
 
@@ -82,10 +73,7 @@
 {
     daemon_parts parts;
     parts.shared.settings = settings;
-    std::random_device device;
-    parts.shared.incarnation.value = (static_cast<std::uint64_t>(device()) << 31U) ^ device();
-    parts.shared.routing.store(std::make_shared<const routing_view>());
-    parts.shared.catalog.store(std::make_shared<const catalog_state>());
+    prepareShared(parts.shared);
     parts.control.shared = &parts.shared;
     if (!prepareTraffic(parts.shared, parts.traffic, why) || !startControl(parts.control, why)
         || !startAdmin(parts, why)) {
--- a/packages/daemon/src/gate.h
+++ b/packages/daemon/src/gate.h
@@ -4,6 +4,7 @@
 
 #include "admission_base.h"
 #include "ledger_base.h"
+#include "log_func.h"
 
 #include <functional>
 #include <map>
@@ -21,6 +22,7 @@
     std::uint64_t nextId = 1; ///< Number of the next request.
     endpoint target; ///< Address of the target.
     std::string targetLife; ///< Life of the target, for deployments that name lives; else empty.
+    log_budget lines; ///< Lines about requests that the target did not answer.
     bool checksGrants = false; ///< Whether the target refuses older fences.
 };
 
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -183,6 +183,21 @@
     }
 }
 
+/** One line for a request that was handed over and got no answer. */
+void logLost(daemon_shared &shared, const routed_request &request, const last_reason &why)
+{
+    std::uint64_t dropped = 0;
+    {
+        const std::lock_guard lock(shared.admission.mutex);
+        if (!takeLine(shared.admission.lines, clock::now())) {
+            return;
+        }
+        dropped = std::exchange(shared.admission.lines.dropped, 0);
+    }
+    logEvent(log_level::warn, "target-lost",
+             {{"id", request.id}, {"reason", describe(why)}, {"lines_dropped", std::to_string(dropped)}});
+}
+
 /** Everything from hand-over to the end of the answer. */
 asio::awaitable<request_outcome> exchangeWithTarget(daemon_shared &shared,
                                                     std::shared_ptr<const routed_request> request,
@@ -197,7 +212,7 @@
         head = co_await readTargetHead(exchange, std::min(request->deadline, request->answerBy), why);
     }
     if (!head) {
-        logEvent(log_level::warn, "target-lost", {{"id", request->id}, {"reason", describe(why)}});
+        logLost(shared, *request, why);
         request_outcome lost{attempt_result::unknown, refusal::none, "target-lost"};
         lost.handedOver = true;
         co_return lost;
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -9,6 +9,7 @@
 #include "roster_relay.h"
 #include "roster_sync.h"
 #include "routing_func.h"
+#include "traffic_start.h"
 
 #include <algorithm>
 
@@ -77,24 +78,31 @@
     control.shared->routing.store(std::move(view));
 }
 
-/** Opens and closes slots at the gate, and tells it about the target. */
-void publishGate(roster_control &control, steady_time now)
+std::vector<fenced_slot> slotsOf(const std::vector<std::pair<pool_id, key_run>> &runs)
 {
-    const auto &target = control.state.target;
-    std::vector<fenced_slot> served;
-    for (const auto &[pool, run] : grantedRuns(control.state)) {
+    std::vector<fenced_slot> slots;
+    for (const auto &[pool, run] : runs) {
+        slots.reserve(slots.size() + run.last - run.first + 1);
         for (auto slot = run.first; slot <= run.last; ++slot) {
-            served.push_back({pool, {slot}, run.fence});
+            slots.push_back({pool, {slot}, run.fence});
         }
     }
+    return slots;
+}
+
+/** Opens and closes slots at the gate, and tells it about the target. */
+void publishGate(roster_control &control, steady_time now)
+{
+    const auto &target = control.state.target;
+    auto granted = grantedRuns(control.state);
     auto &gate = control.shared->admission;
     const std::lock_guard lock(gate.mutex);
     auto &admission = gate.admission;
     admission.leaseUntil = target.servesUntil;
     admission.leaving = target.leaving || target.gone;
-    if (served != control.served) {
-        setServed(admission, served, target.servesUntil, milliseconds(0), now);
-        control.served = std::move(served);
+    if (granted != control.granted) {
+        setServed(admission, slotsOf(granted), target.servesUntil, milliseconds(0), now);
+        control.granted = std::move(granted);
     }
 }
 
@@ -180,21 +188,6 @@
     }
 }
 
-bool bindSocket(roster_control &control, last_reason &why)
-{
-    const auto &settings = control.shared->settings;
-    const auto at = resolved<udp>({settings.host, settings.peersPort});
-    error_code code;
-    control.socket.open(at.protocol(), code);
-    if (!code) {
-        control.socket.bind(at, code);
-    }
-    if (code) {
-        failed(why, "bind the control socket", settings.host, code.message());
-    }
-    return !code;
-}
-
 asio::awaitable<void> tickLoop(roster_control &control)
 {
     for (;;) {
@@ -202,7 +195,7 @@
         tellLoad(control, clock::now());
         advanceGate(control.shared->admission, clock::now());
         setGauge(*control.shared->numbers, "store_calls", static_cast<double>(control.port.storeCalls()));
-        setGauge(*control.shared->numbers, "slots_owned", static_cast<double>(control.served.size()));
+        setGauge(*control.shared->numbers, "runs_granted", static_cast<double>(control.granted.size()));
         co_await sleepFor(tickInterval);
     }
 }
@@ -298,18 +291,6 @@
         && serve(control, {settings.host, settings.adminPort}, metrics, why);
 }
 
-roster_node makeSelf(const daemon_shared &shared)
-{
-    const auto &settings = shared.settings;
-    roster_node self;
-    self.member.id = settings.instance;
-    self.member.incarnation = shared.incarnation;
-    self.member.region = settings.region;
-    self.member.domain = settings.domain;
-    self.member.at = {settings.host, settings.callersPort, settings.peersPort, settings.adminPort};
-    return self;
-}
-
 } // namespace
 
 bool startRosterControl(roster_control &control, last_reason &why)
@@ -318,8 +299,8 @@
     roster_timing timing;
     timing.leasePeriod = roster.leasePeriod;
     timing.holdPeriod = roster.holdPeriod;
-    control.state = startRoster(makeSelf(*control.shared), timing, clock::now());
-    if (!bindSocket(control, why) || !startListeners(control, why)) {
+    control.state = startRoster({selfOf(*control.shared), {}}, timing, clock::now());
+    if (!bindDatagrams(control.socket, control.shared->settings, why) || !startListeners(control, why)) {
         return false;
     }
     asio::co_spawn(control.context, receiveLoads(control), asio::detached);
--- a/packages/daemon/src/roster_daemon.cpp
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -6,7 +6,6 @@
 #include "traffic_start.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <random>
 
 namespace quetzalspool {
 
@@ -14,9 +13,6 @@
 
 using clock = std::chrono::steady_clock;
 
-constexpr milliseconds stopCheck{20}; ///< Between two looks whether a planned stop is complete.
-constexpr milliseconds quietTime{200}; ///< No request for this long ends a planned stop.
-
 /** Everything that lives as long as the daemon. */
 struct roster_parts
 {
@@ -32,14 +28,7 @@
     co_await sleepFor(parts.shared.settings.roster->stopNotice);
     parts.shared.leaving = true;
     closeListeners(parts.traffic);
-    auto quietSince = clock::now();
-    while (clock::now() - quietSince < quietTime && clock::now() < limit) {
-        if (parts.shared.requestsOpen > 0) {
-            quietSince = clock::now();
-        }
-        co_await sleepFor(stopCheck);
-    }
-    logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(parts.shared.requestsOpen.load())}});
+    co_await awaitQuiet(parts.shared, limit);
     parts.control.context.stop();
 }
 
@@ -70,10 +59,7 @@
     roster_parts parts;
     parts.shared.settings = settings;
     parts.shared.names = port.names;
-    std::random_device device;
-    parts.shared.incarnation.value = (static_cast<std::uint64_t>(device()) << 31U) ^ device();
-    parts.shared.routing.store(std::make_shared<const routing_view>());
-    parts.shared.catalog.store(std::make_shared<const catalog_state>());
+    prepareShared(parts.shared);
     parts.control.shared = &parts.shared;
     parts.control.port = std::move(port);
     if (!prepareTraffic(parts.shared, parts.traffic, why) || !startRosterControl(parts.control, why)) {
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -3,12 +3,15 @@
 
 #include "entry.h"
 #include "http_server.h"
+#include "log_func.h"
 #include "peer_answer.h"
 
 namespace quetzalspool {
 
 namespace {
 
+constexpr milliseconds stopCheck{20}; ///< Between two looks whether a planned stop is complete.
+constexpr milliseconds quietTime{300}; ///< No request for this long ends a planned stop.
 constexpr double rosterBudgetCap = 4; ///< Retries saved up by one daemon; all daemons share one allowance.
 
 /** An instance that is gone stays so for longer than callers should wait; a new owner shows up sooner only by chance.
@@ -70,6 +73,54 @@
     }
 }
 
+void prepareShared(daemon_shared &shared)
+{
+    std::random_device device;
+    shared.incarnation.value = (static_cast<std::uint64_t>(device()) << 31U) ^ device();
+    shared.routing.store(std::make_shared<const routing_view>());
+    shared.catalog.store(std::make_shared<const catalog_state>());
+}
+
+cell_member selfOf(const daemon_shared &shared)
+{
+    const auto &settings = shared.settings;
+    cell_member self;
+    self.id = settings.instance;
+    self.incarnation = shared.incarnation;
+    self.region = settings.region;
+    self.domain = settings.domain;
+    self.at = {settings.host, settings.callersPort, settings.peersPort, settings.adminPort};
+    return self;
+}
+
+bool bindDatagrams(udp::socket &socket, const daemon_settings &settings, last_reason &why)
+{
+    const auto at = resolved<udp>({settings.host, settings.peersPort});
+    error_code code;
+    socket.open(at.protocol(), code);
+    if (!code) {
+        socket.bind(at, code);
+    }
+    if (code) {
+        failed(why, "bind the control socket", settings.host + ":" + std::to_string(settings.peersPort),
+               code.message());
+    }
+    return !code;
+}
+
+asio::awaitable<void> awaitQuiet(daemon_shared &shared, steady_time limit)
+{
+    using clock = std::chrono::steady_clock;
+    auto quietSince = clock::now();
+    while (clock::now() - quietSince < quietTime && clock::now() < limit) {
+        if (shared.requestsOpen > 0) {
+            quietSince = clock::now();
+        }
+        co_await sleepFor(stopCheck);
+    }
+    logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(shared.requestsOpen.load())}});
+}
+
 void stopTraffic(traffic_threads &traffic)
 {
     for (auto &state : traffic.states) {
--- a/packages/daemon/src/traffic_start.h
+++ b/packages/daemon/src/traffic_start.h
@@ -36,6 +36,36 @@
  */
 void closeListeners(traffic_threads &traffic);
 
+/**
+ * Draws this run's number and puts empty views in place.
+ * @param shared Shared state with its settings set.
+ */
+void prepareShared(daemon_shared &shared);
+
+/**
+ * Lists this daemon as it stands in records: names, run, addresses.
+ * @param shared Shared state.
+ * @return The member, without a target.
+ */
+cell_member selfOf(const daemon_shared &shared);
+
+/**
+ * Binds the socket for datagrams between daemons.
+ * @param socket Socket, closed as yet.
+ * @param settings Settings.
+ * @param why Receives the reason if it can't be bound.
+ * @return Whether it is bound.
+ */
+bool bindDatagrams(udp::socket &socket, const daemon_settings &settings, last_reason &why);
+
+/**
+ * Waits until no request has been under way for a moment, then logs the end.
+ * @param shared Shared state.
+ * @param limit Latest moment.
+ * @return An awaitable.
+ */
+asio::awaitable<void> awaitQuiet(daemon_shared &shared, steady_time limit);
+
 /**
  * Ends the threads.
  * @param traffic Threads.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -59,6 +59,17 @@
     target.leftOut = std::move(leftOut);
 }
 
+/** Forgets the facts of nodes that have been missing for so long that they get no more work. */
+void forgetMissing(roster_state &state, steady_time now)
+{
+    for (auto &[id, seen] : state.nodes) {
+        if (seen.node && !isUsable(state, seen, now)) {
+            seen.node.reset();
+            state.dirty = true;
+        }
+    }
+}
+
 void takeFacts(roster_state &state, const target_report &report, steady_time now)
 {
     auto &target = state.target;
@@ -90,6 +101,7 @@
 roster_actions tick(roster_state &state, steady_time now)
 {
     roster_actions actions;
+    forgetMissing(state, now);
     auto &lease = state.lease;
     if (!state.listed) {
         return actions;
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -116,7 +116,8 @@
         const auto *next = run.next.value.empty() ? nullptr : findCandidate(candidates, run.next);
         const bool silent = now - std::max(target.heardAt, state.startedAt) >= state.timing.holdPeriod;
         // Others must know that this target leaves before they see it without slots, or they would give it some.
-        const bool leaves = !run.next.value.empty() || state.lease.written.member.leaving;
+        const bool targetLeaves = (target.leaving || target.gone) && state.lease.written.member.leaving;
+        const bool leaves = !run.next.value.empty() || targetLeaves;
         if ((silent || leaves) && isReleased(state, pool, run, now)) {
             draft.given.push_back(run);
             giveTo(draft, run, next, tokenFor(target, run));
--- a/packages/decisions/tests/roster_test.cpp
+++ b/packages/decisions/tests/roster_test.cpp
@@ -187,6 +187,36 @@
     EXPECT_LT(world.store.revision, 60) << "owners are not written again and again";
 }
 
+TEST(roster, aNodeThatStaysMissingGetsNoMoreWork)
+{
+    auto world = servingWorld(10, 3);
+    auto &state = world.nodes[0].roster;
+    const instance_id gone{"n2"};
+    const auto at = world.now;
+    takeEntry(state, gone, std::nullopt, {1}, at);
+    tick(state, at);
+    state.dirty = false;
+    const auto limit = state.timing.absentLimit;
+    tick(state, at + limit - milliseconds(10));
+    EXPECT_FALSE(state.dirty) << "an entry may be back soon";
+    EXPECT_TRUE(state.nodes.at(gone).node.has_value());
+    tick(state, at + limit);
+    EXPECT_TRUE(state.dirty) << "views for traffic are made anew without it";
+    EXPECT_FALSE(state.nodes.at(gone).node.has_value());
+}
+
+TEST(roster, aStoppingDaemonKeepsTheKeysOfItsLivingTarget)
+{
+    auto world = servingWorld(11, 3);
+    auto &node = world.nodes[1];
+    const auto before = world.store.values.at("owners/p").revision;
+    node.roster.stopping = true;
+    node.roster.self.member.leaving = true;
+    runFor(world, seconds(3));
+    EXPECT_EQ(world.store.values.at("owners/p").revision, before);
+    EXPECT_EQ(servedSlotCount(world), numericSlots);
+}
+
 TEST(roster, aReportOutOfOrderRenewsNothing)
 {
     auto world = servingWorld(9, 3);
--- a/packages/telemetry/src/log.cpp
+++ b/packages/telemetry/src/log.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr int bufferedLines = 512; ///< Lines that wait for a slow reader: some 100 KB.
+
 bool asJson = false;
 std::string instanceName;
 
@@ -82,7 +85,12 @@
                               : "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p [" + instance + "] %m%n";
     auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
-    log4cxx::BasicConfigurator::configure(appender);
+    // A reader that stops must hold nobody up: lines beyond the buffer are left out, and log4cxx says how many.
+    auto buffer = std::make_shared<log4cxx::AsyncAppender>();
+    buffer->setBlocking(false);
+    buffer->setBufferSize(bufferedLines);
+    buffer->addAppender(appender);
+    log4cxx::BasicConfigurator::configure(buffer);
     logger()->setLevel(log4cxx::Level::toLevel(level));
 }
 
--- /dev/null
+++ b/packages/telemetry/tests/log_test.cpp
@@ -0,0 +1,50 @@
+/** @file log_test.cpp Lines are bounded under load, and a reader that stops holds nobody up. */
+#include "log_func.h"
+
+#include <csignal>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace quetzalspool::test {
+
+TEST(log, linesAreBoundedAndWhatWasLeftOutIsCounted)
+{
+    log_budget budget;
+    budget.perSecond = 10;
+    budget.most = 5;
+    budget.tokens = 5;
+    const steady_time start{std::chrono::seconds(1000)};
+    int written = 0;
+    for (int line = 0; line < 100; ++line) {
+        written += takeLine(budget, start) ? 1 : 0;
+    }
+    EXPECT_EQ(written, 5);
+    EXPECT_EQ(budget.dropped, 95U);
+    EXPECT_TRUE(takeLine(budget, start + milliseconds(100)));
+    EXPECT_FALSE(takeLine(budget, start + milliseconds(100)));
+}
+
+TEST(log, aReaderThatStopsHoldsNobodyUp)
+{
+    int ends[2] = {};
+    ASSERT_EQ(pipe(ends), 0);
+    const int before = dup(STDOUT_FILENO);
+    ASSERT_EQ(dup2(ends[1], STDOUT_FILENO), STDOUT_FILENO);
+    startLog("info", true, "one");
+    const std::string text(500, 'x');
+    // Far more than a pipe and the buffer in front of it hold; the alarm ends the program if a line blocks.
+    alarm(20);
+    for (int line = 0; line < 20000; ++line) {
+        logEvent(log_level::info, "line", {{"text", text}});
+    }
+    alarm(0);
+    // Closing the reading end lets the writer behind the buffer go on.
+    signal(SIGPIPE, SIG_IGN);
+    close(ends[0]);
+    dup2(before, STDOUT_FILENO);
+    close(ends[1]);
+    close(before);
+    SUCCEED();
+}
+
+} // namespace quetzalspool::test
