Fix: a watch that ends at once is repeated with pauses; Codechange: one loop follows the store, patience counts from the hand-over

Cause: reading the change again. The two loops over the store were the same code twice. Patience with a silent target counted from before its queue, and was switched off for the platform in the middle of the forwarding; now the daemon beside the target counts it from the hand-over, and whether it is used stands with the limits of retries. A retry after an attempt of unknown outcome was counted as another hand-over even if it was refused; 'not run' is now withheld only from the end's answer.

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -110,7 +110,7 @@
 {
     for (;;) {
         const auto now = clock::now();
-        const auto until = std::min(request->deadline, request->answerBy);
+        const auto until = request->deadline;
         auto head = co_await readHead(call, std::min(now + ownerCheck, until));
         if (head) {
             co_return head;
@@ -236,6 +236,16 @@
     return question;
 }
 
+/** How the request ended: as its last attempt did, but "not run" must be true of all attempts. */
+request_outcome endOf(const route_state &state)
+{
+    auto outcome = state.last;
+    if (state.mayHaveRun && outcome.result == attempt_result::not_run) {
+        outcome.result = attempt_result::unknown;
+    }
+    return outcome;
+}
+
 } // namespace
 
 asio::awaitable<request_outcome> routeRequest(traffic_thread &thread, routed_request request,
@@ -249,7 +259,7 @@
         ++state.attempts;
         const auto choice = chooseOwner(thread, state);
         if (choice.member == nullptr && !state.tried.empty() && state.request->key.empty()) {
-            co_return state.last; // All targets were tried: the last of them said why not.
+            co_return endOf(state); // All targets were tried: the last of them said why not.
         }
         request_outcome outcome{attempt_result::not_run, refusal::none, choice.known ? "no-owner" : "no-pool",
                                 noOwnerRetry};
@@ -260,30 +270,24 @@
             state.request->attempt = makeToken(thread);
             state.request->slot = choice.slot;
             const bool lastTarget = state.handOvers + 1 >= state.request->targetsAllowed;
-            // With a roster the daemon beside the target queues and notices a stalled one; an attempt that is slow only
-            // since it waits there is not given up from here.
-            const bool patient = thread.shared->settings.roster.has_value();
-            const bool mayMoveOn = choice.another && state.request->idempotent && !lastTarget && !patient;
-            state.request->answerBy =
-                mayMoveOn ? clock::now() + patienceWith(thread.balance, choice.member->id) : steady_time::max();
+            const bool mayMoveOn = choice.another && state.request->idempotent && !lastTarget;
+            state.request->patience = mayMoveOn && thread.retryLimits.leavesSilent
+                ? patienceWith(thread.balance, choice.member->id)
+                : milliseconds(0);
             state.tried.insert(choice.member->id);
             const auto member = *choice.member;
             outcome = co_await attemptAt(thread, member, state.request, state.sink);
         }
         outcome.attempts = state.attempts;
         state.mayHaveRun = state.mayHaveRun || outcome.result == attempt_result::unknown;
-        if (state.mayHaveRun && outcome.result == attempt_result::not_run) {
-            // This attempt was not run, but "not run" must be true of the whole request.
-            outcome.result = attempt_result::unknown;
-        }
         state.last = outcome;
         if (outcome.result == attempt_result::answered || state.sink->abandoned()) {
-            co_return outcome;
+            co_return endOf(state);
         }
         state.handOvers += outcome.handedOver || outcome.result == attempt_result::unknown ? 1 : 0;
         const auto answer = decideRetry(questionOf(state, outcome), thread.budget, thread.retryLimits, clock::now());
         if (!answer.again) {
-            co_return outcome;
+            co_return endOf(state);
         }
         countMetric(*thread.shared->numbers, "retries_total");
         if (answer.wait.count() > 0) {
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -183,6 +183,13 @@
     }
 }
 
+/** Latest moment for an answer to begin, from the hand-over on. */
+steady_time answerUntil(const routed_request &request, steady_time handedOver)
+{
+    const bool limited = request.patience.count() > 0;
+    return limited ? std::min(request.deadline, handedOver + request.patience) : request.deadline;
+}
+
 /** One line for a request that was handed over and got no answer. */
 void logLost(daemon_shared &shared, const routed_request &request, const last_reason &why)
 {
@@ -209,7 +216,7 @@
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
     std::optional<target_head> head;
     if (sent) {
-        head = co_await readTargetHead(exchange, std::min(request->deadline, request->answerBy), why);
+        head = co_await readTargetHead(exchange, answerUntil(*request, clock::now()), why);
     }
     if (!head) {
         logLost(shared, *request, why);
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -26,7 +26,7 @@
     std::uint32_t targetsAllowed = 6; ///< Targets that it may be handed to.
     steady_time deadline{}; ///< When the caller no longer waits.
     steady_time goal = steady_time::max(); ///< An answer is worth less after this moment.
-    steady_time answerBy{steady_time::max()}; ///< When this attempt is given up if no answer has begun.
+    milliseconds patience{0}; ///< After the hand-over, an attempt without an answer is given up after it; 0 is never.
 };
 
 /** The end of an attempt or a request. */
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -54,6 +54,7 @@
                       {"qs-class", request.kind == request_class::order ? "order" : "lookup"},
                       {"qs-idempotent", request.idempotent ? "1" : "0"},
                       {"qs-goal-ms", std::to_string(untilGoal.count())},
+                      {"qs-patience-ms", std::to_string(request.patience.count())},
                       {"qs-rank", std::to_string(request.rank)},
                       {"qs-deadline-ms", std::to_string(left.count())}},
                      request.http.body};
@@ -79,6 +80,7 @@
     in.kind = headerOf(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
     in.idempotent = headerOf(request.headers, "qs-idempotent") == "1";
     in.rank = static_cast<std::uint32_t>(numberOf(request.headers, "qs-rank"));
+    in.patience = milliseconds(numberOf(request.headers, "qs-patience-ms"));
     in.goal = now + milliseconds(numberOf(request.headers, "qs-goal-ms"));
     in.deadline = now + milliseconds(numberOf(request.headers, "qs-deadline-ms"));
     const auto fence = headerOf(request.headers, "qs-fence");
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -292,66 +292,81 @@
     return seen && !seen->forgotten && !seen->events.empty();
 }
 
-} // namespace
+/** Reads everything under a prefix and takes it. Returns the revision to watch from, or nothing without an answer. */
+using read_all = std::function<asio::awaitable<std::optional<revision_number>>(last_reason &why)>;
 
-asio::awaitable<void> followRoster(roster_control &control, std::function<void()> onChange)
+/**
+ * Reads everything, then watches, for as long as the process runs. A watch that was cut or told nothing may have missed
+ * changes, so a read follows it.
+ */
+asio::awaitable<void> follow(roster_control &control, std::string prefix, read_all readAll,
+                             std::function<void(const watch_event &)> takeEvent, std::function<void()> onChange)
 {
     for (;;) {
         last_reason why;
-        const auto all = co_await control.port.store.list(std::string(rootPrefix), why);
-        noteStore(control, all.has_value(), why);
-        if (!all) {
+        const auto from = co_await readAll(why);
+        noteStore(control, from.has_value(), why);
+        if (!from) {
             co_await sleepFor(followRetry);
             continue;
         }
-        takeList(control, *all, clock::now());
         onChange();
-        auto after = all->revision;
-        for (;;) {
-            const auto seen = co_await control.port.store.watch(std::string(rootPrefix), after, watchWait, why);
-            if (!isTelling(seen)) {
-                break; // A watch that was cut, or told nothing, may have missed changes.
-            }
-            const auto now = clock::now();
+        auto after = *from;
+        auto watchedAt = clock::now();
+        auto seen = co_await control.port.store.watch(prefix, after, watchWait, why);
+        while (isTelling(seen)) {
             for (const auto &event : seen->events) {
-                event.removed ? takeRemoved(control, event.value, now) : takeValue(control, event.value, now);
+                takeEvent(event);
             }
             after = std::max(after, seen->revision);
             onChange();
+            watchedAt = clock::now();
+            seen = co_await control.port.store.watch(prefix, after, watchWait, why);
+        }
+        if (clock::now() - watchedAt < followRetry) {
+            co_await sleepFor(followRetry); // A store that ends watches at once is not asked again at once.
         }
     }
 }
 
+} // namespace
+
+asio::awaitable<void> followRoster(roster_control &control, std::function<void()> onChange)
+{
+    read_all readAll = [&control](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
+        const auto all = co_await control.port.store.list(std::string(rootPrefix), why);
+        if (!all) {
+            co_return std::nullopt;
+        }
+        takeList(control, *all, clock::now());
+        co_return all->revision;
+    };
+    std::function<void(const watch_event &)> takeEvent = [&control](const watch_event &event) {
+        const auto now = clock::now();
+        event.removed ? takeRemoved(control, event.value, now) : takeValue(control, event.value, now);
+    };
+    co_await follow(control, std::string(rootPrefix), readAll, takeEvent, onChange);
+}
+
 asio::awaitable<void> followTables(roster_control &control, std::function<void()> onChange)
 {
     const auto key = control.port.tablesKey;
-    for (;;) {
-        last_reason why;
+    read_all readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
         const auto read = co_await control.port.store.read(key, why);
-        noteStore(control, read.has_value(), why);
         if (!read) {
-            co_await sleepFor(followRetry);
-            continue;
+            co_return std::nullopt;
         }
         if (read->value) {
             takeTables(control, *read->value);
-            onChange();
         }
-        auto after = read->revision;
-        for (;;) {
-            const auto seen = co_await control.port.store.watch(key, after, watchWait, why);
-            if (!isTelling(seen)) {
-                break;
-            }
-            for (const auto &event : seen->events) {
-                if (!event.removed && event.value.key == key) {
-                    takeTables(control, event.value);
-                }
-            }
-            after = std::max(after, seen->revision);
-            onChange();
+        co_return read->revision;
+    };
+    std::function<void(const watch_event &)> takeEvent = [&control, key](const watch_event &event) {
+        if (!event.removed && event.value.key == key) {
+            takeTables(control, event.value);
         }
-    }
+    };
+    co_await follow(control, key, readAll, takeEvent, onChange);
 }
 
 asio::awaitable<void> performAction(roster_control &control, roster_action action, std::function<void()> onChange)
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -30,6 +30,7 @@
         if (settings.roster) {
             thread->retryLimits.budgetCap = rosterBudgetCap;
             thread->retryLimits.unreachableWaitLimit = unreachableWait;
+            thread->retryLimits.leavesSilent = false; // There a target's silence is no reason to end its answer.
             thread->budget.tokens = rosterBudgetCap;
         }
         auto callers = listenOn(thread->context, {settings.host, settings.callersPort}, why);
--- /dev/null
+++ b/packages/daemon/tests/roster_sync_test.cpp
@@ -0,0 +1,81 @@
+/** @file roster_sync_test.cpp Following the store through watches that fail, with a fake store. */
+#include "roster_sync.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+/** A store with the tables alone, whose watch does as it is told. */
+struct fake_tables
+{
+    std::uint64_t version = 1; ///< Version of the tables.
+    int reads = 0; ///< Reads made.
+    int watches = 0; ///< Watches made.
+    milliseconds watchTime{0}; ///< How long a watch waits.
+    bool watchAnswers = false; ///< Whether it then answers, with no event and the newest revision.
+};
+
+void connect(roster_control &control, fake_tables &store)
+{
+    control.port.tablesKey = "tables";
+    control.port.readTables = [](std::string_view text, last_reason &) {
+        tables_snapshot rows;
+        rows.version = std::stoull(std::string(text));
+        return std::optional(rows);
+    };
+    control.port.store.read = [&store](std::string key, last_reason &) -> asio::awaitable<std::optional<read_result>> {
+        ++store.reads;
+        const revision_number revision{static_cast<std::int64_t>(store.version)};
+        co_return read_result{stored_value{key, std::to_string(store.version), revision}, revision};
+    };
+    control.port.store.watch = [&store](std::string, revision_number, milliseconds,
+                                        last_reason &) -> asio::awaitable<std::optional<watch_result>> {
+        ++store.watches;
+        co_await sleepFor(store.watchTime);
+        if (!store.watchAnswers) {
+            co_return std::nullopt;
+        }
+        co_return watch_result{false, {}, {static_cast<std::int64_t>(store.version)}};
+    };
+}
+
+/** Follows the tables for a while; a new version comes after a quarter of it. */
+void followFor(roster_control &control, fake_tables &store, milliseconds span)
+{
+    asio::co_spawn(control.context, followTables(control, [] {}), asio::detached);
+    control.context.run_for(span / 4);
+    store.version = 2;
+    control.context.run_for(span * 3 / 4);
+}
+
+} // namespace
+
+TEST(follow, aWatchThatTellsNothingIsFollowedByARead)
+{
+    daemon_shared shared;
+    roster_control control;
+    control.shared = &shared;
+    fake_tables store;
+    store.watchTime = milliseconds(300);
+    store.watchAnswers = true;
+    connect(control, store);
+    followFor(control, store, milliseconds(1200));
+    ASSERT_TRUE(control.tables != nullptr);
+    EXPECT_EQ(control.tables->rows.version, 2U) << "though the watch passed over the change";
+}
+
+TEST(follow, aWatchThatFailsAtOnceIsRepeatedWithPauses)
+{
+    daemon_shared shared;
+    roster_control control;
+    control.shared = &shared;
+    fake_tables store;
+    connect(control, store);
+    followFor(control, store, milliseconds(1200));
+    EXPECT_EQ(control.tables->rows.version, 2U);
+    EXPECT_LE(store.reads + store.watches, 20) << "calls to a store that has trouble are not multiplied";
+}
+
+} // namespace quetzalspool::test
--- a/packages/decisions/src/balance_cmd.cpp
+++ b/packages/decisions/src/balance_cmd.cpp
@@ -14,8 +14,8 @@
 constexpr std::uint64_t jitterSteps = 1024; ///< Steps of the random part of a score.
 constexpr double mostJitter = 0.05; ///< Random part of a score, so that daemons don't all choose the same target.
 constexpr milliseconds busyAge{1500}; ///< After this long a target's word about its load counts for nothing.
-constexpr double patienceFactor = 10; ///< Times the usual latency.
-constexpr milliseconds leastPatience{3000}; ///< Shortest patience with one target.
+constexpr double patienceFactor = 20; ///< Times the usual latency.
+constexpr milliseconds leastPatience{250}; ///< Shortest patience with one target.
 constexpr milliseconds mostPatience{5000}; ///< Longest patience with one target.
 constexpr double latencySmoothing = 0.2; ///< Weight of the newest latency.
 
--- a/packages/decisions/src/balance_func.h
+++ b/packages/decisions/src/balance_func.h
@@ -33,7 +33,7 @@
                                 steady_time now);
 
 /**
- * Tells how long an answer of a target may take to begin before another target is tried.
+ * Tells how long an answer may take to begin, from the hand-over to a target, before another target is tried.
  * @param state Evidence.
  * @param target Target.
  * @return A multiple of its usual time, within bounds.
--- a/packages/decisions/src/retry_type.h
+++ b/packages/decisions/src/retry_type.h
@@ -21,6 +21,7 @@
     milliseconds movingWait{25}; ///< Wait before trying a slot again that moves or has no owner.
     milliseconds waitLimit{400}; ///< All such waits of one request together.
     milliseconds unreachableWaitLimit{400}; ///< The same while the owner can't be reached or nobody owns the slot.
+    bool leavesSilent = true; ///< Whether a lookup leaves a target that is silent after the hand-over for another one.
     double budgetShare = 0.1; ///< Retries earned by each first attempt.
     double budgetCap = 50; ///< Retries that can be saved up.
 };
