--- a/packages/peer/tests/peer_test.cpp
+++ b/packages/peer/tests/peer_test.cpp
@@ -136,4 +136,55 @@
     EXPECT_EQ(opened.why.step, "connect");
 }
 
+TEST(peer, aDaemonWithoutASignOfLifeIsNoticedAndGetsNothingNew)
+{
+    asio::io_context context{1};
+    last_reason why;
+    // It accepts connections and reads, but says nothing, like an instance that stands still.
+    auto acceptor = std::make_shared<tcp::acceptor>(*listenOn(context, {"127.0.0.1", 0}, why));
+    const endpoint at{"127.0.0.1", acceptor->local_endpoint().port()};
+    const auto client = makePeerClient(context.get_executor());
+    bool early = true;
+    bool silent = false;
+    bool refused = false;
+    auto work = [&]() -> asio::awaitable<void> {
+        peer_request request{"/x", {}, ""};
+        const auto first = co_await openCall(client, at, request, seconds(1));
+        co_await sleepFor(milliseconds(500));
+        early = isSilent(*first.call);
+        co_await sleepFor(milliseconds(1000));
+        silent = isSilent(*first.call);
+        const auto second = co_await openCall(client, at, request, seconds(1));
+        refused = second.call == nullptr;
+        context.stop();
+    };
+    asio::co_spawn(context, work, asio::detached);
+    context.run_for(seconds(10));
+    EXPECT_FALSE(early) << "half a second is no silence";
+    EXPECT_TRUE(silent);
+    EXPECT_TRUE(refused) << "nothing was sent, so the request is proved not run";
+}
+
+TEST(peer, aDaemonThatWorksLongIsNotSilent)
+{
+    peer_pair pair([](peer_request request, std::shared_ptr<peer_responder> responder) -> asio::awaitable<void> {
+        co_await sleepFor(milliseconds(3000));
+        co_await echo(std::move(request), responder);
+    });
+    bool silent = true;
+    std::optional<http_reply> reply;
+    pair.run([&]() -> asio::awaitable<void> {
+        peer_request request{"/x", {}, ""};
+        const auto opened = co_await openCall(pair.client, pair.at, request, seconds(1));
+        co_await sleepFor(milliseconds(2800));
+        silent = isSilent(*opened.call);
+        // Another call must not take the quiet session for a dead one.
+        const auto other = co_await openCall(pair.client, pair.at, request, seconds(1));
+        reply = co_await readWhole(opened.call, clock::now() + seconds(5));
+        abandonCall(*other.call);
+    });
+    EXPECT_FALSE(silent);
+    EXPECT_TRUE(reply.has_value());
+}
+
 } // namespace quetzalspool::test
