Codechange: remove a setting and a header name that nothing reads; Add: tests of the settings of a roster

Cause: reading the change again: the target's address in the settings and the header of a target's load were read by nobody (the target's address comes with its reports, its load from the daemon beside it). Change: both removed; a roster's settings are tried field by field, missing and wrong.

--- a/packages/http/src/wire_names.h
+++ b/packages/http/src/wire_names.h
@@ -21,7 +21,6 @@
     std::string fence = "Quetzalspool-Fence"; ///< To the target: the fence of the slot.
     std::string callerPool; ///< To the target: pool of the target on whose machine the request began.
     std::string expectedTarget; ///< To the target: the life that is meant; another one refuses.
-    std::string targetLoad; ///< In a target's answer: running, waiting and slots, separated by commas.
     bool ownIds = true; ///< Whether targets get the composed request id; else the caller's goes on unchanged.
     bool unframedAnswers = false; ///< Whether a target's answer may end with its connection, without a length.
     bool fractionalRetry = false; ///< Whether callers take fractions of a second in Retry-After.
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -109,7 +109,6 @@
     settings.callersPort = callers.port;
     roster.reports = readEndpoint(reader, "reports");
     roster.readiness = readEndpoint(reader, "readiness");
-    roster.target = readEndpoint(reader, "target");
     roster.pool.value = readString(reader, "pool");
     roster.leasePeriod = readSpan(reader, "lease_ms", roster.leasePeriod);
     roster.holdPeriod = readSpan(reader, "hold_ms", roster.holdPeriod);
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -21,7 +21,6 @@
 {
     endpoint reports; ///< Where the target beside it reports.
     endpoint readiness; ///< Where it says whether it takes callers.
-    endpoint target; ///< Where that target listens.
     pool_id pool; ///< Pool that it belongs to.
     milliseconds leasePeriod{10000}; ///< Right to grant keys that one confirmation by the store gives.
     milliseconds holdPeriod{7000}; ///< How long a target may serve its keys after one report.
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -57,4 +57,38 @@
     EXPECT_NE(reasonOf("instance = \n").find("file:1"), std::string::npos);
 }
 
+TEST(settings, aRosterGivesTheAddressesOfItsDeployment)
+{
+    const std::string roster = R"(instance = "one"
+region = "north"
+failure_domain = "north-1"
+cell = "roster"
+host = "127.0.0.1"
+peers_port = 7001
+admin_port = 7002
+[roster]
+callers = "127.0.0.1:7000"
+store = "127.0.0.1:2379"
+reports = "127.0.0.1:7003"
+readiness = "127.0.0.1:7004"
+pool = "desk"
+)";
+    last_reason why;
+    const auto settings = parseSettings(roster, "file", why);
+    ASSERT_TRUE(settings.has_value()) << describe(why);
+    EXPECT_EQ(settings->callersPort, 7000);
+    EXPECT_EQ(settings->store.port, 2379);
+    EXPECT_EQ(settings->roster->reports.port, 7003);
+    for (const std::string field : {"callers", "store", "reports", "readiness", "pool"}) {
+        const auto at = roster.find("\n" + field + " =") + 1;
+        auto missing = roster;
+        missing.erase(at, roster.find('\n', at) + 1 - at);
+        EXPECT_NE(reasonOf(missing).find("\"" + field + "\""), std::string::npos) << field;
+        auto wrong = roster;
+        wrong.replace(at, roster.find('\n', at) - at, field + " = 5");
+        EXPECT_NE(reasonOf(wrong).find("\"" + field + "\""), std::string::npos) << field;
+    }
+    EXPECT_NE(reasonOf(roster + "hold_s = 5\n").find("hold_s"), std::string::npos);
+}
+
 } // namespace quetzalspool::test
