Fix: a late report of a dead life ends no hold, a write names few missing nodes, tokens go with their slots

A daemon that had restarted took a late report of a dead life for the target's, then held the living one for new, so that slots which its run before had granted counted as given back (a second owner). A write named all missing nodes; a transaction of the store takes 32 entries, so the loss of 15 instances would never have been written. Tokens of handed-on slots were kept for good and could be given with later ones; runs withheld during an outage were listed again with each try. Change: what an earlier run may have granted binds for the first lease of a run, whatever reports come; 12 missing nodes a write; tokens are kept for slots that wait; each withheld run once. The random worlds repeat dead reports too.

--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -24,17 +24,23 @@
            });
 }
 
-/** Starts to follow a new life of the target. The life before has ended, and its holds with it. */
+/** When all that an earlier run of this daemon may have granted is over. */
+steady_time earlierGrantsEnd(const roster_state &state)
+{
+    return state.startedAt + state.timing.withDrift(state.timing.leasePeriod);
+}
+
+/**
+ * Starts to follow a new life of the target. The life before has ended, and its holds with it. An earlier run of this
+ * daemon may have granted slots to this very life, even if a late report of a dead one came first.
+ */
 void followLife(roster_state &state, const target_report &report, steady_time now)
 {
     auto &target = state.target;
-    const bool replaces = !target.life.id.empty();
-    const auto holdsUntil = target.holdsUntil;
     target = {};
     target.life = report.life;
     target.heardAt = now;
-    // Grants of an earlier run of this daemon may have gone to this very life.
-    target.holdsUntil = replaces ? steady_time{} : holdsUntil;
+    target.holdsUntil = earlierGrantsEnd(state);
     state.dirty = true;
 }
 
@@ -59,6 +65,20 @@
     target.leftOut = std::move(leftOut);
 }
 
+/** Keeps the tokens of slots that wait to be handed on, and forgets the others. */
+void forgetTokens(roster_state &state)
+{
+    auto &target = state.target;
+    const auto record = state.records.find(state.self.member.target.pool);
+    std::erase_if(target.freed, [&](const auto &freed) {
+        return record == state.records.end()
+            || std::none_of(record->second.record.runs.begin(), record->second.record.runs.end(), [&](const auto &run) {
+                   return target.leftOut.contains({record->first, run.first})
+                       && overlaps(run.first, run.last, freed.first, freed.last);
+               });
+    });
+}
+
 /** Forgets the facts of nodes that have been missing for so long that they get no more work. */
 void forgetMissing(roster_state &state, steady_time now)
 {
@@ -94,7 +114,7 @@
     state.self = std::move(self);
     state.startedAt = now;
     state.nodesChanged = now;
-    state.target.holdsUntil = now + timing.withDrift(timing.leasePeriod);
+    state.target.holdsUntil = earlierGrantsEnd(state);
     return state;
 }
 
@@ -332,6 +352,7 @@
     // A target that wants no new work gives everything back, so that others can serve its keys.
     const auto served = target.leaving ? std::vector<std::pair<pool_id, key_run>>() : servedRuns(state);
     noteLeftOut(state, served);
+    forgetTokens(state);
     for (const auto &row : served) {
         grant.runs.push_back(row.second);
     }
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -139,14 +139,28 @@
             continue;
         }
         const absent_node gone{run.owner, seen->second.marker};
-        if (std::none_of(draft.absent.begin(), draft.absent.end(),
-                         [&](const auto &known) { return known.node == gone.node; })) {
+        const bool named = std::any_of(draft.absent.begin(), draft.absent.end(),
+                                       [&](const auto &known) { return known.node == gone.node; });
+        if (!named && draft.absent.size() >= missingPerWrite) {
+            continue; // The next write takes these.
+        }
+        if (!named) {
             draft.absent.push_back(gone);
         }
         giveTo(draft, run, nullptr, "");
     }
 }
 
+/** Adds the runs that a write gives away to those that are not granted until its outcome is known. */
+void withhold(std::vector<key_run> &withheld, const std::vector<key_run> &given)
+{
+    for (const auto &run : given) {
+        if (std::find(withheld.begin(), withheld.end(), run) == withheld.end()) {
+            withheld.push_back(run);
+        }
+    }
+}
+
 /** Load of some slots. Each slot counts a little, so that slots nobody asked for yet are spread too. */
 double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
 {
@@ -404,8 +418,7 @@
         return std::nullopt;
     }
     joinRuns(draft.record);
-    auto &withheld = state.withheld[pool];
-    withheld.insert(withheld.end(), draft.given.begin(), draft.given.end());
+    withhold(state.withheld[pool], draft.given);
     const auto own = state.nodes.find(state.self.member.id);
     return assign_action{std::move(draft.record), stored.revision,
                          own == state.nodes.end() ? revision_number{} : own->second.marker, std::move(draft.absent)};
--- a/packages/decisions/src/roster_type.h
+++ b/packages/decisions/src/roster_type.h
@@ -18,6 +18,9 @@
 /** Slots of a pool with numeric keys. */
 constexpr std::uint32_t numericSlots = numericKeys / keysPerSlot;
 
+/** Missing nodes that one write names: each takes two of the conditions that a transaction of the store may have. */
+constexpr std::size_t missingPerWrite = 12;
+
 /** Intervals of ownership by leases of the store. All daemons of a deployment use the same values. */
 struct roster_timing
 {
--- a/packages/decisions/tests/roster_test.cpp
+++ b/packages/decisions/tests/roster_test.cpp
@@ -42,7 +42,7 @@
 {
     const auto index = world.random() % world.nodes.size();
     auto &node = world.nodes[index];
-    switch (world.random() % 11) {
+    switch (world.random() % 12) {
     case 0:
         restartDaemon(world, index);
         break;
@@ -71,6 +71,9 @@
     case 8:
         node.target.leaving = true;
         break;
+    case 10:
+        repeatDeadReport(world, index);
+        break;
     case 9:
         node.watchDeafUntil = world.now + spanOf(world, 100, 5000);
         break;
@@ -217,6 +220,92 @@
     EXPECT_EQ(servedSlotCount(world), numericSlots);
 }
 
+/** A daemon that has just started again, owns all slots for a life, and is to move the lower half to another node. */
+roster_state restartedOwner(const target_life &life, steady_time now)
+{
+    roster_node self;
+    self.member.id.value = "a";
+    auto state = startRoster(self, {}, now);
+    state.keyedPools.insert({"p"});
+    state.listed = true;
+    takeEntered(state, self, roster_outcome::stored, {5}, now, now);
+    takeOwnersRead(state, true, now, now);
+    const key_run moving{0, 2047, {"a"}, life, {1}, "", {"b"}};
+    const key_run staying{2048, numericSlots - 1, {"a"}, life, {1}, "", {}};
+    takeRuns(state, {{{"p"}, {moving, staying}}, {3}});
+    return state;
+}
+
+target_report reportOf(const target_life &life, std::uint64_t sequence, std::vector<reported_run> holds)
+{
+    target_report report;
+    report.life = life;
+    report.sequence = sequence;
+    report.facts = {{"p"}, {"127.0.0.1", 1}, 12, 12, true};
+    report.holds = std::move(holds);
+    return report;
+}
+
+TEST(roster, aLateReportOfADeadLifeDoesNotEndTheHoldsOfTheLivingOne)
+{
+    const steady_time now{seconds(1000)};
+    const target_life dead{"old", 100};
+    const target_life living{"new", 200};
+    auto state = restartedOwner(living, now);
+    takeRuns(state, {{{"p"}, {{0, numericSlots - 1, {"a"}, living, {1}, "", {"b"}}}}, {4}});
+    takeReport(state, reportOf(dead, 9, {}), now + milliseconds(100));
+    // The run before this one let the living target hold everything.
+    takeReport(state, reportOf(living, 4, {{0, numericSlots - 1, {1}, ""}}), now + milliseconds(200));
+    const auto write = planRuns(state, {"p"}, now + milliseconds(210));
+    ASSERT_FALSE(write.has_value()) << "nothing was given back yet";
+    takeReport(state, reportOf(living, 5, {}), now + milliseconds(300));
+    EXPECT_TRUE(planRuns(state, {"p"}, now + milliseconds(310)).has_value());
+}
+
+TEST(roster, aWriteNamesNoMoreMissingNodesThanATransactionTakes)
+{
+    const steady_time now{seconds(1000)};
+    auto state = restartedOwner({"t", 1}, now);
+    run_record record{{"p"}, {}};
+    constexpr std::uint32_t owners = 32;
+    for (std::uint32_t owner = 0; owner < owners; ++owner) {
+        const instance_id id{"z" + std::to_string(owner)};
+        record.runs.push_back(
+            {owner * (numericSlots / owners), (owner + 1) * (numericSlots / owners) - 1, id, {"t", 1}, {1}, "", {}});
+        takeEntry(state, id, std::nullopt, {4}, now);
+    }
+    takeRuns(state, {record, {6}});
+    const auto over = now + state.timing.withDrift(state.timing.leasePeriod);
+    const auto write = planRuns(state, {"p"}, over);
+    ASSERT_TRUE(write.has_value());
+    constexpr std::size_t transactionEntries = 32; // What the users' store takes.
+    EXPECT_LE(2 * write->absent.size() + 3, transactionEntries);
+    EXPECT_GT(write->absent.size(), 5U);
+    for (const auto &run : write->record.runs) {
+        const bool named = std::any_of(write->absent.begin(), write->absent.end(),
+                                       [&](const auto &absent) { return absent.node == run.owner; });
+        EXPECT_FALSE(named);
+    }
+}
+
+TEST(roster, tokensAreForgottenWithTheSlotsTheyAreFor)
+{
+    const steady_time now{seconds(1000)};
+    const target_life life{"t", 1};
+    auto state = restartedOwner(life, now);
+    takeReport(state, reportOf(life, 1, {{0, numericSlots - 1, {1}, ""}}), now);
+    auto freeing = reportOf(life, 2, {{2048, numericSlots - 1, {1}, ""}});
+    freeing.freed.push_back({0, 2047, {}, "token"});
+    takeReport(state, freeing, now + milliseconds(100));
+    EXPECT_EQ(state.target.freed.size(), 1U);
+    // The move is stored: the slots and their token are another's.
+    takeRuns(
+        state,
+        {{{"p"}, {{0, 2047, {"b"}, life, {7}, "token", {}}, {2048, numericSlots - 1, {"a"}, life, {1}, "", {}}}}, {7}});
+    takeReport(state, reportOf(life, 3, {{2048, numericSlots - 1, {1}, ""}}), now + milliseconds(200));
+    EXPECT_TRUE(state.target.freed.empty());
+}
+
 TEST(roster, aReportOutOfOrderRenewsNothing)
 {
     auto world = servingWorld(9, 3);
--- a/packages/decisions/tests/roster_world.cpp
+++ b/packages/decisions/tests/roster_world.cpp
@@ -291,23 +291,30 @@
     }
 }
 
-void report(roster_world &world, std::size_t index)
+target_report reportOf(const fake_target &target)
 {
-    auto &node = world.nodes[index];
-    auto &target = node.target;
-    target.nextReport = world.now + reportInterval;
-    if (world.now >= target.holdsUntil) {
-        target.holds.clear();
-    }
     target_report message;
     message.life = target.life;
-    message.sequence = ++target.sequence;
+    message.sequence = target.sequence;
     message.facts = {pool, {"127.0.0.1", 1}, 12, 12, true};
     message.leaving = target.leaving;
     for (const auto &run : target.holds) {
         message.holds.push_back({run.first, run.last, run.fence, ""});
     }
     message.freed = target.freed;
+    return message;
+}
+
+void report(roster_world &world, std::size_t index)
+{
+    auto &node = world.nodes[index];
+    auto &target = node.target;
+    target.nextReport = world.now + reportInterval;
+    if (world.now >= target.holdsUntil) {
+        target.holds.clear();
+    }
+    ++target.sequence;
+    const auto message = reportOf(target);
     if (!node.up) {
         return;
     }
@@ -416,9 +423,22 @@
     startDaemon(world, index);
 }
 
+void repeatDeadReport(roster_world &world, std::size_t index)
+{
+    auto &node = world.nodes[index];
+    if (node.up && !node.deadReport.life.id.empty()) {
+        auto late = node.deadReport;
+        late.sequence += 1000;
+        takeReport(node.roster, late, world.now);
+    }
+}
+
 void restartTarget(roster_world &world, std::size_t index)
 {
     auto &target = world.nodes[index].target;
+    if (!target.life.id.empty()) {
+        world.nodes[index].deadReport = reportOf(target);
+    }
     target = {};
     target.life.id = "t" + std::to_string(++world.targets);
     target.life.born = std::chrono::duration_cast<milliseconds>(world.now.time_since_epoch()).count() + 1
--- a/packages/decisions/tests/roster_world.h
+++ b/packages/decisions/tests/roster_world.h
@@ -57,6 +57,7 @@
     steady_time cutUntil{}; ///< No path to the store.
     std::uint64_t run = 0; ///< Run of the daemon; late answers for earlier runs are dropped.
     std::int64_t lease = 0; ///< Store lease of the daemon.
+    target_report deadReport; ///< Last report of the life before; empty id if there was none.
     std::int64_t known = 0; ///< Store revision up to which the watch has told.
     steady_time watchDeafUntil{}; ///< The watch tells nothing before.
 };
@@ -106,6 +107,13 @@
  */
 void restartTarget(roster_world &world, std::size_t index);
 
+/**
+ * Delivers the last report of an ended life once more, as a network may.
+ * @param world World.
+ * @param index Instance.
+ */
+void repeatDeadReport(roster_world &world, std::size_t index);
+
 /**
  * Removes the entries of an instance at once, as a store that revokes leases does.
  * @param world World.
