Fix: the operator's bound on the time that headers take is kept

Cause: reading the change again: the configuration's header time was read and used by nobody; a caller could take the idle time for its headers. Change: the idle time holds until the first byte, then the header time. Test: a real daemon let a caller with half a head go after 15.0 s before, 4.0 s after (1 s idle, 3 s for headers); the input tests pass (8 of 8).

--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -23,6 +23,7 @@
 
 constexpr unsigned unavailable = 503; ///< Not run; come back later.
 constexpr milliseconds noTablesRetry{300}; ///< When to come back while this daemon knows no tables yet.
+constexpr std::size_t readAhead = 4096; ///< Bytes asked for at first; most requests fit.
 constexpr std::chrono::seconds readTimeout{30}; ///< Bound on receiving one request.
 
 /** One caller's connection. */
@@ -338,6 +339,27 @@
     return view->table ? view->table->rows.limits : caller_limits{};
 }
 
+/** Reads the head of a request: the connection may be idle before its first byte, then the head may take less long. */
+asio::awaitable<error_code> readRequestHead(std::shared_ptr<caller_connection> connection,
+                                            std::shared_ptr<caller_parser> parser, caller_limits limits)
+{
+    error_code code;
+    if (connection->buffer.size() == 0) {
+        connection->stream.expires_after(limits.idleTime);
+        const auto length =
+            co_await connection->stream.async_read_some(connection->buffer.prepare(readAhead), reporting(code));
+        connection->buffer.commit(length);
+    }
+    if (code == asio::error::eof) {
+        co_return http::error::end_of_stream;
+    }
+    if (!code) {
+        connection->stream.expires_after(limits.headerTime);
+        co_await http::async_read_header(connection->stream, connection->buffer, *parser, reporting(code));
+    }
+    co_return code;
+}
+
 asio::awaitable<void> serveCaller(traffic_thread &thread, tcp::socket socket)
 {
     auto connection = std::make_shared<caller_connection>(std::move(socket));
@@ -351,8 +373,7 @@
         const auto limits = limitsOf(*thread.shared);
         parser->header_limit(limits.headerBytes);
         parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // The route's limit is checked once it is known.
-        connection->stream.expires_after(limits.idleTime);
-        co_await http::async_read_header(connection->stream, connection->buffer, *parser, reporting(code));
+        code = co_await readRequestHead(connection, parser, limits);
         if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
             break;
         }
