--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -77,7 +77,7 @@
     setGauge(numbers, "store_calls", static_cast<double>(control.store.calls));
     setGauge(numbers, "store_went_back", control.store.restored ? 1 : 0);
     setGauge(numbers, "documents", static_cast<double>(control.catalog.documents.size()));
-    setGauge(numbers, "slots_owned", static_cast<double>(control.publishedSlots.size()));
+    setGauge(numbers, "slots_owned", static_cast<double>(control.publishedSlots.open.size()));
     setGauge(numbers, "link_body_bytes", static_cast<double>(control.shared->linkBytes.load()));
 }
 
@@ -213,7 +213,7 @@
 {
     auto &cell = ownCell(control);
     auto &at = control.shared->admission;
-    auto served = servedSlots(cell);
+    served_slots served{servedSlots(cell), closingSlots(cell)};
     const auto grace = graceOf(control);
     const std::lock_guard lock(at.mutex);
     at.admission.leaseUntil = cell.lease.validUntil;
--- a/packages/daemon/src/control_base.h
+++ b/packages/daemon/src/control_base.h
@@ -38,7 +38,7 @@
     std::shared_ptr<peer_client> peers; ///< For comparing and fetching documents.
     std::map<endpoint, pending_fetch> fetches; ///< By peer.
     std::vector<fenced_slot> closing; ///< Slots being drained.
-    std::vector<fenced_slot> publishedSlots; ///< Slots open at the gate.
+    served_slots publishedSlots; ///< Slots open at the gate, and those being given back.
     steady_time startedAt{}; ///< Start of the process.
     steady_time targetHeard{}; ///< Last announcement of the target.
     steady_time nextGossip{}; ///< When to compare with another daemon next.
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -101,7 +101,7 @@
     admission.leaseUntil = target.servesUntil;
     admission.leaving = target.leaving || target.gone;
     if (granted != control.granted) {
-        setServed(admission, slotsOf(granted), target.servesUntil, milliseconds(0), now);
+        setServed(admission, {slotsOf(granted), {}}, target.servesUntil, milliseconds(0), now);
         control.granted = std::move(granted);
     }
 }
--- a/packages/decisions/bench/decisions_bench.cpp
+++ b/packages/decisions/bench/decisions_bench.cpp
@@ -171,7 +171,7 @@
     gate.limits.concurrency = 12;
     auto now = steady_time(std::chrono::hours(1));
     const fenced_slot slot{pool_id{"pool"}, {1}, {5}};
-    setServed(gate, {slot}, now + std::chrono::hours(1), milliseconds(0), now);
+    setServed(gate, {{slot}, {}}, now + std::chrono::hours(1), milliseconds(0), now);
     for (auto _ : state) {
         const admission_request request{1, slot, request_class::order, now + std::chrono::seconds(1)};
         benchmark::DoNotOptimize(admit(gate, request, now));
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -63,6 +63,15 @@
     steady_time opensAt{}; ///< No request before this moment, for a takeover grace.
 };
 
+/** Slots under the present assignments of this daemon. */
+struct served_slots
+{
+    std::vector<fenced_slot> open; ///< Slots that it serves.
+    std::vector<fenced_slot> closing; ///< Slots that it is giving back; what was admitted still runs.
+
+    bool operator==(const served_slots &) const = default;
+};
+
 /** A request that waits. */
 struct waiting_request
 {
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -262,20 +262,21 @@
     return decided;
 }
 
-void setServed(admission_state &state, const std::vector<fenced_slot> &served, steady_time leaseUntil,
-               milliseconds grace, steady_time now)
+void setServed(admission_state &state, const served_slots &served, steady_time leaseUntil, milliseconds grace,
+               steady_time now)
 {
     state.leaseUntil = leaseUntil;
     std::map<std::pair<pool_id, slot_number>, open_slot> next;
-    for (const auto &slot : served) {
+    for (const auto &slot : served.open) {
         const auto known = state.slots.find({slot.pool, slot.slot});
         const bool same = known != state.slots.end() && known->second.fence == slot.fence;
         next[{slot.pool, slot.slot}] = same ? known->second : open_slot{slot.fence, 0, false, now + grace};
     }
     // A slot being given back stays until its requests are over.
-    for (const auto &[key, slot] : state.slots) {
-        if (slot.closed && slot.inFlight > 0) {
-            next.try_emplace(key, slot);
+    for (const auto &slot : served.closing) {
+        const auto known = state.slots.find({slot.pool, slot.slot});
+        if (known != state.slots.end() && known->second.closed && known->second.fence == slot.fence) {
+            next.insert(*known);
         }
     }
     state.slots = std::move(next);
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -51,15 +51,16 @@
 std::vector<decided_request> advanceQueue(admission_state &state, steady_time now);
 
 /**
- * Takes the slots that the cell's record and this daemon's releases allow.
+ * Takes the slots that the cell's record and this daemon's releases allow. A closed slot that is not being given back
+ * any more has another owner by now: what still waits for its hand-over is refused.
  * @param state Admission.
- * @param served Slots to be open.
+ * @param served Slots to be open, and those being given back.
  * @param leaseUntil End of the instance lease.
  * @param grace Wait before the first request of a slot that was taken over from another owner.
  * @param now Present time.
  */
-void setServed(admission_state &state, const std::vector<fenced_slot> &served, steady_time leaseUntil,
-               milliseconds grace, steady_time now);
+void setServed(admission_state &state, const served_slots &served, steady_time leaseUntil, milliseconds grace,
+               steady_time now);
 
 /**
  * Tells how busy the target is.
--- a/packages/decisions/src/cell_cmd.cpp
+++ b/packages/decisions/src/cell_cmd.cpp
@@ -335,4 +335,15 @@
     return served;
 }
 
+std::vector<fenced_slot> closingSlots(const cell_state &state)
+{
+    std::vector<fenced_slot> closing;
+    for (const auto &[slot, drained] : state.givenBack) {
+        if (!drained) {
+            closing.push_back(slot);
+        }
+    }
+    return closing;
+}
+
 } // namespace quetzalspool
--- a/packages/decisions/src/cell_func.h
+++ b/packages/decisions/src/cell_func.h
@@ -91,6 +91,13 @@
  */
 std::vector<fenced_slot> servedSlots(const cell_state &state);
 
+/**
+ * Lists the slots that this daemon is giving back and whose requests are not over yet.
+ * @param state Cell.
+ * @return Slots with their fences, as long as the record still assigns them to this daemon under these.
+ */
+std::vector<fenced_slot> closingSlots(const cell_state &state);
+
 /**
  * Tells whether a member is silent, as far as this voter hears.
  * @param state Cell.
--- a/packages/decisions/tests/cell_world.h
+++ b/packages/decisions/tests/cell_world.h
@@ -18,7 +18,7 @@
     cell_state state; ///< Its decisions.
     bool alive = true; ///< Whether its process runs.
     steady_time pausedUntil{}; ///< No step before this moment.
-    std::set<fenced_slot> closing; ///< Slots asked to be drained.
+    std::set<fenced_slot> closing; ///< Slots whose admitted requests are not over yet.
 };
 
 /** An event that happens later. */
@@ -98,8 +98,9 @@
                     result.push_back(index);
                 }
             }
-            for (const auto &closing : daemon.closing) {
-                if (closing.slot == slot) {
+            // As at the gate: what was admitted is handed over only while the slot is still being given back.
+            for (const auto &closing : closingSlots(daemon.state)) {
+                if (closing.slot == slot && daemon.closing.contains(closing)) {
                     result.push_back(index);
                 }
             }
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -22,7 +22,7 @@
     gate.hasTarget = true;
     gate.limits.concurrency = concurrency;
     gate.limits.queue = queue;
-    setServed(gate, {slot}, now + seconds(60), milliseconds(0), now - seconds(60));
+    setServed(gate, {{slot}, {}}, now + seconds(60), milliseconds(0), now - seconds(60));
     return gate;
 }
 
@@ -109,6 +109,22 @@
     EXPECT_TRUE(isDrained(gate, slot));
 }
 
+TEST(admission, nothingIsHandedOverUnderAFenceThatWasLostInAPause)
+{
+    auto gate = makeGate(2, 1);
+    ASSERT_TRUE(admit(gate, ask(1), now).admitted);
+    closeSlot(gate, slot);
+    setServed(gate, {{}, {slot}}, now + seconds(60), milliseconds(0), now);
+    EXPECT_EQ(checkHandOver(gate, ask(1), now), refusal::none) << "it is still being given back";
+    // The process pauses, its term ends, another daemon gets the slot; then it joins again under a new lease.
+    setServed(gate, {{}, {}}, now + seconds(120), milliseconds(0), now + seconds(61));
+    auto late = ask(1);
+    late.deadline = now + seconds(90);
+    EXPECT_EQ(checkHandOver(gate, late, now + seconds(62)), refusal::not_owner);
+    finish(gate, late, false, milliseconds(5), now + seconds(62));
+    EXPECT_TRUE(isDrained(gate, slot));
+}
+
 TEST(admission, aStalledTargetIsProbedByOneRequestOnly)
 {
     auto gate = makeGate(4, 4);
