Fix: leases and holds also count the time in which the machine was suspended

A daemon suspended for 4 s and then cut off from the store would have granted until 4 s beyond its right, past the 13.3 s after which others take its keys.

--- a/packages/base/src/base_type.h
+++ b/packages/base/src/base_type.h
@@ -46,7 +46,7 @@
 using revision_number = strong_id<struct revision_tag, std::int64_t>; ///< Revision of a value in the store.
 using slot_number = strong_id<struct slot_tag, std::uint32_t>; ///< Hash slot within one pool.
 
-using steady_time = std::chrono::steady_clock::time_point; ///< A moment on the monotonic clock.
+using steady_time = std::chrono::steady_clock::time_point; ///< A moment, as elapsed_clock reads it.
 using milliseconds = std::chrono::milliseconds; ///< The unit of nearly all intervals.
 
 /** Why an operation gave no value: the step that failed, the peer it concerned, and the reason in words. */
--- /dev/null
+++ b/packages/base/tests/clock_test.cpp
@@ -0,0 +1,26 @@
+/** @file clock_test.cpp The clock of all decisions. */
+#include "elapsed_clock.h"
+
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace quetzalspool::test {
+
+TEST(elapsedClock, countsFromTheStartOfTheMachineAlsoWhatItWasSuspended)
+{
+    timespec started{};
+    ASSERT_EQ(clock_gettime(CLOCK_BOOTTIME, &started), 0);
+    const auto now = elapsed_clock::now().time_since_epoch();
+    EXPECT_GE(now, std::chrono::seconds(started.tv_sec));
+    EXPECT_LT(now, std::chrono::seconds(started.tv_sec + 10));
+    EXPECT_GE(now, std::chrono::steady_clock::now().time_since_epoch()) << "never less than the monotonic clock";
+}
+
+TEST(elapsedClock, timersFireAtTheTranslatedMoment)
+{
+    const auto until = elapsed_clock::now() + milliseconds(30);
+    std::this_thread::sleep_until(elapsed_clock::forTimers(until));
+    EXPECT_GE(elapsed_clock::now(), until);
+}
+
+} // namespace quetzalspool::test
--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -4,6 +4,7 @@
 #include "catalog_func.h"
 #include "control.h"
 #include "edits.h"
+#include "elapsed_clock.h"
 #include "lease_func.h"
 #include "placement_func.h"
 #include "record_func.h"
@@ -16,7 +17,7 @@
 namespace {
 
 using json = nlohmann::json;
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds askTimeout{800}; ///< Bound on asking another daemon's admin port.
 
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -3,6 +3,7 @@
 
 #include "admission_func.h"
 #include "cell_func.h"
+#include "elapsed_clock.h"
 #include "log_func.h"
 #include "record_func.h"
 #include "spread.h"
@@ -15,7 +16,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds tickInterval{20}; ///< Between two ticks of the cells.
 constexpr milliseconds targetSilence{6000}; ///< A target that announces nothing for this long is gone.
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -3,6 +3,7 @@
 
 #include "admin.h"
 #include "control.h"
+#include "elapsed_clock.h"
 #include "http_server.h"
 #include "log_func.h"
 #include "traffic_start.h"
@@ -14,7 +15,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds stopCheck{20}; ///< Between two looks whether a planned stop is complete.
 
--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -2,6 +2,7 @@
 #include "entry.h"
 
 #include "caller_request.h"
+#include "elapsed_clock.h"
 #include "forward.h"
 #include "http_convert.h"
 #include "log_func.h"
@@ -19,7 +20,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr unsigned unavailable = 503; ///< Not run; come back later.
 constexpr milliseconds noTablesRetry{300}; ///< When to come back while this daemon knows no tables yet.
@@ -75,7 +76,7 @@
     } else if (!bodiless) {
         message.chunked(true);
     }
-    connection->stream.expires_at(until);
+    connection->stream.expires_at(elapsed_clock::forTimers(until));
     error_code code;
     http::response_serializer<http::empty_body> serializer{message};
     co_await http::async_write_header(connection->stream, serializer, reporting(code));
@@ -89,7 +90,7 @@
         co_return true;
     }
     error_code code;
-    connection->stream.expires_at(until);
+    connection->stream.expires_at(elapsed_clock::forTimers(until));
     if (connection->chunked) {
         co_await asio::async_write(connection->stream, http::make_chunk(asio::buffer(part)), reporting(code));
     } else {
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -2,6 +2,7 @@
 #include "forward.h"
 
 #include "balance_func.h"
+#include "elapsed_clock.h"
 #include "local_run.h"
 #include "peer_wire.h"
 #include "routing_func.h"
@@ -12,7 +13,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds connectTimeout{400}; ///< Bound on connecting to another daemon.
 constexpr milliseconds cancelTimeout{300}; ///< Bound on asking whether an attempt was handed over.
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -2,6 +2,7 @@
 #include "local_run.h"
 
 #include "admission_func.h"
+#include "elapsed_clock.h"
 #include "ledger_func.h"
 #include "log_func.h"
 #include "wake_event.h"
@@ -10,7 +11,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds connectTimeout{500}; ///< Bound on connecting to the target beside this daemon.
 constexpr milliseconds lookupIdle{3000}; ///< Idle time of a connection that a lookup may use; it can be repeated.
--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -3,6 +3,7 @@
 
 #include "admission_func.h"
 #include "documents.h"
+#include "elapsed_clock.h"
 #include "local_run.h"
 #include "peer_wire.h"
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr unsigned noAnswer = 504; ///< The store did not answer.
 
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -2,6 +2,7 @@
 #include "roster_control.h"
 
 #include "admission_func.h"
+#include "elapsed_clock.h"
 #include "http_server.h"
 #include "log_func.h"
 #include "message_type.h"
@@ -17,7 +18,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds tickInterval{50}; ///< Between two looks at what is due.
 constexpr milliseconds loadInterval{500}; ///< Between two messages about the own load.
--- a/packages/daemon/src/roster_daemon.cpp
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -1,6 +1,7 @@
 /** @file roster_daemon.cpp A whole daemon whose keys are owned by leases of the store: start and planned stop. */
 #include "roster_daemon.h"
 
+#include "elapsed_clock.h"
 #include "log_func.h"
 #include "roster_control.h"
 #include "traffic_start.h"
@@ -11,7 +12,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 /** Everything that lives as long as the daemon. */
 struct roster_parts
--- a/packages/daemon/src/roster_relay.cpp
+++ b/packages/daemon/src/roster_relay.cpp
@@ -1,6 +1,7 @@
 /** @file roster_relay.cpp Reaching the store through other daemons. */
 #include "roster_relay.h"
 
+#include "elapsed_clock.h"
 #include "peer_wire.h"
 #include "roster_func.h"
 
@@ -10,7 +11,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds connectTimeout{300}; ///< Bound on connecting to another daemon.
 constexpr unsigned noAnswer = 504; ///< The other daemon got no answer either.
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -1,6 +1,7 @@
 /** @file roster_sync.cpp Calls to the store for the roster. */
 #include "roster_sync.h"
 
+#include "elapsed_clock.h"
 #include "log_func.h"
 #include "roster_func.h"
 #include "routing_func.h"
@@ -11,7 +12,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr std::string_view rootPrefix = "quetzalspool/"; ///< All keys of this product.
 constexpr std::string_view entryPrefix = "quetzalspool/nodes/"; ///< Entries, bound to leases.
--- a/packages/daemon/src/spread.cpp
+++ b/packages/daemon/src/spread.cpp
@@ -5,6 +5,7 @@
 #include "cell_func.h"
 #include "control.h"
 #include "documents.h"
+#include "elapsed_clock.h"
 #include "log_func.h"
 #include "record_func.h"
 #include "routing_func.h"
@@ -15,7 +16,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds gossipInterval{1000}; ///< Between two digests.
 constexpr milliseconds peerTimeout{1500}; ///< Bound on comparing or fetching.
--- a/packages/daemon/src/store_sync.cpp
+++ b/packages/daemon/src/store_sync.cpp
@@ -3,6 +3,7 @@
 
 #include "cell_func.h"
 #include "control.h"
+#include "elapsed_clock.h"
 #include "log_func.h"
 #include "record_func.h"
 #include "routing_func.h"
@@ -14,7 +15,7 @@
 
 namespace {
 
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds loadRetry{500}; ///< Between two attempts to read all documents.
 constexpr milliseconds watchRetry{300}; ///< Between two looks whether to watch.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -1,6 +1,7 @@
 /** @file traffic_start.cpp Starting and stopping the threads that carry requests. */
 #include "traffic_start.h"
 
+#include "elapsed_clock.h"
 #include "entry.h"
 #include "http_server.h"
 #include "log_func.h"
@@ -111,7 +112,7 @@
 
 asio::awaitable<void> awaitQuiet(daemon_shared &shared, steady_time limit)
 {
-    using clock = std::chrono::steady_clock;
+    using clock = elapsed_clock;
     auto quietSince = clock::now();
     while (clock::now() - quietSince < quietTime && clock::now() < limit) {
         if (shared.requestsOpen > 0) {
--- a/packages/http/src/wake_event.h
+++ b/packages/http/src/wake_event.h
@@ -3,6 +3,7 @@
 #define WAKE_EVENT_H
 
 #include "asio_type.h"
+#include "elapsed_clock.h"
 
 #include <list>
 
@@ -33,7 +34,7 @@
      */
     asio::awaitable<void> waitUntil(steady_time until)
     {
-        const auto waiter = waiters.emplace(waiters.end(), executor, until);
+        const auto waiter = waiters.emplace(waiters.end(), executor, elapsed_clock::forTimers(until));
         error_code code;
         co_await waiter->async_wait(reporting(code));
         waiters.erase(waiter);
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -1,5 +1,6 @@
 /** @file h2_session.cpp One nghttp2 session over a socket. */
 #include "h2_session.h"
+#include "elapsed_clock.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -191,7 +192,7 @@
 void startSession(const std::shared_ptr<h2_session> &session, bool server)
 {
     session->server = server;
-    session->lastReceived = std::chrono::steady_clock::now();
+    session->lastReceived = elapsed_clock::now();
     error_code ignored;
     session->socket.set_option(tcp::no_delay(true), ignored);
     nghttp2_option *option = nullptr;
@@ -220,7 +221,7 @@
             break;
         }
         session->bytesIn += length;
-        session->lastReceived = std::chrono::steady_clock::now();
+        session->lastReceived = elapsed_clock::now();
         const auto taken =
             nghttp2_session_mem_recv(session->session, reinterpret_cast<const std::uint8_t *>(buffer.data()), length);
         flush(session);
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -1,6 +1,7 @@
 /** @file peer_client.cpp The end that asks other daemons. */
 #include "peer_client.h"
 
+#include "elapsed_clock.h"
 #include "h2_session.h"
 #include "socket_guard.h"
 
@@ -82,7 +83,7 @@
     if (code || !socket.is_open()) {
         failed(link->why, "connect", toString(to), code ? code.message() : "timeout");
         if (code != asio::error::connection_refused) {
-            link->unreachableUntil = std::chrono::steady_clock::now() + unreachableTime;
+            link->unreachableUntil = elapsed_clock::now() + unreachableTime;
         }
         link->session = nullptr;
     } else {
@@ -119,7 +120,7 @@
 {
     for (bool any = true; any;) {
         co_await sleepFor(watchInterval);
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = elapsed_clock::now();
         any = false;
         for (const auto &[to, link] : client->links) {
             if (!needsWatch(*link)) {
@@ -170,7 +171,7 @@
     call->stream->outgoingDone = true;
     const auto source = outgoingSource(*call->stream);
     if (session->streams.empty()) {
-        session->lastReceived = std::chrono::steady_clock::now(); // Quiet time counts from the first open call.
+        session->lastReceived = elapsed_clock::now(); // Quiet time counts from the first open call.
     }
     call->stream->id = nghttp2_submit_request(session->session, nullptr, rows.data(), rows.size(),
                                               request.body.empty() ? nullptr : &source, nullptr);
@@ -194,15 +195,15 @@
 asio::awaitable<opened_call> openCall(std::shared_ptr<peer_client> client, endpoint to, peer_request request,
                                       milliseconds connectTimeout)
 {
-    closeIdle(*client, std::chrono::steady_clock::now());
+    closeIdle(*client, elapsed_clock::now());
     auto &slot = client->links[to];
     if (!slot) {
         slot = std::make_shared<peer_link>(client->executor);
     }
     auto link = slot;
-    dropQuiet(*link, std::chrono::steady_clock::now());
+    dropQuiet(*link, elapsed_clock::now());
     opened_call opened;
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = elapsed_clock::now();
     if (now < link->unreachableUntil || (isUsable(*link) && silenceOf(*link->session, now) > pingLimit)) {
         failed(opened.why, "connect", toString(to), "it gives no sign of life");
         co_return opened;
@@ -211,8 +212,8 @@
         if (!link->connecting) {
             co_await connectLink(client, link, to, connectTimeout);
         }
-        const auto until = std::chrono::steady_clock::now() + connectTimeout;
-        while (link->connecting && std::chrono::steady_clock::now() < until) {
+        const auto until = elapsed_clock::now() + connectTimeout;
+        while (link->connecting && elapsed_clock::now() < until) {
             co_await link->connected.waitUntil(until);
         }
     }
@@ -236,7 +237,7 @@
 asio::awaitable<std::optional<peer_head>> readHead(std::shared_ptr<peer_call> call, steady_time until)
 {
     auto &stream = *call->stream;
-    while (!stream.headDone && !stream.closed && std::chrono::steady_clock::now() < until) {
+    while (!stream.headDone && !stream.closed && elapsed_clock::now() < until) {
         co_await stream.changed.waitUntil(until);
     }
     if (!stream.headDone) {
@@ -248,8 +249,7 @@
 asio::awaitable<std::optional<std::string>> readPart(std::shared_ptr<peer_call> call, steady_time until)
 {
     auto &stream = *call->stream;
-    while (stream.received.empty() && !stream.remoteDone && !stream.closed
-           && std::chrono::steady_clock::now() < until) {
+    while (stream.received.empty() && !stream.remoteDone && !stream.closed && elapsed_clock::now() < until) {
         co_await stream.changed.waitUntil(until);
     }
     if (!stream.received.empty()) {
@@ -295,7 +295,7 @@
 
 bool isSilent(const peer_call &call)
 {
-    return silenceOf(*call.session, std::chrono::steady_clock::now()) > pingLimit;
+    return silenceOf(*call.session, elapsed_clock::now()) > pingLimit;
 }
 
 void abandonCall(peer_call &call)
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -1,6 +1,7 @@
 /** @file peer_server.cpp The end that answers other daemons. */
 #include "peer_server.h"
 
+#include "elapsed_clock.h"
 #include "h2_session.h"
 #include "socket_guard.h"
 
@@ -116,7 +117,7 @@
 {
     auto &stream = *responder->stream;
     while (!stream.closed && stream.outgoing.size() - stream.outgoingSent > outgoingLimit) {
-        co_await stream.changed.waitUntil(std::chrono::steady_clock::now() + sendPatience);
+        co_await stream.changed.waitUntil(elapsed_clock::now() + sendPatience);
     }
     if (stream.closed) {
         co_return false;
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -1,6 +1,7 @@
 /** @file target.cpp Handing requests to a target over HTTP/1.1. */
 #include "target_func.h"
 
+#include "elapsed_clock.h"
 #include "http_convert.h"
 
 #include <boost/beast/core.hpp>
@@ -60,7 +61,7 @@
 std::shared_ptr<target_exchange> takeKept(target_client &client, const endpoint &address, milliseconds idleAtMost)
 {
     auto &kept = client.kept[address];
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = elapsed_clock::now();
     std::erase_if(kept, [&](const auto &exchange) { return now - exchange->idleSince >= keptIdleLimit; });
     while (!kept.empty()) {
         if (now - kept.back()->idleSince >= idleAtMost) {
@@ -124,7 +125,7 @@
     message.prepare_payload();
     exchange->headOnly = request.method == "HEAD";
     exchange->requestId = exchange->rules.requestId.empty() ? "" : headerOf(request.headers, exchange->rules.requestId);
-    exchange->stream.expires_at(until);
+    exchange->stream.expires_at(elapsed_clock::forTimers(until));
     error_code code;
     co_await http::async_write(exchange->stream, message, reporting(code));
     if (code) {
@@ -139,7 +140,7 @@
     auto &parser = exchange->parser.emplace();
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     parser.skip(exchange->headOnly);
-    exchange->stream.expires_at(until);
+    exchange->stream.expires_at(elapsed_clock::forTimers(until));
     error_code code;
     co_await http::async_read_header(exchange->stream, exchange->buffer, parser, reporting(code));
     if (code) {
@@ -174,7 +175,7 @@
     while (!parser.is_done()) {
         parser.get().body().data = part.data();
         parser.get().body().size = part.size();
-        exchange->stream.expires_at(until);
+        exchange->stream.expires_at(elapsed_clock::forTimers(until));
         error_code code;
         co_await http::async_read_some(exchange->stream, exchange->buffer, parser, reporting(code));
         if (code && code != http::error::need_buffer) {
@@ -193,7 +194,7 @@
 void closeTarget(target_client &client, const std::shared_ptr<target_exchange> &exchange)
 {
     if (exchange->whole && exchange->parser && exchange->parser->keep_alive() && exchange->buffer.size() == 0) {
-        exchange->idleSince = std::chrono::steady_clock::now();
+        exchange->idleSince = elapsed_clock::now();
         exchange->stream.expires_never();
         auto &kept = client.kept[exchange->address];
         kept.push_back(exchange);
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -2,6 +2,7 @@
 #include "fleet.h"
 
 #include "client_type.h"
+#include "elapsed_clock.h"
 #include "row_func.h"
 
 #include <csignal>
@@ -272,8 +273,8 @@
 
 bool fleet::waitFor(milliseconds patience, const std::function<bool()> &condition)
 {
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (std::chrono::steady_clock::now() < end) {
+    const auto end = elapsed_clock::now() + patience;
+    while (elapsed_clock::now() < end) {
         if (condition()) {
             return true;
         }
--- a/standins/measure/main.cpp
+++ b/standins/measure/main.cpp
@@ -1,4 +1,5 @@
 /** @file main.cpp Measures a loopback fleet: processor time, memory, bytes and store calls of the daemons. */
+#include "elapsed_clock.h"
 #include "fleet.h"
 #include "history.h"
 #include "load_type.h"
@@ -18,7 +19,7 @@
 namespace {
 
 using json = nlohmann::json;
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 using std::chrono::seconds;
 
 constexpr std::size_t membersPerCell = 6;
--- a/standins/store/store_standin.cpp
+++ b/standins/store/store_standin.cpp
@@ -1,6 +1,7 @@
 /** @file store_standin.cpp The subset of the gateway: range, txn with MOD compares, watch. */
 #include "store_standin.h"
 
+#include "elapsed_clock.h"
 #include "store_codec.h"
 
 #include <algorithm>
@@ -73,7 +74,7 @@
 
 bool overLimit(store_standin &store)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = elapsed_clock::now();
     if (now - store.writeWindow >= std::chrono::seconds(1)) {
         store.writeWindow = now;
         store.writesInWindow = 0;
@@ -178,7 +179,7 @@
         store->counts.bytes += text.size();
         good = co_await write(text);
         if (good) {
-            co_await store->changed->waitUntil(std::chrono::steady_clock::now() + std::chrono::seconds(2));
+            co_await store->changed->waitUntil(elapsed_clock::now() + std::chrono::seconds(2));
         }
     }
     --store->counts.waiting;
--- a/standins/target/target_standin.cpp
+++ b/standins/target/target_standin.cpp
@@ -1,6 +1,7 @@
 /** @file target_standin.cpp A target: slots, service time, grants, and a log of runs. */
 #include "target_standin.h"
 
+#include "elapsed_clock.h"
 #include "http_client.h"
 
 #include <nlohmann/json.hpp>
@@ -10,7 +11,7 @@
 namespace {
 
 using json = nlohmann::json;
-using clock = std::chrono::steady_clock;
+using clock = elapsed_clock;
 
 constexpr milliseconds announceInterval{1000};
 constexpr milliseconds grantInterval{250}; ///< Between two announcements of a target that checks grants.
--- a/standins/tests/system_test.cpp
+++ b/standins/tests/system_test.cpp
@@ -1,4 +1,5 @@
 /** @file system_test.cpp Failures of whole processes on loopback, checked on histories. */
+#include "elapsed_clock.h"
 #include "fleet.h"
 #include "history.h"
 #include "load_type.h"
@@ -183,10 +184,10 @@
     startFleet(5, 4);
     startLoad({"key-1"}, 300, seconds(8), 0.5);
     std::this_thread::sleep_for(seconds(2));
-    const auto startedAt = std::chrono::steady_clock::now();
+    const auto startedAt = elapsed_clock::now();
     running->signalDaemon("key-1", SIGTERM);
     const auto code = running->awaitDaemon("key-1", seconds(15));
-    const auto took = std::chrono::steady_clock::now() - startedAt;
+    const auto took = elapsed_clock::now() - startedAt;
     ASSERT_TRUE(code.has_value());
     EXPECT_EQ(*code, 0);
     std::printf("figure planned stop took %.0f ms\n", std::chrono::duration<double, std::milli>(took).count());
@@ -204,7 +205,7 @@
     for (const auto &instance : running->plan().instances) {
         running->startDaemon(instance.name);
     }
-    const auto startedAt = std::chrono::steady_clock::now();
+    const auto startedAt = elapsed_clock::now();
     EXPECT_TRUE(running->waitFor(seconds(20), [this] {
         std::size_t served = 0;
         for (const auto &instance : running->plan().instances) {
@@ -213,7 +214,7 @@
         }
         return served == 240;
     }));
-    const auto took = std::chrono::steady_clock::now() - startedAt;
+    const auto took = elapsed_clock::now() - startedAt;
     std::printf("figure whole fleet served again after %.0f ms\n",
                 std::chrono::duration<double, std::milli>(took).count());
     startLoad({}, 200, seconds(2), 0.3);
