Add: explain, one line for each attempt at both ends, gauges of the roster, store calls by kind

Change: package trace (the list of reasons, chains), lines attempt, request-ended and run joined by id and attempt, answered requests as a sample of 1 in 32 chosen alike at both ends, lines about the target and the right lost and regained, metrics of the store by kind, result and way; metrics set in deploy/system.toml; the client's command explain. Tests of the four suites pass; chains of real daemons have no test yet.

--- a/apps/quetzalspool/client_type.h
+++ b/apps/quetzalspool/client_type.h
@@ -52,6 +52,14 @@
 std::optional<daemon_answer> askDaemon(const endpoint &at, const std::string &method, const std::string &path,
                                        const nlohmann::json &body, last_reason &why);
 
+/**
+ * Prints the chain of log lines of one request.
+ * @param id Id of the request.
+ * @param files Logs of the daemons; standard input if there are none.
+ * @return Exit code: 1 if no line names the request, 2 if a file can't be read.
+ */
+int explainRequest(const std::string &id, const std::vector<std::string> &files);
+
 /**
  * Runs the command that the words name.
  * @param options Options.
--- a/apps/quetzalspool/main.cpp
+++ b/apps/quetzalspool/main.cpp
@@ -14,7 +14,7 @@
 constexpr const char *description =
     "Operates quetzalspool through the admin port of any daemon.\n"
     "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | status | "
-    "measures | drain INSTANCE | audit | check SETTINGS | load HOST:PORT...\n"
+    "measures | drain INSTANCE | audit | check SETTINGS | load HOST:PORT... | explain ID [LOG...]\n"
     "Exit codes: 0 done, 1 failed, 2 usage or bad file, 3 refused, 4 not yet everywhere or waits for approval, "
     "5 unclear.";
 
@@ -44,6 +44,16 @@
     return result.lookups.broken + result.orders.broken > 0 ? exit_failed : exit_good;
 }
 
+/** Runs `explain` with the id and the logs named on the command line. */
+int explain(const std::vector<std::string> &words)
+{
+    if (words.size() < 2) {
+        std::cerr << "quetzalspool: explain: the id of a request is expected; see quetzalspool --help\n";
+        return exit_usage;
+    }
+    return explainRequest(words[1], {words.begin() + 2, words.end()});
+}
+
 } // namespace
 
 /**
@@ -92,6 +102,9 @@
         options.progress = !asJson.getValue();
         return load(options, words.getValue());
     }
+    if (words.getValue().front() == "explain") {
+        return explain(words.getValue());
+    }
     client_options options;
     const auto at = parseEndpoint(daemon.getValue());
     if (!at) {
--- a/packages/base/src/elapsed_clock.h
+++ b/packages/base/src/elapsed_clock.h
@@ -9,8 +9,8 @@
 namespace quetzalspool {
 
 /**
- * A clock that never steps and also counts the time in which the machine was suspended. The usual monotonic clock leaves
- * that out, while leases and holds that others count run on: a machine that wakes would take its own for valid.
+ * A clock that never steps and also counts the time in which the machine was suspended. The usual monotonic clock
+ * leaves that out, while leases and holds that others count run on: a machine that wakes would take its own for valid.
  */
 struct elapsed_clock
 {
--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -134,6 +134,7 @@
     request.kind = request.idempotent ? request_class::lookup : route.kind;
     request.rank = route.rank;
     request.targetsAllowed = route.targetsPerRequest;
+    request.route = route.name;
     request.pool = pickPool(route, origin.draw);
     request.key = std::move(key);
     auto deadline = route.deadline;
--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -187,29 +187,6 @@
     return reply;
 }
 
-void countOutcome(daemon_shared &shared, const std::string &outcome, const std::string &reason)
-{
-    countMetric(*shared.numbers, "requests_total{outcome=\"" + outcome + "\",reason=\"" + reason + "\"}");
-}
-
-/** One line for a request that got no answer of a target; what was answered shows in the metrics. */
-void logOutcome(traffic_thread &thread, const std::string &id, const std::string &route, const request_outcome &outcome,
-                milliseconds took)
-{
-    if (outcome.result == attempt_result::answered || !takeLine(thread.lines, clock::now())) {
-        return;
-    }
-    logEvent(log_level::info, "request-ended",
-             {{"id", id},
-              {"route", route},
-              {"outcome", nameOf(outcome.result)},
-              {"reason", outcome.text},
-              {"attempts", std::to_string(outcome.attempts)},
-              {"took_ms", std::to_string(took.count())},
-              {"retry_ms", std::to_string(outcome.retryAfter.count())},
-              {"lines_dropped", std::to_string(std::exchange(thread.lines.dropped, 0))}});
-}
-
 using caller_parser = http::request_parser<http::string_body>;
 
 /** Reads the body within the route's limit. */
@@ -276,15 +253,27 @@
     co_return routed;
 }
 
+/** Counts and logs the end of a request. */
+void noteEnd(traffic_thread &thread, const request_note &note, const request_outcome &outcome)
+{
+    const auto now = clock::now();
+    countRequest(*thread.shared->numbers, note, outcome, now);
+    logRequest(thread.lines, note, outcome, now);
+}
+
 /** Serves one request whose headers have been read. */
 asio::awaitable<void> serveRequest(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
                                    std::shared_ptr<caller_parser> parser)
 {
-    const auto startedAt = clock::now();
+    request_note note;
+    note.arrivedAt = clock::now();
+    note.id = std::string(parser->get()[thread.shared->names.requestId]);
     caller_refusal refused;
     auto request = co_await acceptRequest(thread, connection, parser, refused);
     if (!request) {
-        countOutcome(*thread.shared, "not-run", refused.reason);
+        request_outcome outcome;
+        outcome.text = refused.reason;
+        noteEnd(thread, note, outcome);
         auto reply = refusalReply(thread.shared->names, refused);
         // Unread parts of the request would be taken for the next one.
         connection->keepAlive = connection->keepAlive && parser->is_done();
@@ -293,9 +282,12 @@
     }
     connection->headOnly = request->http.method == "HEAD";
     const auto sink = sinkTo(connection, request->deadline);
-    const auto id = headerOf(request->http.headers, thread.shared->names.requestId);
-    const auto path = request->http.path;
-    const auto outcome = co_await routeRequest(thread, std::move(*request), sink);
+    note.id = request->id;
+    note.route = request->route;
+    note.pool = request->pool;
+    note.goal = request->goal;
+    const auto outcome = co_await routeRequest(thread, std::move(*request), sink, note);
+    note.callerLeft = callerGone(*connection);
     if (outcome.result != attempt_result::answered && !connection->broken) {
         auto reply = replyFor(thread.shared->names, outcome);
         co_await writeReply(connection, std::move(reply));
@@ -305,10 +297,7 @@
         co_await asio::async_write(connection->stream, http::make_chunk_last(), reporting(code));
         connection->broken = connection->broken || code;
     }
-    countOutcome(*thread.shared, nameOf(outcome.result), outcome.text);
-    logOutcome(thread, id, path, outcome, std::chrono::duration_cast<milliseconds>(clock::now() - startedAt));
-    observeDuration(*thread.shared->numbers, "request_seconds",
-                    std::chrono::duration_cast<std::chrono::microseconds>(clock::now() - startedAt));
+    noteEnd(thread, note, outcome);
 }
 
 /** Closes a connection; a broken answer is reset, so that nobody takes its end for a whole one. */
--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -39,6 +39,7 @@
     std::shared_ptr<const routing_view> view; ///< Keeps the member alive.
     const cell_member *member = nullptr; ///< Daemon beside the target; null if there is none.
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
+    revision_number ownersRevision; ///< Revision of the owners that named the daemon, for keyed pools.
     bool known = false; ///< Whether the pool is in the tables.
     bool another = false; ///< Whether another target could be tried after this one.
 };
@@ -69,6 +70,7 @@
         if (owner) {
             choice.member = owner->member;
             choice.slot = fenced_slot{request.pool, *slot, owner->fence};
+            choice.ownersRevision = owner->revision;
         }
         return choice;
     }
@@ -151,6 +153,7 @@
             outcome.whole = true;
             break;
         }
+        outcome.answerBytes += part->size();
         wanted = co_await sink->part(std::move(*part));
     }
     if (!outcome.whole) {
@@ -209,7 +212,7 @@
         const endpoint to{member.at.host, member.at.peers};
         outcome = co_await attemptRemote(thread, to, request, sink);
         if (member.region != thread.shared->settings.region) {
-            thread.shared->linkBytes += request->http.body.size();
+            thread.shared->linkBytes += request->http.body.size() + outcome.answerBytes;
         }
     }
     const auto now = clock::now();
@@ -237,6 +240,25 @@
     return question;
 }
 
+/** What is to be logged about an attempt that has just ended. */
+attempt_note noteOf(const route_choice &choice, const routed_request &request, const request_outcome &outcome,
+                    steady_time startedAt, steady_time arrivedAt)
+{
+    attempt_note note;
+    note.slot = choice.slot;
+    note.tables =
+        choice.view->table ? choice.view->table->rows.version : static_cast<std::uint64_t>(choice.view->tables.value);
+    note.owners = choice.ownersRevision;
+    if (choice.member != nullptr) {
+        note.owner = choice.member->id;
+        note.attempt = request.attempt;
+    }
+    note.startedAfter = std::chrono::duration_cast<milliseconds>(startedAt - arrivedAt);
+    note.took = std::chrono::duration_cast<milliseconds>(clock::now() - startedAt);
+    note.outcome = outcome;
+    return note;
+}
+
 /** How the request ended: as its last attempt did, but "not run" must be true of all attempts. */
 request_outcome endOf(const route_state &state)
 {
@@ -250,7 +272,7 @@
 } // namespace
 
 asio::awaitable<request_outcome> routeRequest(traffic_thread &thread, routed_request request,
-                                              std::shared_ptr<answer_sink> sink)
+                                              std::shared_ptr<answer_sink> sink, request_note &note)
 {
     route_state state;
     state.request = std::make_shared<routed_request>(std::move(request));
@@ -258,6 +280,7 @@
     earnBudget(thread.budget, thread.retryLimits);
     for (;;) {
         ++state.attempts;
+        const auto startedAt = clock::now();
         const auto choice = chooseOwner(thread, state);
         if (choice.member == nullptr && !state.tried.empty() && state.request->key.empty()) {
             co_return endOf(state); // All targets were tried: the last of them said why not.
@@ -279,6 +302,7 @@
             const auto member = *choice.member;
             outcome = co_await attemptAt(thread, member, state.request, state.sink);
         }
+        note.attempts.push_back(noteOf(choice, *state.request, outcome, startedAt, note.arrivedAt));
         outcome.attempts = state.attempts;
         state.mayHaveRun = state.mayHaveRun || outcome.result == attempt_result::unknown;
         state.last = outcome;
--- a/packages/daemon/src/gate.h
+++ b/packages/daemon/src/gate.h
@@ -4,7 +4,7 @@
 
 #include "admission_base.h"
 #include "ledger_base.h"
-#include "log_func.h"
+#include "request_log.h"
 
 #include <functional>
 #include <map>
@@ -22,7 +22,7 @@
     std::uint64_t nextId = 1; ///< Number of the next request.
     endpoint target; ///< Address of the target.
     std::string targetLife; ///< Life of the target, for deployments that name lives; else empty.
-    log_budget lines; ///< Lines about requests that the target did not answer.
+    request_lines lines; ///< Lines about requests that came to the target beside this daemon.
     bool checksGrants = false; ///< Whether the target refuses older fences.
 };
 
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -4,9 +4,11 @@
 #include "admission_func.h"
 #include "elapsed_clock.h"
 #include "ledger_func.h"
-#include "log_func.h"
+#include "request_log.h"
 #include "wake_event.h"
 
+#include <cmath>
+
 namespace quetzalspool {
 
 namespace {
@@ -83,11 +85,19 @@
 }
 
 /** Asks admission; a queued request gets its verdict through the box. */
-admission_verdict askAdmission(daemon_shared &shared, admission_request &asked, const std::shared_ptr<verdict_box> &box)
+admission_verdict askAdmission(daemon_shared &shared, admission_request &asked, const std::shared_ptr<verdict_box> &box,
+                               run_note &note)
 {
     const std::lock_guard lock(shared.admission.mutex);
+    const auto now = clock::now();
+    auto &admission = shared.admission.admission;
     asked.id = shared.admission.nextId++;
-    const auto verdict = admit(shared.admission.admission, asked, clock::now());
+    note.askedAt = now;
+    note.inFlight = admission.inFlight;
+    note.queued = admission.queue.size();
+    note.service = milliseconds(std::llround(admission.serviceMs));
+    note.leaseLeft = std::chrono::duration_cast<milliseconds>(admission.leaseUntil - now);
+    const auto verdict = admit(admission, asked, now);
     if (verdict.queued) {
         shared.admission.waiters[asked.id] = [box](const admission_verdict &decided) {
             asio::post(box->changed.executor, [box, decided] {
@@ -191,28 +201,14 @@
     return limited ? std::min(request.deadline, handedOver + request.patience) : request.deadline;
 }
 
-/** One line for a request that was handed over and got no answer. */
-void logLost(daemon_shared &shared, const routed_request &request, const last_reason &why)
-{
-    std::uint64_t dropped = 0;
-    {
-        const std::lock_guard lock(shared.admission.mutex);
-        if (!takeLine(shared.admission.lines, clock::now())) {
-            return;
-        }
-        dropped = std::exchange(shared.admission.lines.dropped, 0);
-    }
-    logEvent(log_level::warn, "target-lost",
-             {{"id", request.id}, {"reason", describe(why)}, {"lines_dropped", std::to_string(dropped)}});
-}
-
 /** Everything from hand-over to the end of the answer. */
 asio::awaitable<request_outcome> exchangeWithTarget(daemon_shared &shared,
                                                     std::shared_ptr<const routed_request> request,
                                                     std::shared_ptr<target_exchange> exchange,
-                                                    std::shared_ptr<answer_sink> sink, bool &progress)
+                                                    std::shared_ptr<answer_sink> sink, bool &progress, run_note &note)
 {
     last_reason why;
+    note.handedOver = true;
     auto granted = withGrant(*request, shared.names, targetLifeOf(shared));
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
     std::optional<target_head> head;
@@ -220,7 +216,7 @@
         head = co_await readTargetHead(exchange, answerUntil(*request, clock::now()), why);
     }
     if (!head) {
-        logLost(shared, *request, why);
+        note.detail = describe(why);
         request_outcome lost{attempt_result::unknown, refusal::none, "target-lost"};
         lost.handedOver = true;
         co_return lost;
@@ -239,6 +235,7 @@
         whole = co_await passBody(exchange, sink, request->deadline, why);
     }
     sink->end(whole);
+    note.detail = whole || why.text.empty() ? "" : describe(why);
     request_outcome outcome{attempt_result::answered, refusal::none, "target"};
     outcome.whole = whole;
     co_return outcome;
@@ -261,7 +258,7 @@
 /** Everything from admission on. */
 asio::awaitable<request_outcome> runAdmitted(daemon_shared &shared, std::shared_ptr<target_client> targets,
                                              std::shared_ptr<const routed_request> request, admission_request asked,
-                                             std::shared_ptr<answer_sink> sink)
+                                             std::shared_ptr<answer_sink> sink, run_note &note)
 {
     endpoint address;
     {
@@ -281,12 +278,14 @@
             track.take("hand_over");
             const auto done = std::make_shared<bool>(false);
             asio::co_spawn(co_await asio::this_coro::executor, watchCaller(exchange, sink, done), asio::detached);
-            outcome = co_await exchangeWithTarget(shared, request, exchange, sink, progress);
+            outcome = co_await exchangeWithTarget(shared, request, exchange, sink, progress, note);
             *done = true;
         } else {
             outcome = notRun(reason, milliseconds(100));
         }
         closeTarget(*targets, exchange);
+    } else {
+        note.detail = describe(why);
     }
     {
         const std::lock_guard lock(shared.admission.mutex);
@@ -299,11 +298,10 @@
     co_return outcome;
 }
 
-} // namespace
-
-asio::awaitable<request_outcome> runLocally(daemon_shared &shared, std::shared_ptr<target_client> targets,
-                                            std::shared_ptr<const routed_request> request,
-                                            std::shared_ptr<answer_sink> sink)
+/** Everything from the ledger on. */
+asio::awaitable<request_outcome> runNoted(daemon_shared &shared, std::shared_ptr<target_client> targets,
+                                          std::shared_ptr<const routed_request> request,
+                                          std::shared_ptr<answer_sink> sink, run_note &note)
 {
     if (!request->idempotent) {
         auto ended = enterLedger(shared, *request);
@@ -314,7 +312,7 @@
     const auto box = std::make_shared<verdict_box>(co_await asio::this_coro::executor);
     admission_request asked{
         0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
-    auto verdict = askAdmission(shared, asked, box);
+    auto verdict = askAdmission(shared, asked, box, note);
     if (verdict.queued) {
         advanceGate(shared.admission, clock::now()); // Whoever lost its place hears of it at once.
         verdict = co_await awaitVerdict(shared, asked, box, sink);
@@ -323,7 +321,10 @@
         leaveLedger(shared, *request, ledger_stage::refused);
         co_return notRun(verdict.refused, verdict.retryAfter);
     }
-    const auto outcome = co_await runAdmitted(shared, targets, request, asked, sink);
+    note.admittedAt = clock::now();
+    const auto outcome = co_await runAdmitted(shared, targets, request, asked, sink, note);
+    observeDuration(*shared.numbers, "queue_seconds",
+                    std::chrono::duration_cast<std::chrono::microseconds>(note.admittedAt - note.askedAt));
     if (outcome.result != attempt_result::unknown) {
         leaveLedger(shared, *request,
                     outcome.result == attempt_result::answered ? ledger_stage::answered : ledger_stage::refused);
@@ -331,6 +332,27 @@
     co_return outcome;
 }
 
+} // namespace
+
+asio::awaitable<request_outcome> runLocally(daemon_shared &shared, std::shared_ptr<target_client> targets,
+                                            std::shared_ptr<const routed_request> request,
+                                            std::shared_ptr<answer_sink> sink)
+{
+    run_note note;
+    note.askedAt = clock::now();
+    const auto outcome = co_await runNoted(shared, targets, request, sink, note);
+    const auto now = clock::now();
+    std::optional<std::uint64_t> dropped;
+    {
+        const std::lock_guard lock(shared.admission.mutex);
+        dropped = takeRunLine(shared.admission.lines, *request, outcome, now);
+    }
+    if (dropped) {
+        logRun(*request, note, outcome, *dropped, now);
+    }
+    co_return outcome;
+}
+
 bool cancelLocally(daemon_shared &shared, const std::string &id, const std::string &attempt)
 {
     const std::lock_guard lock(shared.admission.mutex);
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -17,6 +17,7 @@
     http_request http; ///< Method, path, headers and whole body.
     std::string id; ///< Request id, the same for all attempts.
     std::string attempt; ///< Token of this attempt.
+    std::string route; ///< Name of the route; known only to the daemon that took the request.
     pool_id pool; ///< Pool.
     std::string key; ///< Key, for keyed pools.
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
@@ -40,6 +41,7 @@
     std::optional<double> busy; ///< How busy the target is, if the daemon beside it said.
     std::uint32_t attempts = 0; ///< Attempts made, once the request is over.
     bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
+    std::uint64_t answerBytes = 0; ///< Bytes of the answer's body that came from another daemon.
     bool whole = false; ///< Whether the answer was passed on whole.
 };
 
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -30,6 +30,9 @@
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing among them.
     steady_time nextLoad{}; ///< When to tell about the own load next.
     bool storeHeard = true; ///< Whether the last call to the store was answered.
+    steady_time nextGauges{}; ///< When to set the gauges next.
+    bool targetHeard = false; ///< Whether the target beside this daemon reported lately.
+    bool rightHeld = false; ///< Whether the right to grant was valid at the last look.
     bool wasReady = false; ///< Whether callers were taken at any time.
     bool stopping = false; ///< Whether a planned stop is under way.
 };
--- a/packages/daemon/src/roster_port.h
+++ b/packages/daemon/src/roster_port.h
@@ -29,7 +29,7 @@
     std::function<http_reply(const http_request &, const target_events &)> answerTarget; ///< Answers the target.
     std::function<http_reply(const http_request &, bool ready)> answerReadiness; ///< Says whether it takes callers.
     std::function<void(store_relay)> setRelay; ///< Gives the store client a way through other daemons.
-    std::function<std::uint64_t()> storeCalls; ///< Calls made to the store, for metrics.
+    std::function<void(std::function<void(const store_call &)>)> observeCalls; ///< Lets metrics hear of each call.
 };
 
 } // namespace quetzalspool
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -31,7 +31,7 @@
     std::atomic<steady_time> answersUntil{steady_time::max()}; ///< In a planned stop: requests are answered by then.
     std::atomic<bool> leaving = false; ///< Whether a planned stop is under way.
     std::atomic<std::uint64_t> requestsOpen = 0; ///< Callers' requests and peers' requests under way.
-    std::atomic<std::uint64_t> linkBytes = 0; ///< Body bytes exchanged with other regions.
+    std::atomic<std::uint64_t> linkBytes = 0; ///< Bytes of bodies, requests and answers, exchanged with other regions.
 };
 
 } // namespace quetzalspool
--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -4,7 +4,6 @@
 
 #include "balance_base.h"
 #include "http_client.h"
-#include "log_func.h"
 #include "peer_client.h"
 #include "peer_server.h"
 #include "retry_type.h"
@@ -28,7 +27,7 @@
     retry_limits retryLimits; ///< Limits of retries.
     retry_budget budget; ///< Budget of retries.
     std::shared_ptr<http_pool> storePool = makeHttpPool(); ///< Connections to the store, for daemons it turns away.
-    log_budget lines; ///< Lines about requests.
+    request_lines lines; ///< Lines about the requests that it took.
     std::mt19937_64 random{std::random_device{}()}; ///< For choices and request ids.
 };
 
--- a/packages/store/src/lease_store.h
+++ b/packages/store/src/lease_store.h
@@ -12,6 +12,23 @@
 
 using store_lease_id = strong_id<struct store_lease_tag, std::int64_t>; ///< A lease in the store; 0 is none.
 
+/** How a call to the store ended. */
+enum class call_result
+{
+    answered, ///< The store dealt with it.
+    turned_away, ///< The store said that it did nothing.
+    unanswered, ///< There was no answer.
+};
+
+/** One call to the store, for those that count. */
+struct store_call
+{
+    std::string_view kind; ///< What was asked: "read", "list", "watch", "commit", "open-lease" or "renew-lease".
+    call_result result = call_result::unanswered; ///< How it ended.
+    bool relayed = false; ///< Whether another daemon made it.
+    milliseconds took{0}; ///< How long it took.
+};
+
 /** A write that may be bound to a lease. */
 struct leased_put
 {
--- a/packages/telemetry/src/log.cpp
+++ b/packages/telemetry/src/log.cpp
@@ -61,18 +61,18 @@
 
 } // namespace
 
-bool takeLine(log_budget &budget, steady_time now)
+bool takeLines(log_budget &budget, steady_time now, std::uint32_t lines)
 {
     if (budget.refilledAt != steady_time{}) {
         const std::chrono::duration<double> past = now - budget.refilledAt;
         budget.tokens = std::min(budget.most, budget.tokens + past.count() * budget.perSecond);
     }
     budget.refilledAt = now;
-    if (budget.tokens < 1) {
-        ++budget.dropped;
+    if (budget.tokens < lines) {
+        budget.dropped += lines;
         return false;
     }
-    budget.tokens -= 1;
+    budget.tokens -= lines;
     return true;
 }
 
--- a/packages/telemetry/src/log_func.h
+++ b/packages/telemetry/src/log_func.h
@@ -48,12 +48,13 @@
 };
 
 /**
- * Takes the right to write one line.
+ * Takes the right to write some lines that belong together.
  * @param budget Budget.
  * @param now Present time.
- * @return Whether the line may be written; else it is counted as dropped.
+ * @param lines How many.
+ * @return Whether they may be written; else they are counted as dropped.
  */
-bool takeLine(log_budget &budget, steady_time now);
+bool takeLines(log_budget &budget, steady_time now, std::uint32_t lines = 1);
 
 } // namespace quetzalspool
 
--- a/packages/telemetry/tests/log_test.cpp
+++ b/packages/telemetry/tests/log_test.cpp
@@ -16,12 +16,12 @@
     const steady_time start{std::chrono::seconds(1000)};
     int written = 0;
     for (int line = 0; line < 100; ++line) {
-        written += takeLine(budget, start) ? 1 : 0;
+        written += takeLines(budget, start) ? 1 : 0;
     }
     EXPECT_EQ(written, 5);
     EXPECT_EQ(budget.dropped, 95U);
-    EXPECT_TRUE(takeLine(budget, start + milliseconds(100)));
-    EXPECT_FALSE(takeLine(budget, start + milliseconds(100)));
+    EXPECT_TRUE(takeLines(budget, start + milliseconds(100)));
+    EXPECT_FALSE(takeLines(budget, start + milliseconds(100)));
 }
 
 TEST(log, aReaderThatStopsHoldsNobodyUp)
--- /dev/null
+++ b/packages/trace/src/chain.cpp
@@ -0,0 +1,266 @@
+/** @file chain.cpp Joining the log lines of several daemons to the chain of one request. */
+#include "chain_func.h"
+
+#include "reason_func.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::size_t unreadShown = 5; ///< Lines that can't be read and are named one by one.
+constexpr std::size_t timeLength = 23; ///< "YYYY-MM-DD hh:mm:ss.mmm".
+constexpr std::size_t aroundShown = 12; ///< Lines about beliefs at most.
+constexpr milliseconds aroundBefore{15000}; ///< Lines this long before the end may tell why: longer than a lease.
+constexpr std::string_view endedEvent = "request-ended"; ///< The entry's last line about a request.
+constexpr std::string_view attemptEvent = "attempt"; ///< The entry's line about one attempt.
+constexpr std::string_view runEvent = "run"; ///< The line of the daemon beside the target about one attempt.
+
+std::string fieldOf(const trace_line &line, const std::string &name)
+{
+    const auto found = line.fields.find(name);
+    return found == line.fields.end() ? std::string() : found->second;
+}
+
+/** Whether a line is about a request: targets may get an id that is composed of pool, key and the caller's. */
+bool isAbout(const trace_line &line, const std::string &id)
+{
+    const auto found = fieldOf(line, "id");
+    return found == id || found.ends_with("/" + id);
+}
+
+/** The time of a line in front of its object: date, time, level. Empty if there is none. */
+std::string timeBefore(std::string_view front)
+{
+    while (!front.empty() && front.back() == ' ') {
+        front.remove_suffix(1);
+    }
+    front = front.substr(0, front.rfind(' ')); // The level.
+    while (!front.empty() && front.back() == ' ') {
+        front.remove_suffix(1);
+    }
+    return front.size() < timeLength ? std::string() : std::string(front.substr(front.size() - timeLength));
+}
+
+/** Milliseconds of a time of day since the year began, near enough to compare moments some seconds apart. */
+std::optional<milliseconds> momentOf(const std::string &time)
+{
+    int month = 0;
+    int day = 0;
+    int hour = 0;
+    int minute = 0;
+    int second = 0;
+    int part = 0;
+    if (std::sscanf(time.c_str(), "%*d-%d-%d %d:%d:%d.%d", &month, &day, &hour, &minute, &second, &part) != 6) {
+        return std::nullopt;
+    }
+    const auto days = std::chrono::days(month * 31 + day);
+    return days + std::chrono::hours(hour) + std::chrono::minutes(minute) + std::chrono::seconds(second)
+        + milliseconds(part);
+}
+
+/** Whether a line was written shortly before another one, as their writers' clocks say. */
+bool isShortlyBefore(const trace_line &line, const trace_line &end)
+{
+    const auto at = momentOf(line.time);
+    const auto until = momentOf(end.time);
+    return at && until && *at <= *until && *until - *at <= aroundBefore;
+}
+
+bool hasWord(std::string_view words, std::string_view word)
+{
+    for (std::size_t at = 0; at < words.size();) {
+        const auto end = std::min(words.find(' ', at), words.size());
+        if (words.substr(at, end - at) == word) {
+            return true;
+        }
+        at = end + 1;
+    }
+    return false;
+}
+
+/** The last line that says why the request ended. */
+const trace_line *lastLine(const request_chain &chain)
+{
+    if (!chain.ended.empty()) {
+        return &chain.ended.back();
+    }
+    if (!chain.attempts.empty()) {
+        return &chain.attempts.back().decided;
+    }
+    return chain.strays.empty() ? nullptr : &chain.strays.back();
+}
+
+/** Takes the lines about beliefs that the reason points to. */
+void takeAround(const trace_log &log, request_chain &chain)
+{
+    const auto *last = lastLine(chain);
+    const auto *reason = last == nullptr ? nullptr : findReason(fieldOf(*last, "reason"));
+    if (reason == nullptr || reason->lookAt.empty()) {
+        return;
+    }
+    for (const auto &line : log.lines) {
+        if (hasWord(reason->lookAt, line.event) && isShortlyBefore(line, *last)) {
+            chain.around.push_back(line);
+        }
+    }
+    std::stable_sort(chain.around.begin(), chain.around.end(),
+                     [](const auto &a, const auto &b) { return a.time < b.time; });
+    if (chain.around.size() > aroundShown) {
+        chain.around.erase(chain.around.begin(), chain.around.end() - aroundShown);
+    }
+}
+
+/** Says which lines should be there and are not. */
+void findGaps(request_chain &chain)
+{
+    if (chain.ended.empty()) {
+        chain.gaps.emplace_back(
+            "no line of the daemon that took the request: its log is not among the files, it left the "
+            "line out (lines_dropped), or the request is still under way");
+    }
+    for (const auto &attempt : chain.attempts) {
+        const auto owner = fieldOf(attempt.decided, "owner");
+        if (attempt.runs.empty() && !owner.empty()) {
+            chain.gaps.push_back("no line of " + owner + " about attempt " + fieldOf(attempt.decided, "number")
+                                 + ": its log is not among the files, it left the line out, or the attempt did not "
+                                   "reach it");
+        }
+    }
+}
+
+std::string causeOf(const request_chain &chain)
+{
+    const auto *last = lastLine(chain);
+    if (last == nullptr) {
+        return "unknown";
+    }
+    const auto word = fieldOf(*last, "reason");
+    const auto *reason = findReason(word);
+    const bool late = fieldOf(*last, "late") == "1";
+    return fieldOf(*last, "outcome") + (late ? ", late" : "") + ", " + word + ": "
+        + (reason == nullptr ? "not in this version's list of reasons" : std::string(reason->meaning));
+}
+
+std::string formatLine(const trace_line &line)
+{
+    auto text = line.time + " " + line.instance + " " + line.event;
+    for (const auto &[name, value] : line.fields) {
+        if (name != "id" && !value.empty()) {
+            text.append(" ").append(name).append("=").append(value);
+        }
+    }
+    return text;
+}
+
+} // namespace
+
+std::optional<trace_line> parseTraceLine(std::string_view text, last_reason &why)
+{
+    const auto brace = text.find('{');
+    if (brace == std::string_view::npos) {
+        return failed(why, "read a log line", "", "no JSON object in it; the daemon needs log_format = \"json\"");
+    }
+    const auto object = json::parse(text.substr(brace), nullptr, false);
+    if (!object.is_object() || !object.contains("event") || !object.at("event").is_string()) {
+        return failed(why, "read a log line", "", "its object is damaged or names no event");
+    }
+    trace_line line;
+    line.time = timeBefore(text.substr(0, brace));
+    for (const auto &[name, value] : object.items()) {
+        auto shown = value.is_string() ? value.get<std::string>() : value.dump();
+        if (name == "event") {
+            line.event = std::move(shown);
+        } else if (name == "instance") {
+            line.instance = std::move(shown);
+        } else {
+            line.fields[name] = std::move(shown);
+        }
+    }
+    return line;
+}
+
+void readTraceLog(std::istream &in, const std::string &name, trace_log &log)
+{
+    std::string text;
+    for (std::uint64_t number = 1; std::getline(in, text); ++number) {
+        if (text.empty()) {
+            continue;
+        }
+        last_reason why;
+        auto line = parseTraceLine(text, why);
+        if (line) {
+            log.lines.push_back(std::move(*line));
+            continue;
+        }
+        ++log.unreadCount;
+        if (log.unread.size() < unreadShown) {
+            log.unread.push_back(name + ":" + std::to_string(number) + ": " + why.text);
+        }
+    }
+}
+
+std::optional<request_chain> joinChain(const trace_log &log, const std::string &id)
+{
+    request_chain chain;
+    chain.id = id;
+    std::vector<trace_line> runs;
+    for (const auto &line : log.lines) {
+        if (!isAbout(line, id)) {
+            continue;
+        }
+        if (line.event == endedEvent) {
+            chain.ended.push_back(line);
+        } else if (line.event == attemptEvent) {
+            chain.attempts.push_back({line, {}});
+        } else if (line.event == runEvent) {
+            runs.push_back(line);
+        }
+    }
+    if (chain.ended.empty() && chain.attempts.empty() && runs.empty()) {
+        return std::nullopt;
+    }
+    std::stable_sort(chain.attempts.begin(), chain.attempts.end(), [](const auto &a, const auto &b) {
+        return std::atoi(fieldOf(a.decided, "number").c_str()) < std::atoi(fieldOf(b.decided, "number").c_str());
+    });
+    for (auto &run : runs) {
+        const auto attempt = std::find_if(chain.attempts.begin(), chain.attempts.end(), [&](const auto &known) {
+            return fieldOf(known.decided, "attempt") == fieldOf(run, "attempt");
+        });
+        (attempt == chain.attempts.end() ? chain.strays : attempt->runs).push_back(std::move(run));
+    }
+    takeAround(log, chain);
+    findGaps(chain);
+    chain.cause = causeOf(chain);
+    return chain;
+}
+
+std::string formatChain(const request_chain &chain)
+{
+    std::string text = "request " + chain.id + "\n";
+    for (const auto &line : chain.around) {
+        text += "  before   " + formatLine(line) + "\n";
+    }
+    for (const auto &attempt : chain.attempts) {
+        text += "  attempt  " + formatLine(attempt.decided) + "\n";
+        for (const auto &run : attempt.runs) {
+            text += "    target " + formatLine(run) + "\n";
+        }
+    }
+    for (const auto &run : chain.strays) {
+        text += "  target   " + formatLine(run) + "\n";
+    }
+    for (const auto &line : chain.ended) {
+        text += "  end      " + formatLine(line) + "\n";
+    }
+    for (const auto &gap : chain.gaps) {
+        text += "  missing  " + gap + "\n";
+    }
+    return text + "cause: " + chain.cause + "\n";
+}
+
+} // namespace quetzalspool
