Fix: an urgent lookup takes the place of a less urgent one in a full queue

Ruled out: too long a wait for the calls (32 x 104 ms / 12 = 277 ms fits their 400 ms). Change: whatever is more urgent displaces the least urgent one; equal rank never does. Load answered: a pool of targets asked for more than it can do, by calls within work and by callers.

--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -134,10 +134,21 @@
     }
 }
 
+/** Class and rank of a request; smaller goes first. */
+std::tuple<int, std::uint32_t> urgencyOf(const admission_request &request)
+{
+    return {request.kind == request_class::order ? 0 : 1, request.rank};
+}
+
+/** Whether a request may take the place of another one in a full queue. A nearer deadline alone is no reason. */
+bool isMoreUrgent(const admission_request &a, const admission_request &b)
+{
+    return urgencyOf(a) < urgencyOf(b);
+}
+
 bool goesBefore(const admission_request &a, const admission_request &b)
 {
-    const auto rank = [](const admission_request &request) { return request.kind == request_class::order ? 0 : 1; };
-    return std::tuple(rank(a), a.rank, a.deadline) < std::tuple(rank(b), b.rank, b.deadline);
+    return std::tuple(urgencyOf(a), a.deadline) < std::tuple(urgencyOf(b), b.deadline);
 }
 
 /**
@@ -162,9 +173,7 @@
     const auto wait = predictedWait(state, before, now);
     const bool fits = now + wait + milliseconds(std::llround(state.serviceMs)) <= latestAnswer(state, request);
     const bool full = state.queue.size() >= state.limits.queue;
-    // An order takes the place of the least urgent lookup; lookups never displace each other.
-    const bool displaces = full && fits && request.kind == request_class::order && !state.queue.empty()
-        && state.queue.back().request.kind == request_class::lookup;
+    const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
         return refuse(state, refusal::overloaded, clampRetry(predictedWait(state, state.queue.size(), now)));
     }
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -79,6 +79,26 @@
     EXPECT_EQ(admit(gate, ask(7, request_class::order), now).refused, refusal::overloaded) << "only orders are left";
 }
 
+TEST(admission, anUrgentLookupTakesThePlaceOfALessUrgentOneInAFullQueue)
+{
+    auto gate = makeGate(1, 2);
+    const auto ranked = [](std::uint64_t id, std::uint32_t rank) {
+        auto request = ask(id);
+        request.rank = rank;
+        return request;
+    };
+    admit(gate, ranked(1, 2), now);
+    admit(gate, ranked(2, 2), now);
+    admit(gate, ranked(3, 2), now);
+    EXPECT_EQ(admit(gate, ranked(4, 2), now).refused, refusal::overloaded) << "equally urgent ones keep their places";
+    EXPECT_TRUE(admit(gate, ranked(5, 1), now).queued);
+    const auto decided = advanceQueue(gate, now);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided.front().verdict.refused, refusal::overloaded) << "the one that lost its place hears of it at once";
+    EXPECT_TRUE(admit(gate, ranked(6, 1), now).queued);
+    EXPECT_EQ(admit(gate, ranked(7, 1), now).refused, refusal::overloaded) << "only urgent ones are left";
+}
+
 TEST(admission, refusesAtOnceWhatCanNotBeDoneInTime)
 {
     auto gate = makeGate(1, 100);
