Fix: a deaf watch is noticed by the store's revision at each confirmation

Ruled out: the target (it released within a second once asked), the planner (it had marked the move at 2.2 s). Change: what the store had changed at the confirmation before and a watch has not told is asked for with a watch that does not wait. Test: follow.aDeafWatchIsNoticedByTheRevisionOfTheStore, red without the call.

--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -12,6 +12,16 @@
 
 namespace quetzalspool {
 
+/** Keys of the store that are followed: all under one prefix. */
+struct followed_prefix
+{
+    std::string prefix; ///< Prefix.
+    revision_number seen; ///< All changes up to this revision were taken.
+    std::function<asio::awaitable<std::optional<revision_number>>(last_reason &why)>
+        readAll; ///< Reads everything and takes it; gives the revision to go on from, or nothing without an answer.
+    std::function<void(const watch_event &)> takeEvent; ///< Takes one change.
+};
+
 /** What the control thread owns. */
 struct roster_control
 {
@@ -28,6 +38,8 @@
     std::shared_ptr<peer_client> peers =
         makePeerClient(context.get_executor()); ///< For calls to the store through others.
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing among them.
+    std::vector<std::shared_ptr<followed_prefix>> followed; ///< What is followed.
+    revision_number storeRevision; ///< Revision of the whole store at the last confirmation.
     steady_time nextLoad{}; ///< When to tell about the own load next.
     bool storeHeard = true; ///< Whether the last call to the store was answered.
     steady_time nextGauges{}; ///< When to set the gauges next.
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view markerPrefix = "quetzalspool/markers/"; ///< Markers, which stay.
 constexpr std::string_view runsPrefix = "quetzalspool/owners/"; ///< Owners of keys by pool.
 constexpr milliseconds watchWait{10000}; ///< One wait for changes; a longer one would hide a dead connection longer.
+constexpr milliseconds noWait{1}; ///< A watch that only asks what there is by now.
 constexpr milliseconds followRetry{200}; ///< Wait after a failed read or watch.
 
 std::string entryKey(const instance_id &id)
@@ -223,27 +224,6 @@
     takeOwnersRead(control.state, all.has_value(), sentAt, now);
 }
 
-asio::awaitable<void> confirm(roster_control &control)
-{
-    last_reason why;
-    const auto sentAt = clock::now();
-    const auto result = co_await control.port.store.read(entryKey(control.state.self.member.id), why);
-    const auto now = clock::now();
-    noteStore(control, result.has_value(), why);
-    if (!result) {
-        takeUnconfirmed(control.state, now);
-        co_return;
-    }
-    std::optional<roster_node> found;
-    if (result->value) {
-        found = parseNode(result->value->value, why);
-    }
-    if (!found) {
-        logEvent(log_level::warn, "own-entry-missing");
-    }
-    takeConfirmed(control.state, found, result->value ? result->value->revision : revision_number{}, sentAt, now);
-}
-
 asio::awaitable<void> renew(roster_control &control)
 {
     last_reason why;
@@ -293,36 +273,42 @@
     return seen && !seen->forgotten && !seen->events.empty();
 }
 
-/** Reads everything under a prefix and takes it. Returns the revision to watch from, or nothing without an answer. */
-using read_all = std::function<asio::awaitable<std::optional<revision_number>>(last_reason &why)>;
+/** Takes the changes that are new. */
+void takeEvents(followed_prefix &followed, const watch_result &result)
+{
+    for (const auto &event : result.events) {
+        if (event.value.revision > followed.seen) {
+            followed.takeEvent(event);
+        }
+    }
+    followed.seen = std::max(followed.seen, result.revision);
+}
 
 /**
  * Reads everything, then watches, for as long as the process runs. A watch that was cut or told nothing may have missed
  * changes, so a read follows it.
  */
-asio::awaitable<void> follow(roster_control &control, std::string prefix, read_all readAll,
-                             std::function<void(const watch_event &)> takeEvent, std::function<void()> onChange)
+asio::awaitable<void> follow(roster_control &control, std::shared_ptr<followed_prefix> followed,
+                             std::function<void()> onChange)
 {
+    control.followed.push_back(followed);
     for (;;) {
         last_reason why;
-        const auto from = co_await readAll(why);
+        const auto from = co_await followed->readAll(why);
         noteStore(control, from.has_value(), why);
         if (!from) {
             co_await sleepFor(followRetry);
             continue;
         }
+        followed->seen = std::max(followed->seen, *from);
         onChange();
-        auto after = *from;
         auto watchedAt = clock::now();
-        auto seen = co_await control.port.store.watch(prefix, after, watchWait, why);
+        auto seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
         while (isTelling(seen)) {
-            for (const auto &event : seen->events) {
-                takeEvent(event);
-            }
-            after = std::max(after, seen->revision);
+            takeEvents(*followed, *seen);
             onChange();
             watchedAt = clock::now();
-            seen = co_await control.port.store.watch(prefix, after, watchWait, why);
+            seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
         }
         if (clock::now() - watchedAt < followRetry) {
             co_await sleepFor(followRetry); // A store that ends watches at once is not asked again at once.
@@ -330,11 +316,73 @@
     }
 }
 
+/** Asks for the changes that the present watch should have told. */
+asio::awaitable<void> catchUp(roster_control &control, std::shared_ptr<followed_prefix> followed)
+{
+    last_reason why;
+    const auto result = co_await control.port.store.watch(followed->prefix, followed->seen, noWait, why);
+    if (!result) {
+        co_return; // The next confirmation asks again.
+    }
+    if (result->forgotten) {
+        const auto from = co_await followed->readAll(why);
+        followed->seen = std::max(followed->seen, from.value_or(followed->seen));
+        co_return;
+    }
+    const auto count = std::count_if(result->events.begin(), result->events.end(),
+                                     [&](const auto &event) { return event.value.revision > followed->seen; });
+    if (count > 0) {
+        logEvent(log_level::warn, "watch-deaf",
+                 {{"prefix", followed->prefix},
+                  {"seen", std::to_string(followed->seen.value)},
+                  {"changes", std::to_string(count)}});
+    }
+    takeEvents(*followed, *result);
+}
+
+/**
+ * Compares the store's revision with what the watches have told. A watch may be deaf without being cut; what the store
+ * had changed at the confirmation before, it has had time to tell.
+ */
+asio::awaitable<void> catchUpWhereBehind(roster_control &control, revision_number revision)
+{
+    const auto before = std::exchange(control.storeRevision, revision);
+    for (const auto &followed : control.followed) {
+        if (followed->seen < before && followed->seen != revision_number{}) {
+            co_await catchUp(control, followed);
+        }
+    }
+}
+
+asio::awaitable<void> confirm(roster_control &control)
+{
+    last_reason why;
+    const auto sentAt = clock::now();
+    const auto result = co_await control.port.store.read(entryKey(control.state.self.member.id), why);
+    const auto now = clock::now();
+    noteStore(control, result.has_value(), why);
+    if (!result) {
+        takeUnconfirmed(control.state, now);
+        co_return;
+    }
+    std::optional<roster_node> found;
+    if (result->value) {
+        found = parseNode(result->value->value, why);
+    }
+    if (!found) {
+        logEvent(log_level::warn, "own-entry-missing");
+    }
+    takeConfirmed(control.state, found, result->value ? result->value->revision : revision_number{}, sentAt, now);
+    co_await catchUpWhereBehind(control, result->revision);
+}
+
 } // namespace
 
 asio::awaitable<void> followRoster(roster_control &control, std::function<void()> onChange)
 {
-    read_all readAll = [&control](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
+    auto followed = std::make_shared<followed_prefix>();
+    followed->prefix = rootPrefix;
+    followed->readAll = [&control](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
         const auto all = co_await control.port.store.list(std::string(rootPrefix), why);
         if (!all) {
             co_return std::nullopt;
@@ -342,17 +390,19 @@
         takeList(control, *all, clock::now());
         co_return all->revision;
     };
-    std::function<void(const watch_event &)> takeEvent = [&control](const watch_event &event) {
+    followed->takeEvent = [&control](const watch_event &event) {
         const auto now = clock::now();
         event.removed ? takeRemoved(control, event.value, now) : takeValue(control, event.value, now);
     };
-    co_await follow(control, std::string(rootPrefix), readAll, takeEvent, onChange);
+    co_await follow(control, followed, onChange);
 }
 
 asio::awaitable<void> followTables(roster_control &control, std::function<void()> onChange)
 {
     const auto key = control.port.tablesKey;
-    read_all readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
+    auto followed = std::make_shared<followed_prefix>();
+    followed->prefix = key;
+    followed->readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
         const auto read = co_await control.port.store.read(key, why);
         if (!read) {
             co_return std::nullopt;
@@ -362,12 +412,12 @@
         }
         co_return read->revision;
     };
-    std::function<void(const watch_event &)> takeEvent = [&control, key](const watch_event &event) {
+    followed->takeEvent = [&control, key](const watch_event &event) {
         if (!event.removed && event.value.key == key) {
             takeTables(control, event.value);
         }
     };
-    co_await follow(control, key, readAll, takeEvent, onChange);
+    co_await follow(control, followed, onChange);
 }
 
 asio::awaitable<void> performAction(roster_control &control, roster_action action, std::function<void()> onChange)
--- a/packages/daemon/tests/roster_sync_test.cpp
+++ b/packages/daemon/tests/roster_sync_test.cpp
@@ -1,5 +1,8 @@
 /** @file roster_sync_test.cpp Following the store through watches that fail, with a fake store. */
+#include "elapsed_clock.h"
+#include "roster_func.h"
 #include "roster_sync.h"
+#include "traffic_start.h"
 
 #include <gtest/gtest.h>
 
@@ -7,6 +10,8 @@
 
 namespace {
 
+using std::chrono::seconds;
+
 /** A store with the tables alone, whose watch does as it is told. */
 struct fake_tables
 {
@@ -66,6 +71,36 @@
     EXPECT_EQ(control.tables->rows.version, 2U) << "though the watch passed over the change";
 }
 
+TEST(follow, aDeafWatchIsNoticedByTheRevisionOfTheStore)
+{
+    daemon_shared shared;
+    roster_control control;
+    control.shared = &shared;
+    control.state = startRoster({selfOf(shared), {}}, {}, elapsed_clock::now());
+    fake_tables store;
+    connect(control, store);
+    // Long watches hear nothing for a minute; one that only asks what there is tells the change.
+    control.port.store.watch = [&store](std::string, revision_number after, milliseconds wait,
+                                        last_reason &) -> asio::awaitable<std::optional<watch_result>> {
+        co_await sleepFor(wait > milliseconds(100) ? seconds(60) : milliseconds(1));
+        const revision_number revision{static_cast<std::int64_t>(store.version)};
+        watch_result result{false, {}, revision};
+        if (after < revision) {
+            result.events.push_back({{"tables", std::to_string(store.version), revision}, false});
+        }
+        co_return result;
+    };
+    asio::co_spawn(control.context, followTables(control, [] {}), asio::detached);
+    control.context.run_for(milliseconds(50));
+    store.version = 2;
+    for (int confirmation = 0; confirmation < 2; ++confirmation) {
+        asio::co_spawn(control.context, performAction(control, confirm_action{}, [] {}), asio::detached);
+        control.context.run_for(milliseconds(50));
+    }
+    ASSERT_TRUE(control.tables != nullptr);
+    EXPECT_EQ(control.tables->rows.version, 2U);
+}
+
 TEST(follow, aWatchThatFailsAtOnceIsRepeatedWithPauses)
 {
     daemon_shared shared;
