Change: times of work of urgent and of usual requests are learnt apart

Change: two smoothed times; the margin of the reckoned wait is 2, since the mean is no longer raised by the other kind. Load answered: long work asked for by callers beside short calls within other work.

--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -99,7 +99,9 @@
     steady_time lastProgress{}; ///< Last time a request finished, or the target became busy.
     bool probing = false; ///< Whether only one request at a time is tried, after a stall.
     bool goalBound = false; ///< Whether requests that will surely miss their goal are refused at once.
-    double serviceMs = 5.0; ///< Smoothed service time in milliseconds.
+    double serviceMs = 5.0; ///< Smoothed service time in milliseconds, of all requests.
+    double urgentServiceMs = 0; ///< The same of urgent requests; 0 while none was seen.
+    double usualServiceMs = 0; ///< The same of usual lookups; 0 while none was seen.
     std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since it was last taken.
     std::map<refusal, std::uint64_t> refusals; ///< Refusals by reason, for metrics.
 };
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint32_t reservePart = 6; ///< One slot in so many is left free for urgent requests.
 constexpr milliseconds urgentTime{2000}; ///< Slots are left free for this long after an urgent request.
 constexpr milliseconds urgentUseTime{2000}; ///< Span over which the slots used by urgent requests are smoothed.
-constexpr double waitMargin = 1.5; ///< The wait of usual lookups varies: reckoned at its mean, half of the last ones
+constexpr double waitMargin = 2.0; ///< The wait of usual lookups varies: reckoned at its mean, half of the last ones
                                    ///< let in would be late.
 constexpr double leastSlots = 0.5; ///< Slots that usual lookups are reckoned to get at least, all together.
 constexpr milliseconds mostRetry{5000}; ///< Longest wait that a refusal names.
@@ -50,6 +50,18 @@
     state.urgentUseAt = now;
 }
 
+/** Time of work of requests like this one, as far as known. */
+double serviceOf(const admission_state &state, bool urgent)
+{
+    const auto known = urgent ? state.urgentServiceMs : state.usualServiceMs;
+    return state.goalBound && known > 0 ? known : state.serviceMs;
+}
+
+void smoothService(double &service, double newest)
+{
+    service = service == 0 ? newest : service + serviceSmoothing * (newest - service);
+}
+
 /**
  * Time that a request with so many before it is expected to wait. Urgent ones that come later go before a usual lookup
  * too, so it can count on the slots only that these are not seen to use.
@@ -59,7 +71,7 @@
     const double all = concurrencyNow(state, now);
     const bool yields = state.goalBound && !urgent;
     const auto slots = yields ? std::max(all - state.urgentUse, leastSlots) : all;
-    const auto mean = static_cast<double>(before + 1) / slots * state.serviceMs;
+    const auto mean = static_cast<double>(before + 1) / slots * serviceOf(state, urgent);
     return milliseconds(std::llround(yields ? mean * waitMargin : mean));
 }
 
@@ -198,7 +210,8 @@
     const auto before = static_cast<std::size_t>(at - state.queue.begin());
     const bool urgent = isUrgent(request);
     const auto wait = predictedWait(state, before, urgent, now);
-    const bool fits = now + wait + milliseconds(std::llround(state.serviceMs)) <= latestAnswer(state, request);
+    const milliseconds service(std::llround(serviceOf(state, urgent)));
+    const bool fits = now + wait + service <= latestAnswer(state, request);
     const bool full = state.queue.size() >= state.limits.queue;
     const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
@@ -266,6 +279,8 @@
     if (progress) {
         state.serviceMs += serviceSmoothing * (static_cast<double>(service.count()) - state.serviceMs);
         state.serviceMs = std::max(state.serviceMs, 0.1);
+        smoothService(isUrgent(request) ? state.urgentServiceMs : state.usualServiceMs,
+                      static_cast<double>(service.count()));
         state.lastProgress = now;
         state.probing = false;
     } else if (now - state.lastProgress > state.limits.stallLimit) {
--- a/packages/decisions/tests/load_test.cpp
+++ b/packages/decisions/tests/load_test.cpp
@@ -163,4 +163,22 @@
     EXPECT_LT(lookups.heldAndRefused, lookups.asked / 20) << "few wait for nothing";
 }
 
+// Answers the load of a target that is asked by callers for long work, and by other targets for short calls within theirs:
+// a call that is refused wastes the work around it, and long work that is let in is not answered late.
+TEST(load, shortCallsBesideLongWorkGetThrough)
+{
+    load_world world(12);
+    const auto results =
+        world.play({{request_class::lookup, 2, 21, milliseconds(550), milliseconds(1500), milliseconds(10000)},
+                    {request_class::lookup, 1, 97, milliseconds(55), milliseconds(200), milliseconds(600)}},
+                   seconds(60));
+    print(results);
+    const auto &sheets = results.at(2);
+    const auto &calls = results.at(1);
+    EXPECT_GT(calls.inGoal + calls.late, calls.asked * 95 / 100);
+    EXPECT_GT(calls.inGoal, calls.asked * 9 / 10);
+    EXPECT_LT(sheets.late, (sheets.late + sheets.inGoal) / 5);
+    EXPECT_GT(sheets.inGoal, 60 * 9) << "what the calls leave of the target is used";
+}
+
 } // namespace quetzalspool::test
