--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -19,6 +19,10 @@
  */
 constexpr milliseconds unreachableWait{50};
 
+/** Daemons hear of a new owner some 50 ms after the write; a move as a whole takes over a second, too long to wait for. */
+constexpr milliseconds newOwnerWait{120};
+constexpr milliseconds newOwnerStep{40}; ///< Between two tries within that time; each may cross regions.
+
 } // namespace
 
 bool prepareTraffic(daemon_shared &shared, traffic_threads &traffic, last_reason &why)
@@ -31,6 +35,8 @@
         if (settings.roster) {
             thread->retryLimits.budgetCap = rosterBudgetCap;
             thread->retryLimits.unreachableWaitLimit = unreachableWait;
+            thread->retryLimits.waitLimit = newOwnerWait;
+            thread->retryLimits.movingWait = newOwnerStep;
             thread->retryLimits.leavesSilent = false; // There a target's silence is no reason to end its answer.
             thread->budget.tokens = rosterBudgetCap;
         }
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -94,7 +94,8 @@
     EXPECT_TRUE(admit(gate, ranked(5, 1), now).queued);
     const auto decided = advanceQueue(gate, now);
     ASSERT_EQ(decided.size(), 1U);
-    EXPECT_EQ(decided.front().verdict.refused, refusal::overloaded) << "the one that lost its place hears of it at once";
+    EXPECT_EQ(decided.front().verdict.refused, refusal::overloaded)
+        << "the one that lost its place hears of it at once";
     EXPECT_TRUE(admit(gate, ranked(6, 1), now).queued);
     EXPECT_EQ(admit(gate, ranked(7, 1), now).refused, refusal::overloaded) << "only urgent ones are left";
 }
@@ -225,6 +226,31 @@
     EXPECT_TRUE(decideRetry(question, budget, {}, now).again);
 }
 
+TEST(retry, aMoveIsWaitedForNoLongerThanTheLimit)
+{
+    retry_budget budget;
+    retry_limits limits;
+    limits.waitLimit = milliseconds(120);
+    limits.movingWait = milliseconds(40);
+    retry_question question;
+    question.result = attempt_result::not_run;
+    question.reason = refusal::not_owner;
+    question.keyed = true;
+    question.deadline = now + seconds(5);
+    std::uint32_t tries = 1;
+    for (auto at = now;; ++tries) {
+        question.attempts = tries;
+        const auto answer = decideRetry(question, budget, limits, at);
+        if (!answer.again) {
+            break;
+        }
+        at += answer.wait;
+        question.waited += answer.wait;
+    }
+    EXPECT_EQ(question.waited, milliseconds(120)) << "after that the caller hears at once when to come back";
+    EXPECT_EQ(tries, 4U);
+}
+
 TEST(retry, failuresOfEverythingAddNoMoreThanTheBudget)
 {
     retry_budget budget;
