Change: followers pause after a change, by the number of nodes and the store's rate; explained revisions cost no call

Change: after a change the roster's watch pauses for nodes / (3% of the store's reads a second), 500 ms at most; a poll is made only for revisions that no watch has told; the rate comes from the settings (store_reads_per_second). Tests: follow.changesToldUnderAnotherPrefixCostNoCall, roster.followersOfManyNodesPauseLonger.

--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -16,6 +16,7 @@
 struct followed_prefix
 {
     std::string prefix; ///< Prefix.
+    bool pauses = false; ///< Whether changes in quick succession may come together.
     revision_number seen; ///< All changes up to this revision were taken.
     std::function<asio::awaitable<std::optional<revision_number>>(last_reason &why)>
         readAll; ///< Reads everything and takes it; gives the revision to go on from, or nothing without an answer.
@@ -39,6 +40,7 @@
         makePeerClient(context.get_executor()); ///< For calls to the store through others.
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing among them.
     std::vector<std::shared_ptr<followed_prefix>> followed; ///< What is followed.
+    std::set<revision_number> explained; ///< Revisions of changes that were told under any followed prefix.
     revision_number storeRevision; ///< Revision of the whole store at the last confirmation.
     steady_time nextLoad{}; ///< When to tell about the own load next.
     bool storeHeard = true; ///< Whether the last call to the store was answered.
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -274,9 +274,10 @@
 }
 
 /** Takes the changes that are new. */
-void takeEvents(followed_prefix &followed, const watch_result &result)
+void takeEvents(roster_control &control, followed_prefix &followed, const watch_result &result)
 {
     for (const auto &event : result.events) {
+        control.explained.insert(event.value.revision);
         if (event.value.revision > followed.seen) {
             followed.takeEvent(event);
         }
@@ -284,6 +285,27 @@
     followed.seen = std::max(followed.seen, result.revision);
 }
 
+/** Whether all changes up to a revision are known: told by this prefix, or under another one that is followed. */
+bool knowsAll(const roster_control &control, const followed_prefix &followed, revision_number until)
+{
+    for (auto at = followed.seen.value + 1; at <= until.value; ++at) {
+        if (!control.explained.contains({at})) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Forgets explained revisions that all followed prefixes have passed. */
+void forgetExplained(roster_control &control)
+{
+    auto least = control.storeRevision;
+    for (const auto &followed : control.followed) {
+        least = std::min(least, followed->seen);
+    }
+    control.explained.erase(control.explained.begin(), control.explained.upper_bound(least));
+}
+
 /**
  * Reads everything, then watches, for as long as the process runs. A watch that was cut or told nothing may have missed
  * changes, so a read follows it.
@@ -305,8 +327,11 @@
         auto watchedAt = clock::now();
         auto seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
         while (isTelling(seen)) {
-            takeEvents(*followed, *seen);
+            takeEvents(control, *followed, *seen);
             onChange();
+            if (followed->pauses) {
+                co_await sleepFor(watchPause(control.state.nodes.size(), control.shared->settings.roster->storeReads));
+            }
             watchedAt = clock::now();
             seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
         }
@@ -337,7 +362,7 @@
                   {"seen", std::to_string(followed->seen.value)},
                   {"changes", std::to_string(count)}});
     }
-    takeEvents(*followed, *result);
+    takeEvents(control, *followed, *result);
 }
 
 /**
@@ -348,10 +373,16 @@
 {
     const auto before = std::exchange(control.storeRevision, revision);
     for (const auto &followed : control.followed) {
-        if (followed->seen < before && followed->seen != revision_number{}) {
+        if (followed->seen == revision_number{} || followed->seen >= before) {
+            continue;
+        }
+        if (knowsAll(control, *followed, before)) {
+            followed->seen = before;
+        } else {
             co_await catchUp(control, followed);
         }
     }
+    forgetExplained(control);
 }
 
 asio::awaitable<void> confirm(roster_control &control)
@@ -382,6 +413,7 @@
 {
     auto followed = std::make_shared<followed_prefix>();
     followed->prefix = rootPrefix;
+    followed->pauses = true;
     followed->readAll = [&control](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
         const auto all = co_await control.port.store.list(std::string(rootPrefix), why);
         if (!all) {
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -19,7 +19,8 @@
  */
 constexpr milliseconds unreachableWait{50};
 
-/** Daemons hear of a new owner some 50 ms after the write; a move as a whole takes over a second, too long to wait for. */
+/** Daemons hear of a new owner some 50 ms after the write; a move as a whole takes over a second, too long to wait for.
+ */
 constexpr milliseconds newOwnerWait{120};
 constexpr milliseconds newOwnerStep{40}; ///< Between two tries within that time; each may cross regions.
 
--- a/packages/daemon/tests/roster_sync_test.cpp
+++ b/packages/daemon/tests/roster_sync_test.cpp
@@ -101,6 +101,26 @@
     EXPECT_EQ(control.tables->rows.version, 2U);
 }
 
+TEST(follow, changesToldUnderAnotherPrefixCostNoCall)
+{
+    daemon_shared shared;
+    roster_control control;
+    control.shared = &shared;
+    control.state = startRoster({selfOf(shared), {}}, {}, elapsed_clock::now());
+    fake_tables store;
+    store.watchTime = seconds(60);
+    connect(control, store);
+    asio::co_spawn(control.context, followTables(control, [] {}), asio::detached);
+    control.context.run_for(milliseconds(50));
+    store.version = 3; // The store's revision grows by two changes, which another watch has told.
+    control.explained = {{2}, {3}};
+    for (int confirmation = 0; confirmation < 3; ++confirmation) {
+        asio::co_spawn(control.context, performAction(control, confirm_action{}, [] {}), asio::detached);
+        control.context.run_for(milliseconds(50));
+    }
+    EXPECT_EQ(store.watches, 1) << "the one that waits";
+}
+
 TEST(follow, aWatchThatFailsAtOnceIsRepeatedWithPauses)
 {
     daemon_shared shared;
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -3,11 +3,15 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace quetzalspool {
 
 namespace {
 
+constexpr double watchShare = 0.03; ///< Part of the store's reading calls that go into following changes.
+constexpr milliseconds longestPause{500}; ///< A change must be known everywhere well within a second.
+
 constexpr milliseconds leastHold{200}; ///< A shorter hold would end before the next report renews it.
 
 bool overlaps(std::uint32_t first, std::uint32_t last, std::uint32_t otherFirst, std::uint32_t otherLast)
@@ -157,6 +161,13 @@
     return actions;
 }
 
+milliseconds watchPause(std::size_t nodes, std::uint32_t readsPerSecond)
+{
+    const auto calls = watchShare * std::max<std::uint32_t>(readsPerSecond, 1);
+    const milliseconds pause(std::llround(static_cast<double>(nodes) / calls * 1000));
+    return std::min(pause, longestPause);
+}
+
 void takeEntry(roster_state &state, const instance_id &id, std::optional<roster_node> entry, revision_number revision,
                steady_time now)
 {
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -194,6 +194,15 @@
  */
 void takeLoad(roster_state &state, const load_message &message, steady_time now);
 
+/**
+ * How long a follower pauses after a change before it watches again, so that changes in quick succession come together
+ * and the followers of all nodes keep to a part of what the store serves.
+ * @param nodes Nodes that follow.
+ * @param readsPerSecond Reading calls a second that the store allows to all of them together.
+ * @return Pause.
+ */
+milliseconds watchPause(std::size_t nodes, std::uint32_t readsPerSecond);
+
 /**
  * Marks runs for planned moves from loaded to idle owners, if that pays.
  * @param record Owners; changed.
--- a/packages/decisions/tests/roster_test.cpp
+++ b/packages/decisions/tests/roster_test.cpp
@@ -367,6 +367,13 @@
     EXPECT_FALSE(planMoves(calm, candidates, &load)) << "targets that are not strained keep their slots";
 }
 
+TEST(roster, followersOfManyNodesPauseLonger)
+{
+    EXPECT_LE(watchPause(9, 2000), milliseconds(200)) << "few nodes hear of a change soon after the one before";
+    EXPECT_GT(watchPause(90, 6000), watchPause(30, 6000));
+    EXPECT_EQ(watchPause(100000, 1), milliseconds(500)) << "a change is known everywhere within a second";
+}
+
 // Answers the load of keys that are asked for by how near they are to the busiest one, all with one owner at first.
 TEST(roster, aBusyRegionOfKeysIsSpreadInOneRoundOfMoves)
 {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t maxPort = 65535;
 constexpr std::int64_t maxThreads = 64;
 constexpr std::int64_t maxDrainSeconds = 3600;
+constexpr std::int64_t maxStoreReads = 10000000; ///< More than any store serves.
 
 bool isAddress(const std::string &host)
 {
@@ -112,6 +113,8 @@
     roster.pool.value = readString(reader, "pool");
     roster.leasePeriod = readSpan(reader, "lease_ms", roster.leasePeriod);
     roster.holdPeriod = readSpan(reader, "hold_ms", roster.holdPeriod);
+    roster.storeReads =
+        static_cast<std::uint32_t>(readNumber(reader, "store_reads_per_second", 1, maxStoreReads, roster.storeReads));
     roster.stopNotice = readSpan(reader, "stop_notice_ms", roster.stopNotice);
     refuseUnknown(reader);
     outer.good = outer.good && reader.good;
