--- a/packages/trace/src/chain.cpp
+++ b/packages/trace/src/chain.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace quetzalspool {
 
@@ -95,6 +96,31 @@
     return chain.strays.empty() ? nullptr : &chain.strays.back();
 }
 
+/** Daemons that the chain names. */
+std::set<std::string> daemonsOf(const request_chain &chain)
+{
+    std::set<std::string> daemons;
+    for (const auto &line : chain.ended) {
+        daemons.insert(line.instance);
+    }
+    for (const auto &attempt : chain.attempts) {
+        daemons.insert(attempt.decided.instance);
+        daemons.insert(fieldOf(attempt.decided, "owner"));
+    }
+    for (const auto &run : chain.strays) {
+        daemons.insert(run.instance);
+    }
+    return daemons;
+}
+
+/** Whether a line was written by one of some daemons, names one, or is about owners, who concern all. */
+bool concerns(const trace_line &line, const std::set<std::string> &daemons)
+{
+    return line.event.starts_with("owners") || daemons.contains(line.instance)
+        || std::any_of(line.fields.begin(), line.fields.end(),
+                       [&](const auto &field) { return daemons.contains(field.second); });
+}
+
 /** Takes the lines about beliefs that the reason points to. */
 void takeAround(const trace_log &log, request_chain &chain)
 {
@@ -103,8 +129,9 @@
     if (reason == nullptr || reason->lookAt.empty()) {
         return;
     }
+    const auto daemons = daemonsOf(chain);
     for (const auto &line : log.lines) {
-        if (hasWord(reason->lookAt, line.event) && isShortlyBefore(line, *last)) {
+        if (hasWord(reason->lookAt, line.event) && isShortlyBefore(line, *last) && concerns(line, daemons)) {
             chain.around.push_back(line);
         }
     }
