Fix: a leaving target gets nothing new of its keys either after 1.5 s

Lines: the write of the entry that says so got no answer from 9.8 s to 11.78 s (platform_lost late), and until then the keys stayed granted; they must not be given away before others know that the target leaves. Ruled out: the way between daemons (21 ms), other daemons' choice (the request was for a key). Change: admission and the check before a hand-over refuse a target that has been leaving for 1.5 s, whatever the store has answered. Test: admission.aLeavingTargetGetsNothingNewOfItsKeysEither..., which needs the new limit.

--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -27,6 +27,7 @@
 constexpr milliseconds gaugeInterval{1000}; ///< Between two looks at the gauges.
 constexpr milliseconds silentAfter{
     3000}; ///< A target without a report for this long, three usual intervals, is silent.
+constexpr milliseconds leaveLimit{1500}; ///< Targets may end 2 s after they heard that their leaving is known.
 constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
 const cell_id rosterCell{"roster"}; ///< Name under which the roster stands in the routing view.
 
@@ -104,7 +105,7 @@
     const std::lock_guard lock(gate.mutex);
     auto &admission = gate.admission;
     admission.leaseUntil = target.servesUntil;
-    admission.leaving = target.leaving || target.gone;
+    setLeaving(admission, target.leaving || target.gone, now);
     if (granted != control.granted) {
         setServed(admission, {slotsOf(granted), {}}, target.servesUntil, milliseconds(0), now);
         control.granted = std::move(granted);
@@ -289,6 +290,7 @@
     gate.admission.announcedAt = clock::now();
     gate.admission.limits.warmUp = milliseconds(1);
     gate.admission.limits.stallLimit = stallLimit;
+    gate.admission.limits.leaveLimit = leaveLimit;
     gate.admission.goalBound = true;
     gate.admission.serviceMs = firstService;
     gate.admission.limits.concurrency = std::max<std::uint32_t>(report.facts.slots, 1);
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -15,6 +15,8 @@
     std::uint32_t concurrency = 1; ///< Requests the target works on at once.
     std::uint32_t queue = 16; ///< Requests that may wait.
     milliseconds warmUp{5000}; ///< A target that just announced itself gets its full share after this long.
+    std::optional<milliseconds> leaveLimit; ///< A target that leaves gets nothing new after this long, not even of keys
+                                            ///< that could not be given to others yet; without one these still run.
     milliseconds stallLimit{2000}; ///< A busy target that finishes nothing for this long is taken as frozen.
 };
 
@@ -86,6 +88,7 @@
     pool_id pool; ///< Pool of the target; empty if it is not checked. A new target may belong to another one.
     bool hasTarget = false; ///< Whether a target has announced itself.
     bool leaving = false; ///< Whether the target is being drained.
+    steady_time leavingSince{}; ///< When that was first known.
     steady_time leaseUntil{}; ///< End of the instance lease.
     steady_time announcedAt{}; ///< When the target first announced itself in this run.
     std::map<std::pair<pool_id, slot_number>, open_slot> slots; ///< Slots served, by pool and number.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -125,6 +125,12 @@
     return state.pool.value.empty() || request.pool.value.empty() || state.pool == request.pool;
 }
 
+/** Whether the target leaves and the time in which its keys should have been given to others is over. */
+bool hasLeft(const admission_state &state, steady_time now)
+{
+    return state.leaving && state.limits.leaveLimit && now - state.leavingSince >= *state.limits.leaveLimit;
+}
+
 refusal checkAll(const admission_state &state, const admission_request &request, steady_time now)
 {
     if (!state.hasTarget || !isMeant(state, request)) {
@@ -137,7 +143,7 @@
         return refusal::too_late;
     }
     // A keyed slot is closed by its own release; other work stops when the target leaves.
-    if (state.leaving && !request.slot) {
+    if ((state.leaving && !request.slot) || hasLeft(state, now)) {
         return refusal::leaving;
     }
     return isStalled(state, now) ? refusal::stalled : refusal::none;
@@ -252,6 +258,9 @@
     if (!isMeant(state, request)) {
         return refusal::no_target;
     }
+    if (hasLeft(state, now)) {
+        return refusal::leaving;
+    }
     if (!request.slot) {
         return refusal::none;
     }
@@ -335,6 +344,12 @@
     state.slots = std::move(next);
 }
 
+void setLeaving(admission_state &state, bool leaving, steady_time now)
+{
+    state.leavingSince = leaving && !state.leaving ? now : state.leavingSince;
+    state.leaving = leaving;
+}
+
 double busyOf(const admission_state &state)
 {
     return static_cast<double>(state.inFlight + state.queue.size())
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -62,6 +62,14 @@
 void setServed(admission_state &state, const served_slots &served, steady_time leaseUntil, milliseconds grace,
                steady_time now);
 
+/**
+ * Notes whether the target is being drained.
+ * @param state Admission.
+ * @param leaving Whether it is.
+ * @param now Present time.
+ */
+void setLeaving(admission_state &state, bool leaving, steady_time now);
+
 /**
  * Tells how busy the target is.
  * @param state Admission.
--- a/packages/decisions/tests/load_test.cpp
+++ b/packages/decisions/tests/load_test.cpp
@@ -163,8 +163,8 @@
     EXPECT_LT(lookups.heldAndRefused, lookups.asked / 20) << "few wait for nothing";
 }
 
-// Answers the load of a target that is asked by callers for long work, and by other targets for short calls within theirs:
-// a call that is refused wastes the work around it, and long work that is let in is not answered late.
+// Answers the load of a target that is asked by callers for long work, and by other targets for short calls within
+// theirs: a call that is refused wastes the work around it, and long work that is let in is not answered late.
 TEST(load, shortCallsBesideLongWorkGetThrough)
 {
     load_world world(12);
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -146,6 +146,20 @@
     EXPECT_TRUE(isDrained(gate, slot));
 }
 
+TEST(admission, aLeavingTargetGetsNothingNewOfItsKeysEitherOnceTheLimitIsOver)
+{
+    auto gate = makeGate(4, 4);
+    gate.limits.leaveLimit = milliseconds(1500);
+    setLeaving(gate, true, now);
+    EXPECT_TRUE(admit(gate, ask(1), now + milliseconds(1400)).admitted) << "until its keys are given to others";
+    // The write that gives them away may stay without an answer for seconds.
+    setLeaving(gate, true, now + milliseconds(1450));
+    EXPECT_EQ(admit(gate, ask(2), now + milliseconds(1500)).refused, refusal::leaving);
+    EXPECT_EQ(checkHandOver(gate, ask(1), now + milliseconds(1500)), refusal::leaving) << "what still waits to be sent";
+    setLeaving(gate, false, now + milliseconds(1600));
+    EXPECT_TRUE(admit(gate, ask(3), now + milliseconds(1700)).admitted) << "a new life of the target";
+}
+
 TEST(admission, aStalledTargetIsProbedByOneRequestOnly)
 {
     auto gate = makeGate(4, 4);
