--- a/packages/decisions/src/roster_type.h
+++ b/packages/decisions/src/roster_type.h
@@ -24,11 +24,11 @@
 /** Intervals of ownership by leases of the store. All daemons of a deployment use the same values. */
 struct roster_timing
 {
-    milliseconds leasePeriod{10000}; ///< Right to grant that one confirmation by the store gives.
+    milliseconds leasePeriod{7000}; ///< Right to grant that one confirmation by the store gives.
     milliseconds confirmInterval{1800}; ///< Between two confirmations by a read of the own entry.
     milliseconds entryTtl{3000}; ///< Time to live of the store lease under the own entry.
     milliseconds entryRenewal{900}; ///< Between two renewals of that store lease.
-    milliseconds holdPeriod{7000}; ///< How long a target may serve its keys after one report.
+    milliseconds holdPeriod{5500}; ///< How long a target may serve its keys after one report.
     milliseconds settleTime{1500}; ///< Quiet time before the first owners of a pool are chosen.
     milliseconds absentLimit{3000}; ///< A node whose entry is missing for this long gets no new work.
     milliseconds retryInterval{150}; ///< Wait after a failed call to the store.
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -22,8 +22,8 @@
     endpoint reports; ///< Where the target beside it reports.
     endpoint readiness; ///< Where it says whether it takes callers.
     pool_id pool; ///< Pool that it belongs to.
-    milliseconds leasePeriod{10000}; ///< Right to grant keys that one confirmation by the store gives.
-    milliseconds holdPeriod{7000}; ///< How long a target may serve its keys after one report.
+    milliseconds leasePeriod{7000}; ///< Right to grant keys that one confirmation by the store gives.
+    milliseconds holdPeriod{5500}; ///< How long a target may serve its keys after one report.
     std::uint32_t storeReads = 2000; ///< Reading calls a second that the store allows to all daemons together.
     milliseconds stopNotice{2600}; ///< Between the news that it stops and its last new caller.
 };
