Fix: a daemon that starts while the store turns it away asks the one that last passed a request to it

Ruled out: seeds of the settings (empty on these deployments); the way through others itself (works once a daemon is known). Change: a passed request names where its sender listens; the last one heard is asked while no node is known. Test: deployment.aDaemonThatStartsWhileTheStoreTurnsItAwayFindsAWayThroughOthers, red before (its keys not served within 4 s).

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -169,6 +169,8 @@
                                                std::shared_ptr<answer_sink> sink)
 {
     auto message = toPeer(*request, clock::now());
+    const auto &settings = thread.shared->settings;
+    message.headers.emplace_back(senderHeader, toString({settings.host, settings.peersPort}));
     const auto opened = co_await openCall(thread.client, to, std::move(message), connectTimeout);
     if (!opened.call) {
         request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetry};
--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -36,8 +36,18 @@
     return sink;
 }
 
+/** Remembers who passed a request on: a daemon that has just started may know nobody else. */
+void noteNeighbour(daemon_shared &shared, const peer_request &message)
+{
+    const auto sender = parseEndpoint(headerOf(message.headers, senderHeader));
+    if (sender) {
+        shared.neighbour.store(std::make_shared<const endpoint>(*sender));
+    }
+}
+
 asio::awaitable<void> answerRun(traffic_thread &thread, peer_request message, std::shared_ptr<peer_responder> responder)
 {
+    noteNeighbour(*thread.shared, message);
     auto request = fromPeer(std::move(message), clock::now());
     request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
     if (request) {
--- a/packages/daemon/src/peer_wire.h
+++ b/packages/daemon/src/peer_wire.h
@@ -7,6 +7,7 @@
 
 namespace quetzalspool {
 
+constexpr const char *senderHeader = "qs-sender"; ///< Where the daemon that passes a request on listens for others.
 constexpr const char *runPath = "/run"; ///< Run a request at the target beside you.
 constexpr const char *cancelPath = "/cancel"; ///< Cancel an attempt unless it was handed over.
 constexpr const char *comparePath = "/documents/compare"; ///< Which documents differ.
--- a/packages/daemon/src/roster_relay.cpp
+++ b/packages/daemon/src/roster_relay.cpp
@@ -31,10 +31,14 @@
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
     std::vector<endpoint> relays;
-    relays.reserve(ranked.size());
+    relays.reserve(ranked.size() + 1);
     for (const auto &[rank, at] : ranked) {
         relays.push_back(at);
     }
+    const auto neighbour = control.shared->neighbour.load();
+    if (relays.empty() && neighbour) {
+        relays.push_back(*neighbour);
+    }
     return relays;
 }
 
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -28,6 +28,8 @@
     gate admission; ///< Admission beside the target.
     std::shared_ptr<metrics> numbers = makeMetrics(); ///< Metrics.
     std::atomic<bool> storeHeard = true; ///< Whether the store answered the last call made from here.
+    std::atomic<std::shared_ptr<const endpoint>> neighbour; ///< Where the daemon listens for others that last passed a
+                                                            ///< request to this one; null before the first.
     std::atomic<steady_time> answersUntil{steady_time::max()}; ///< In a planned stop: requests are answered by then.
     std::atomic<bool> leaving = false; ///< Whether a planned stop is under way.
     std::atomic<std::uint64_t> requestsOpen = 0; ///< Callers' requests and peers' requests under way.
