--- /dev/null
+++ b/packages/daemon/src/roster_numbers.cpp
@@ -0,0 +1,88 @@
+/** @file roster_numbers.cpp Metrics of the roster, and lines about what a daemon rests on. */
+#include "roster_numbers.h"
+
+#include "log_func.h"
+#include "roster_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr milliseconds gaugeInterval{1000}; ///< Between two looks at the gauges.
+constexpr milliseconds silentAfter{
+    3000}; ///< A target without a report for this long, three usual intervals, is silent.
+
+std::size_t slotsIn(const std::vector<std::pair<pool_id, key_run>> &runs)
+{
+    std::size_t count = 0;
+    for (const auto &[pool, run] : runs) {
+        count += run.last - run.first + 1;
+    }
+    return count;
+}
+
+/** Slots that nobody owns, or whose owner is not usable, as far as this daemon knows. */
+std::size_t slotsWithoutOwner(const roster_control &control, steady_time now)
+{
+    std::size_t count = 0;
+    for (const auto &[pool, stored] : control.state.records) {
+        for (const auto &run : stored.record.runs) {
+            const auto seen = control.state.nodes.find(run.owner);
+            const bool served = seen != control.state.nodes.end() && isUsable(control.state, seen->second, now);
+            count += served ? 0 : run.last - run.first + 1;
+        }
+    }
+    return count;
+}
+
+} // namespace
+
+void countCall(metrics &numbers, const store_call &call)
+{
+    static const char *const results[] = {"answered", "turned-away", "unanswered"};
+    const std::string kind(call.kind);
+    countMetric(numbers,
+                "store_calls_total{kind=\"" + kind + "\",result=\"" + results[static_cast<int>(call.result)]
+                    + "\",way=\"" + (call.relayed ? "relayed" : "direct") + "\"}");
+    observeDuration(numbers, "store_seconds{kind=\"" + kind + "\"}", call.took);
+}
+
+void setControlGauges(roster_control &control, steady_time now)
+{
+    auto &numbers = *control.shared->numbers;
+    if (now < control.nextGauges) {
+        return;
+    }
+    control.nextGauges = now + gaugeInterval;
+    const auto left = std::chrono::duration<double>(control.state.lease.validUntil - now).count();
+    setGauge(numbers, "slots_granted", static_cast<double>(slotsIn(control.granted)));
+    setGauge(numbers, "slots_without_owner", static_cast<double>(slotsWithoutOwner(control, now)));
+    setGauge(numbers, "right_seconds_left", std::max(left, 0.0));
+    setGauge(numbers, "nodes_known", static_cast<double>(control.state.nodes.size()));
+    setGauge(numbers, "store_heard", control.storeHeard ? 1 : 0);
+    setGauge(numbers, "tables_version", control.tables ? static_cast<double>(control.tables->rows.version) : 0);
+    setGauge(numbers, "link_body_bytes", static_cast<double>(control.shared->linkBytes.load()));
+}
+
+void noteDependencies(roster_control &control, steady_time now)
+{
+    const auto &target = control.state.target;
+    const bool heard = !target.life.id.empty() && !target.gone && now - target.heardAt < silentAfter;
+    if (heard != control.targetHeard) {
+        control.targetHeard = heard;
+        logEvent(log_level::info, heard ? "target-heard" : "target-silent",
+                 {{"target", target.life.id}, {"ended", target.gone ? "1" : "0"}});
+    }
+    const bool right = control.state.lease.validUntil > now;
+    if (right != control.rightHeld) {
+        control.rightHeld = right;
+        logEvent(right ? log_level::info : log_level::warn, right ? "right-regained" : "right-lost",
+                 {{"entered", control.state.lease.entered ? "1" : "0"},
+                  {"store_heard", control.storeHeard ? "1" : "0"},
+                  {"runs", std::to_string(control.granted.size())}});
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -3,6 +3,7 @@
 
 #include "elapsed_clock.h"
 #include "log_func.h"
+#include "roster_follow.h"
 #include "roster_func.h"
 #include "routing_func.h"
 
@@ -18,9 +19,6 @@
 constexpr std::string_view entryPrefix = "quetzalspool/nodes/"; ///< Entries, bound to leases.
 constexpr std::string_view markerPrefix = "quetzalspool/markers/"; ///< Markers, which stay.
 constexpr std::string_view runsPrefix = "quetzalspool/owners/"; ///< Owners of keys by pool.
-constexpr milliseconds watchWait{10000}; ///< One wait for changes; a longer one would hide a dead connection longer.
-constexpr milliseconds noWait{1}; ///< A watch that only asks what there is by now.
-constexpr milliseconds followRetry{200}; ///< Wait after a failed read or watch.
 
 std::string entryKey(const instance_id &id)
 {
@@ -37,20 +35,6 @@
     return std::string(runsPrefix) + pool.value;
 }
 
-/** Logs when the store is lost and when it is back, once each. */
-void noteStore(roster_control &control, bool heard, const last_reason &why)
-{
-    control.shared->storeHeard = heard;
-    if (heard != control.storeHeard) {
-        control.storeHeard = heard;
-        if (heard) {
-            logEvent(log_level::info, "store-back");
-        } else {
-            logEvent(log_level::warn, "store-lost", {{"reason", describe(why)}});
-        }
-    }
-}
-
 void takeStoredEntry(roster_control &control, const instance_id &id, const stored_value &value, steady_time now)
 {
     last_reason why;
@@ -267,124 +251,6 @@
               {"absent", std::to_string(action.absent.size())}});
 }
 
-/** Whether a watch came back with changes. Otherwise it was cut, fell behind the history, or was deaf. */
-bool isTelling(const std::optional<watch_result> &seen)
-{
-    return seen && !seen->forgotten && !seen->events.empty();
-}
-
-/** Takes the changes that are new. */
-void takeEvents(roster_control &control, followed_prefix &followed, const watch_result &result)
-{
-    for (const auto &event : result.events) {
-        control.explained.insert(event.value.revision);
-        if (event.value.revision > followed.seen) {
-            followed.takeEvent(event);
-        }
-    }
-    followed.seen = std::max(followed.seen, result.revision);
-}
-
-/** Whether all changes up to a revision are known: told by this prefix, or under another one that is followed. */
-bool knowsAll(const roster_control &control, const followed_prefix &followed, revision_number until)
-{
-    for (auto at = followed.seen.value + 1; at <= until.value; ++at) {
-        if (!control.explained.contains({at})) {
-            return false;
-        }
-    }
-    return true;
-}
-
-/** Forgets explained revisions that all followed prefixes have passed. */
-void forgetExplained(roster_control &control)
-{
-    auto least = control.storeRevision;
-    for (const auto &followed : control.followed) {
-        least = std::min(least, followed->seen);
-    }
-    control.explained.erase(control.explained.begin(), control.explained.upper_bound(least));
-}
-
-/**
- * Reads everything, then watches, for as long as the process runs. A watch that was cut or told nothing may have missed
- * changes, so a read follows it.
- */
-asio::awaitable<void> follow(roster_control &control, std::shared_ptr<followed_prefix> followed,
-                             std::function<void()> onChange)
-{
-    control.followed.push_back(followed);
-    for (;;) {
-        last_reason why;
-        const auto from = co_await followed->readAll(why);
-        noteStore(control, from.has_value(), why);
-        if (!from) {
-            co_await sleepFor(followRetry);
-            continue;
-        }
-        followed->seen = std::max(followed->seen, *from);
-        onChange();
-        auto watchedAt = clock::now();
-        auto seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
-        while (isTelling(seen)) {
-            takeEvents(control, *followed, *seen);
-            onChange();
-            if (followed->pauses) {
-                co_await sleepFor(watchPause(control.state.nodes.size(), control.shared->settings.roster->storeReads));
-            }
-            watchedAt = clock::now();
-            seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
-        }
-        if (clock::now() - watchedAt < followRetry) {
-            co_await sleepFor(followRetry); // A store that ends watches at once is not asked again at once.
-        }
-    }
-}
-
-/** Asks for the changes that the present watch should have told. */
-asio::awaitable<void> catchUp(roster_control &control, std::shared_ptr<followed_prefix> followed)
-{
-    last_reason why;
-    const auto result = co_await control.port.store.watch(followed->prefix, followed->seen, noWait, why);
-    if (!result) {
-        co_return; // The next confirmation asks again.
-    }
-    if (result->forgotten) {
-        const auto from = co_await followed->readAll(why);
-        followed->seen = std::max(followed->seen, from.value_or(followed->seen));
-        co_return;
-    }
-    const auto count = std::count_if(result->events.begin(), result->events.end(),
-                                     [&](const auto &event) { return event.value.revision > followed->seen; });
-    if (count > 0) {
-        logEvent(log_level::warn, "watch-deaf",
-                 {{"prefix", followed->prefix},
-                  {"seen", std::to_string(followed->seen.value)},
-                  {"changes", std::to_string(count)}});
-    }
-    takeEvents(control, *followed, *result);
-}
-
-/**
- * Compares the store's revision with what the watches have told. A watch may be deaf without being cut; what the store
- * had changed at the confirmation before, it has had time to tell.
- */
-asio::awaitable<void> catchUpWhereBehind(roster_control &control, revision_number revision)
-{
-    const auto before = std::exchange(control.storeRevision, revision);
-    for (const auto &followed : control.followed) {
-        if (followed->seen == revision_number{} || followed->seen >= before) {
-            continue;
-        }
-        if (knowsAll(control, *followed, before)) {
-            followed->seen = before;
-        } else {
-            co_await catchUp(control, followed);
-        }
-    }
-    forgetExplained(control);
-}
-
 asio::awaitable<void> confirm(roster_control &control)
 {
     last_reason why;
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -1,9 +1,11 @@
 /** @file daemon_test.cpp Callers' requests against routes, and the wire form between daemons. */
+#include "admission_func.h"
 #include "caller_request.h"
 #include "documents.h"
 #include "peer_wire.h"
 
 #include "catalog_func.h"
+#include "reason_func.h"
 
 #include <gtest/gtest.h>
 
@@ -120,4 +122,13 @@
     EXPECT_EQ(readComparison(*other).size(), 1U);
 }
 
+TEST(reasons, theListHoldsEveryRefusal)
+{
+    for (auto reason = static_cast<int>(refusal::not_owner); reason <= static_cast<int>(refusal::cancelled); ++reason) {
+        const std::string word = nameOf(static_cast<refusal>(reason));
+        EXPECT_NE(findReason(word), nullptr) << word;
+        EXPECT_EQ(reasonWord(word), word);
+    }
+}
+
 } // namespace quetzalspool::test
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -1,6 +1,8 @@
 /** @file admission_cmd.cpp Admission beside one target. */
 #include "admission_func.h"
 
+#include "admission_wait_func.h"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -9,84 +11,12 @@
 
 namespace {
 
-constexpr double warmUpStart = 0.25; ///< Share of the concurrency that a cold target gets at once.
 constexpr double leastWork = 0.5; ///< Part of the usual time of work that hardly any work is shorter than.
-constexpr double serviceSmoothing = 0.1; ///< Weight of the newest service time.
 constexpr milliseconds movingRetry{50}; ///< When to come back for a slot that moves.
 constexpr milliseconds ownerRetry{200}; ///< When to come back if another owner is to be found.
 constexpr milliseconds leastRetry{20}; ///< Shortest wait that a refusal names.
-constexpr std::uint32_t usualRank = 2; ///< Requests of a smaller rank are urgent.
-constexpr std::uint32_t reservePart = 6; ///< One slot in so many is left free for urgent requests.
-constexpr milliseconds urgentTime{2000}; ///< Slots are left free for this long after an urgent request.
-constexpr milliseconds urgentUseTime{2000}; ///< Span over which the slots used by urgent requests are smoothed.
-constexpr double waitMargin = 2.0; ///< The wait of usual lookups varies: reckoned at its mean, half of the last ones
-                                   ///< let in would be late.
-constexpr double leastSlots = 0.5; ///< Slots that usual lookups are reckoned to get at least, all together.
 constexpr milliseconds mostRetry{5000}; ///< Longest wait that a refusal names.
 
-/** Requests that may be in flight now: fewer while the target is cold or was stalled. */
-std::uint32_t concurrencyNow(const admission_state &state, steady_time now)
-{
-    if (state.probing) {
-        return 1;
-    }
-    const auto warm =
-        std::chrono::duration<double>(now - state.announcedAt) / std::chrono::duration<double>(state.limits.warmUp);
-    const auto share = std::clamp(warmUpStart + (1 - warmUpStart) * warm, warmUpStart, 1.0);
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(state.limits.concurrency * share)));
-}
-
-/** Whether a request goes before usual lookups. */
-bool isUrgent(const admission_request &request)
-{
-    return request.kind == request_class::order || request.rank < usualRank;
-}
-
-/** Brings the smoothed use by urgent requests up to date. Called before their number changes. */
-void smoothUrgentUse(admission_state &state, steady_time now)
-{
-    const auto past = std::chrono::duration<double>(now - state.urgentUseAt) / urgentUseTime;
-    state.urgentUse += (state.urgentInFlight - state.urgentUse) * (1 - std::exp(-past));
-    state.urgentUseAt = now;
-}
-
-/** Time of work of requests like this one, as far as known. */
-double serviceOf(const admission_state &state, bool urgent)
-{
-    const auto known = urgent ? state.urgentServiceMs : state.usualServiceMs;
-    return state.goalBound && known > 0 ? known : state.serviceMs;
-}
-
-void smoothService(double &service, double newest)
-{
-    service = service == 0 ? newest : service + serviceSmoothing * (newest - service);
-}
-
-/**
- * Time that a request with so many before it is expected to wait. Urgent ones that come later go before a usual lookup
- * too, so it can count on the slots only that these are not seen to use.
- */
-milliseconds predictedWait(const admission_state &state, std::size_t before, bool urgent, steady_time now)
-{
-    const double all = concurrencyNow(state, now);
-    const bool yields = state.goalBound && !urgent;
-    const auto slots = yields ? std::max(all - state.urgentUse, leastSlots) : all;
-    const auto mean = static_cast<double>(before + 1) / slots * serviceOf(state, urgent);
-    return milliseconds(std::llround(yields ? mean * waitMargin : mean));
-}
-
-/**
- * Slots that a request may use. While urgent ones come, the others leave some free: urgent ones are short and often
- * part of work that holds a slot elsewhere.
- */
-std::uint32_t slotsFor(const admission_state &state, const admission_request &request, steady_time now)
-{
-    const auto slots = concurrencyNow(state, now);
-    const bool yields =
-        state.goalBound && request.rank >= usualRank && !request.slot && now - state.urgentAt < urgentTime;
-    return yields ? std::max<std::uint32_t>(slots - slots / reservePart, 1) : slots;
-}
-
 milliseconds clampRetry(milliseconds wait)
 {
     return std::clamp(wait, leastRetry, mostRetry);
@@ -170,8 +100,7 @@
     if (state.inFlight == 0) {
         state.lastProgress = now;
     }
-    smoothUrgentUse(state, now);
-    state.urgentInFlight += isUrgent(request) ? 1 : 0;
+    noteUrgent(state, request, 1, now);
     ++state.inFlight;
     if (request.slot) {
         ++state.slots[{request.slot->pool, request.slot->slot}].inFlight;
@@ -277,8 +206,7 @@
 {
     assert(state.inFlight > 0);
     --state.inFlight;
-    smoothUrgentUse(state, now);
-    state.urgentInFlight -= isUrgent(request) && state.urgentInFlight > 0 ? 1 : 0;
+    noteUrgent(state, request, -1, now);
     if (request.slot) {
         const auto found = state.slots.find({request.slot->pool, request.slot->slot});
         if (found != state.slots.end() && found->second.inFlight > 0) {
@@ -286,10 +214,7 @@
         }
     }
     if (progress) {
-        state.serviceMs += serviceSmoothing * (static_cast<double>(service.count()) - state.serviceMs);
-        state.serviceMs = std::max(state.serviceMs, 0.1);
-        smoothService(isUrgent(request) ? state.urgentServiceMs : state.usualServiceMs,
-                      static_cast<double>(service.count()));
+        noteService(state, request, service);
         state.lastProgress = now;
         state.probing = false;
     } else if (now - state.lastProgress > state.limits.stallLimit) {
--- /dev/null
+++ b/packages/decisions/src/admission_wait_func.h
@@ -0,0 +1,66 @@
+/** @file admission_wait_func.h Slots that requests get beside one target, and how long they wait for one. */
+#ifndef ADMISSION_WAIT_FUNC_H
+#define ADMISSION_WAIT_FUNC_H
+
+#include "admission_base.h"
+
+namespace quetzalspool {
+
+constexpr std::uint32_t usualRank = 2; ///< Requests of a smaller rank are urgent.
+
+/**
+ * Tells whether a request goes before usual lookups.
+ * @param request Request.
+ * @return Whether it is an order or of a smaller rank.
+ */
+bool isUrgent(const admission_request &request);
+
+/**
+ * Time of work of requests like one, as far as known.
+ * @param state Admission.
+ * @param urgent Whether it is urgent.
+ * @return Milliseconds.
+ */
+double serviceOf(const admission_state &state, bool urgent);
+
+/**
+ * Learns from a request that is over.
+ * @param state Admission.
+ * @param request Request.
+ * @param service Time of its work.
+ */
+void noteService(admission_state &state, const admission_request &request, milliseconds service);
+
+/**
+ * Counts a request that begins or ends among the urgent ones, if it is urgent.
+ * @param state Admission.
+ * @param request Request.
+ * @param change 1 if it begins, -1 if it ends.
+ * @param now Present time.
+ */
+void noteUrgent(admission_state &state, const admission_request &request, int change, steady_time now);
+
+/**
+ * Time that a request with so many before it is expected to wait. Urgent ones that come later go before a usual lookup
+ * too, so it can count only on the slots that these are not seen to use.
+ * @param state Admission.
+ * @param before Requests that go before it.
+ * @param urgent Whether it is urgent.
+ * @param now Present time.
+ * @return Time until it gets a slot.
+ */
+milliseconds predictedWait(const admission_state &state, std::size_t before, bool urgent, steady_time now);
+
+/**
+ * Slots that a request may use. While urgent ones come, the others leave some free: urgent ones are short and often
+ * part of work that holds a slot elsewhere.
+ * @param state Admission.
+ * @param request Request.
+ * @param now Present time.
+ * @return Slots.
+ */
+std::uint32_t slotsFor(const admission_state &state, const admission_request &request, steady_time now);
+
+} // namespace quetzalspool
+
+#endif // ADMISSION_WAIT_FUNC_H
