Fix: the timer of a connection between daemons owns the socket that it closes

Backtrace on a copy: the timer's handler in connectLink closed a socket in a coroutine's frame that was gone: a connection made as its time ends can't cancel a handler that is queued already. The fault is as old as the streams between daemons and may strike on any site. Ruled out: memory (16.9 MB at most), the log, the followers. Change: the handler shares the socket. Test: peer.aConnectionThatIsMadeAsItsTimeEndsHarmsNothing; with AddressSanitizer and without Asio's recycling of frames it reports a use after free before (heap-use-after-free in connectLink) and nothing after; in the plain build it passes either way.

--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -68,27 +68,29 @@
                                   milliseconds timeout)
 {
     link->connecting = true;
-    tcp::socket socket(client->executor);
+    // Shared with the timer: its handler may be queued already when the connection is made, and can't be cancelled
+    // then.
+    const auto socket = std::make_shared<tcp::socket>(client->executor);
     asio::steady_timer limit(client->executor, timeout);
-    limit.async_wait([&socket](error_code code) {
+    limit.async_wait([socket](error_code code) {
         if (!code) {
             error_code ignored;
-            socket.close(ignored);
+            socket->close(ignored);
         }
     });
     error_code code;
-    co_await socket.async_connect(resolved<tcp>(to), reporting(code));
+    co_await socket->async_connect(resolved<tcp>(to), reporting(code));
     limit.cancel();
     link->connecting = false;
-    if (code || !socket.is_open()) {
+    if (code || !socket->is_open()) {
         failed(link->why, "connect", toString(to), code ? code.message() : "timeout");
         if (code != asio::error::connection_refused) {
             link->unreachableUntil = elapsed_clock::now() + unreachableTime;
         }
         link->session = nullptr;
     } else {
-        guardSocket(socket);
-        link->session = std::make_shared<h2_session>(std::move(socket));
+        guardSocket(*socket);
+        link->session = std::make_shared<h2_session>(std::move(*socket));
         startSession(link->session, false);
         asio::co_spawn(client->executor, runSession(client, link->session), asio::detached);
     }
--- a/packages/peer/tests/peer_test.cpp
+++ b/packages/peer/tests/peer_test.cpp
@@ -1,9 +1,12 @@
 /** @file peer_test.cpp Streams between daemons: whole answers, crossed and late ones, breaks, and proofs of not run. */
+#include "elapsed_clock.h"
 #include "http_server.h"
 #include "peer_client.h"
 #include "peer_server.h"
 
 #include <gtest/gtest.h>
+#include <iostream>
+#include <thread>
 
 namespace quetzalspool::test {
 
@@ -187,4 +190,28 @@
     EXPECT_TRUE(reply.has_value());
 }
 
+TEST(peer, aConnectionThatIsMadeAsItsTimeEndsHarmsNothing)
+{
+    peer_pair pair(echo);
+    int answered = 0;
+    for (int round = 0; round < 300; ++round) {
+        const auto client = makePeerClient(pair.context.get_executor());
+        auto work = [&]() -> asio::awaitable<void> {
+            peer_request request{"/quick", {}, "x"};
+            const auto opened = co_await openCall(client, pair.at, std::move(request), milliseconds(2));
+            if (opened.call) {
+                const auto reply = co_await readWhole(opened.call, elapsed_clock::now() + seconds(1));
+                answered += reply && reply->status == 200 ? 1 : 0;
+            }
+        };
+        asio::co_spawn(pair.context, work, asio::detached);
+        pair.context.restart();
+        pair.context.poll_one(); // The connection is under way; then both it and its time are over at once.
+        std::this_thread::sleep_for(milliseconds(4));
+        pair.context.run_for(milliseconds(5));
+    }
+    std::cout << "figure answered " << answered << " of 300\n";
+    EXPECT_GT(answered, 0) << "connections that were made are used";
+}
+
 } // namespace quetzalspool::test
