Fix: what can still end in time is told by the work of its kind

Cause: read again: the times of work of urgent and usual requests were learnt apart, but the queue's last look at the deadline and the line run still used the common mean: at 400 ms of mean, a call of 50 ms with 50 ms to spare was given up, and work of 600 ms was kept. Change: one function, canEndInTime, by kind; service_ms of the line run is the figure that decided. Test: admission.whatCanStillEndInTimeIsToldByTheWorkOfItsKind, red before.

--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -2,6 +2,7 @@
 #include "local_run.h"
 
 #include "admission_func.h"
+#include "admission_wait_func.h"
 #include "elapsed_clock.h"
 #include "ledger_func.h"
 #include "request_log.h"
@@ -95,7 +96,7 @@
     note.askedAt = now;
     note.inFlight = admission.inFlight;
     note.queued = admission.queue.size();
-    note.service = milliseconds(std::llround(admission.serviceMs));
+    note.service = milliseconds(std::llround(serviceOf(admission, isUrgent(asked))));
     note.leaseLeft = std::chrono::duration_cast<milliseconds>(admission.leaseUntil - now);
     const auto verdict = admit(admission, asked, now);
     if (verdict.queued) {
--- a/packages/daemon/src/request_log.h
+++ b/packages/daemon/src/request_log.h
@@ -48,7 +48,7 @@
     steady_time admittedAt{}; ///< When it left the queue; the clock's epoch if it never did.
     std::uint32_t inFlight = 0; ///< Requests at the target when it came.
     std::size_t queued = 0; ///< Requests that waited when it came.
-    milliseconds service{0}; ///< Smoothed time of work by which its wait was predicted.
+    milliseconds service{0}; ///< Smoothed time of work of its kind, by which its wait was predicted.
     milliseconds leaseLeft{0}; ///< What was left of the right to the key.
     bool handedOver = false; ///< Whether it was handed to the target.
     std::string detail; ///< Why no answer came back, in the words of the connection.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -138,6 +138,13 @@
     return request.rank < usualRank ? request.goal + (request.deadline - request.goal) / 2 : request.goal;
 }
 
+/** Whether a request that starts now may still end before its deadline. */
+bool canEndInTime(const admission_state &state, const admission_request &request, steady_time now)
+{
+    const auto least = state.goalBound ? serviceOf(state, isUrgent(request)) * leastWork : 0;
+    return now + milliseconds(std::llround(least)) < request.deadline;
+}
+
 admission_verdict enqueue(admission_state &state, const admission_request &request, steady_time now)
 {
     const auto at = std::find_if(state.queue.begin(), state.queue.end(),
@@ -230,11 +237,10 @@
         decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
     }
     state.displaced.clear();
-    const milliseconds service(state.goalBound ? std::llround(state.serviceMs * leastWork) : 0);
     std::erase_if(state.queue, [&](const waiting_request &waiting) {
         auto reason = checkAll(state, waiting.request, now);
-        if (reason == refusal::none && now + service >= waiting.request.deadline) {
-            reason = refusal::too_late; // It could not end in time any more.
+        if (reason == refusal::none && !canEndInTime(state, waiting.request, now)) {
+            reason = refusal::too_late;
         }
         if (reason != refusal::none) {
             decided.push_back({waiting.request.id, refuse(state, reason, retryFor(state, reason))});
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -100,6 +100,35 @@
     EXPECT_EQ(admit(gate, ranked(7, 1), now).refused, refusal::overloaded) << "only urgent ones are left";
 }
 
+TEST(admission, whatCanStillEndInTimeIsToldByTheWorkOfItsKind)
+{
+    auto gate = makeGate(2, 8);
+    gate.goalBound = true;
+    gate.serviceMs = 400;
+    gate.limits.stallLimit = seconds(60);
+    const auto finished = [&](std::uint32_t rank, milliseconds service) {
+        auto request = ask(1);
+        request.rank = rank;
+        EXPECT_TRUE(admit(gate, request, now).admitted);
+        finish(gate, request, true, service, now);
+    };
+    finished(1, milliseconds(50));
+    finished(2, milliseconds(600));
+    EXPECT_TRUE(admit(gate, ask(1), now).admitted);
+    EXPECT_TRUE(admit(gate, ask(2), now).admitted);
+    auto call = ask(3, request_class::lookup, milliseconds(300));
+    call.rank = 1;
+    call.goal = now + milliseconds(200);
+    auto sheet = ask(4, request_class::lookup, milliseconds(5000));
+    EXPECT_TRUE(admit(gate, call, now).queued);
+    EXPECT_TRUE(admit(gate, sheet, now).queued);
+    EXPECT_TRUE(advanceQueue(gate, now + milliseconds(250)).empty()) << "a call of 50 ms still ends in time";
+    EXPECT_EQ(advanceQueue(gate, now + milliseconds(280)).size(), 1U) << "now it can't";
+    const auto late = advanceQueue(gate, now + milliseconds(4750));
+    ASSERT_EQ(late.size(), 1U) << "work of 600 ms can't end in 250 ms";
+    EXPECT_EQ(late.front().verdict.refused, refusal::too_late);
+}
+
 TEST(admission, refusesAtOnceWhatCanNotBeDoneInTime)
 {
     auto gate = makeGate(1, 100);
