Doc: a try with Retry-After by the mean wait, not kept

Cause: the margin of the reckoned wait also doubles the time that a refusal names; it looked like one figure for two uses. Change: none but a sentence beside the function.

--- a/packages/decisions/src/admission_wait_func.h
+++ b/packages/decisions/src/admission_wait_func.h
@@ -42,7 +42,8 @@
 
 /**
  * Time that a request with so many before it is expected to wait. Urgent ones that come later go before a usual lookup
- * too, so it can count only on the slots that these are not seen to use.
+ * too, so it can count only on the slots that these are not seen to use, and its wait is taken twice. A refusal names
+ * the same time: under a load that lasts, whoever comes back after the mean wait finds the queue full again.
  * @param state Admission.
  * @param before Requests that go before it.
  * @param urgent Whether it is urgent.
