--- a/packages/daemon/src/roster_follow.cpp
+++ b/packages/daemon/src/roster_follow.cpp
@@ -72,7 +72,7 @@
     const auto count = std::count_if(result->events.begin(), result->events.end(),
                                      [&](const auto &event) { return event.value.revision > followed->seen; });
     if (count == 0 && followed->emptyAt <= followed->seen) {
-        followed->emptyAt = result->revision; // This watch may have been deaf too; the next confirmation asks once more.
+        followed->emptyAt = result->revision; // May be deaf too: the next confirmation asks once more.
         co_return;
     }
     if (count > 0) {
