Fix: how long a leaving target gets new work comes from the deployment's bounds

Cause: 1.5 s was a constant of ours, right only where a leaving server serves 2 s; an unseen deployment may name another time. Ruled out: a field of the settings template of its own; the platform gives its bounds only as a whole. Change: the template hands the bounds through; the adapter reads the one it knows; the limit is three quarters of it, 1.5 s if none is named.

--- a/apps/quetzalspoold/main.cpp
+++ b/apps/quetzalspoold/main.cpp
@@ -26,8 +26,9 @@
         return 2;
     }
     startLog(settings->logLevel, settings->logFormat == log_format::json, settings->instance.value);
-    const bool good = settings->roster ? runRosterDaemon(*settings, platform::makePort(settings->store), why)
-                                       : runDaemon(*settings, why);
+    const bool good = settings->roster
+        ? runRosterDaemon(*settings, platform::makePort(settings->store, settings->roster->limits), why)
+        : runDaemon(*settings, why);
     if (!good) {
         logEvent(log_level::error, "not-started", {{"reason", describe(why)}});
         return 1;
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -25,7 +25,8 @@
 constexpr milliseconds loadInterval{500}; ///< Between two messages about the own load.
 constexpr double speedUnit = 1e6; ///< A time of work in milliseconds divides it into requests in 1000 seconds.
 constexpr double firstService = 200; ///< Time of work in milliseconds that is assumed before any was seen.
-constexpr milliseconds leaveLimit{1500}; ///< Targets may end 2 s after they heard that their leaving is known.
+constexpr milliseconds usualLeaveTime{2000}; ///< What a target serves after its leaving is known, if none is named.
+constexpr int leavePercent = 75; ///< Part of that time for new work; the rest is for what is on its way.
 constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
 const cell_id rosterCell{"roster"}; ///< Name under which the roster stands in the routing view.
 
@@ -217,7 +218,7 @@
     gate.admission.announcedAt = clock::now();
     gate.admission.limits.warmUp = milliseconds(1);
     gate.admission.limits.stallLimit = stallLimit;
-    gate.admission.limits.leaveLimit = leaveLimit;
+    gate.admission.limits.leaveLimit = control.port.leaveTime.value_or(usualLeaveTime) * leavePercent / 100;
     gate.admission.goalBound = true;
     gate.admission.serviceMs = firstService;
     gate.admission.limits.concurrency = std::max<std::uint32_t>(report.facts.slots, 1);
--- a/packages/daemon/src/roster_port.h
+++ b/packages/daemon/src/roster_port.h
@@ -24,6 +24,7 @@
 {
     wire_names names; ///< Header names.
     lease_store store; ///< Store.
+    std::optional<milliseconds> leaveTime; ///< How long a target serves after it heard that its leaving is known.
     std::string tablesKey; ///< Key of the tables in the store.
     std::function<std::optional<tables_snapshot>(std::string_view text, last_reason &why)> readTables; ///< Reads them.
     std::function<http_reply(const http_request &, const target_events &)> answerTarget; ///< Answers the target.
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -113,6 +113,7 @@
     roster.pool.value = readString(reader, "pool");
     roster.leasePeriod = readSpan(reader, "lease_ms", roster.leasePeriod);
     roster.holdPeriod = readSpan(reader, "hold_ms", roster.holdPeriod);
+    roster.limits = readString(reader, "limits", "");
     roster.storeReads =
         static_cast<std::uint32_t>(readNumber(reader, "store_reads_per_second", 1, maxStoreReads, roster.storeReads));
     roster.stopNotice = readSpan(reader, "stop_notice_ms", roster.stopNotice);
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -24,6 +24,7 @@
     pool_id pool; ///< Pool that it belongs to.
     milliseconds leasePeriod{7000}; ///< Right to grant keys that one confirmation by the store gives.
     milliseconds holdPeriod{5500}; ///< How long a target may serve its keys after one report.
+    std::string limits; ///< Limits of the deployment in its own words, read by its adapter; may be empty.
     std::uint32_t storeReads = 2000; ///< Reading calls a second that the store allows to all daemons together.
     milliseconds stopNotice{2600}; ///< Between the news that it stops and its last new caller.
 };
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -89,6 +89,8 @@
         wrong.replace(at, roster.find('\n', at) - at, field + " = 5");
         EXPECT_NE(reasonOf(wrong).find("\"" + field + "\""), std::string::npos) << field;
     }
+    EXPECT_NE(reasonOf(roster + "limits = 5\n").find("\"limits\""), std::string::npos);
+    EXPECT_EQ(parseSettings(roster + "limits = '{\"a\":1}'\n", "file", why)->roster->limits, "{\"a\":1}");
     EXPECT_NE(reasonOf(roster + "hold_s = 5\n").find("hold_s"), std::string::npos);
 }
 
