Codechange: one receiver of datagrams; names of call results and of retries; a neighbour is noted only without the store

Cause: review. Two loops received datagrams; an array was indexed by an enumeration; noteEnd meant two things; each request that was passed on allocated to remember its sender, needed only by a daemon that has not reached the store. Change: datagrams.h; nameOf(call_result); recordEnd; takeRosterRetries; noteNeighbour returns at once while the store answers.

--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -3,6 +3,7 @@
 
 #include "admission_func.h"
 #include "cell_func.h"
+#include "datagrams.h"
 #include "elapsed_clock.h"
 #include "log_func.h"
 #include "record_func.h"
@@ -140,22 +141,6 @@
     }
 }
 
-asio::awaitable<void> receiveLoop(control_state &control)
-{
-    for (;;) {
-        udp::endpoint from;
-        error_code code;
-        const auto length =
-            co_await control.socket.async_receive_from(asio::buffer(control.received), from, reporting(code));
-        if (code == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (!code) {
-            takeDatagram(control, {control.received.data(), length}, {from.address().to_string(), from.port()});
-        }
-    }
-}
-
 /** Grace of a pool's new owner, for targets that check no grants. */
 milliseconds graceOf(const control_state &control)
 {
@@ -181,7 +166,10 @@
     }
     control.cells.emplace(settings.cell,
                           startCell(settings.cell, selfOf(*control.shared), true, {}, control.startedAt));
-    asio::co_spawn(control.context, receiveLoop(control), asio::detached);
+    const datagram_taker take = [&control](std::string_view bytes, const udp::endpoint &from) {
+        takeDatagram(control, bytes, {from.address().to_string(), from.port()});
+    };
+    asio::co_spawn(control.context, receiveDatagrams(control.socket, control.received, take), asio::detached);
     asio::co_spawn(control.context, tickLoop(control), asio::detached);
     asio::co_spawn(control.context, loadDocuments(control), asio::detached);
     asio::co_spawn(control.context, watchStore(control), asio::detached);
--- /dev/null
+++ b/packages/daemon/src/datagrams.cpp
@@ -0,0 +1,41 @@
+/** @file datagrams.cpp The socket for datagrams between daemons. */
+#include "datagrams.h"
+
+#include "log_func.h"
+
+namespace quetzalspool {
+
+bool bindDatagrams(udp::socket &socket, const daemon_settings &settings, last_reason &why)
+{
+    const auto at = resolved<udp>({settings.host, settings.peersPort});
+    error_code code;
+    socket.open(at.protocol(), code);
+    if (!code) {
+        socket.bind(at, code);
+    }
+    if (code) {
+        failed(why, "bind the control socket", settings.host + ":" + std::to_string(settings.peersPort),
+               code.message());
+    }
+    return !code;
+}
+
+asio::awaitable<void> receiveDatagrams(udp::socket &socket, std::span<char> buffer, datagram_taker take)
+{
+    for (;;) {
+        udp::endpoint from;
+        error_code code;
+        const auto length =
+            co_await socket.async_receive_from(asio::buffer(buffer.data(), buffer.size()), from, reporting(code));
+        if (code == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (code) {
+            logEvent(log_level::debug, "bad-datagram", {{"reason", code.message()}});
+            continue;
+        }
+        take({buffer.data(), length}, from);
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -254,7 +254,7 @@
 }
 
 /** Counts and logs the end of a request. */
-void noteEnd(traffic_thread &thread, const request_note &note, const request_outcome &outcome)
+void recordEnd(traffic_thread &thread, const request_note &note, const request_outcome &outcome)
 {
     const auto now = clock::now();
     countRequest(*thread.shared->numbers, note, outcome, now);
@@ -273,7 +273,7 @@
     if (!request) {
         request_outcome outcome;
         outcome.text = refused.reason;
-        noteEnd(thread, note, outcome);
+        recordEnd(thread, note, outcome);
         auto reply = refusalReply(thread.shared->names, refused);
         // Unread parts of the request would be taken for the next one.
         connection->keepAlive = connection->keepAlive && parser->is_done();
@@ -297,7 +297,7 @@
         co_await asio::async_write(connection->stream, http::make_chunk_last(), reporting(code));
         connection->broken = connection->broken || code;
     }
-    noteEnd(thread, note, outcome);
+    recordEnd(thread, note, outcome);
 }
 
 /** Closes a connection; a broken answer is reset, so that nobody takes its end for a whole one. */
--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -36,9 +36,15 @@
     return sink;
 }
 
-/** Remembers who passed a request on: a daemon that has just started may know nobody else. */
+/**
+ * Remembers who passed a request on, while the store does not answer here: a daemon that has just started then knows
+ * nobody else through whom to reach the store.
+ */
 void noteNeighbour(daemon_shared &shared, const peer_request &message)
 {
+    if (shared.storeHeard) {
+        return;
+    }
     const auto sender = parseEndpoint(headerOf(message.headers, senderHeader));
     if (sender) {
         shared.neighbour.store(std::make_shared<const endpoint>(*sender));
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -2,6 +2,7 @@
 #include "roster_control.h"
 
 #include "admission_func.h"
+#include "datagrams.h"
 #include "elapsed_clock.h"
 #include "http_server.h"
 #include "log_func.h"
@@ -173,23 +174,14 @@
     }
 }
 
-asio::awaitable<void> receiveLoads(roster_control &control)
+void receiveLoad(roster_control &control, std::string_view bytes, const udp::endpoint &from)
 {
-    for (;;) {
-        udp::endpoint from;
-        error_code code;
-        const auto length =
-            co_await control.socket.async_receive_from(asio::buffer(control.received), from, reporting(code));
-        if (code == asio::error::operation_aborted) {
-            co_return;
-        }
-        last_reason why;
-        const auto message = code ? std::nullopt : decodeMessage({control.received.data(), length}, why);
-        if (message && std::holds_alternative<load_message>(*message)) {
-            takeLoad(control.state, std::get<load_message>(*message), clock::now());
-        } else {
-            logEvent(log_level::debug, "bad-datagram", {{"peer", from.address().to_string()}, {"reason", why.text}});
-        }
+    last_reason why;
+    const auto message = decodeMessage(bytes, why);
+    if (message && std::holds_alternative<load_message>(*message)) {
+        takeLoad(control.state, std::get<load_message>(*message), clock::now());
+    } else {
+        logEvent(log_level::debug, "bad-datagram", {{"peer", from.address().to_string()}, {"reason", why.text}});
     }
 }
 
@@ -309,7 +301,10 @@
     if (!bindDatagrams(control.socket, control.shared->settings, why) || !startListeners(control, why)) {
         return false;
     }
-    asio::co_spawn(control.context, receiveLoads(control), asio::detached);
+    const datagram_taker take = [&control](std::string_view bytes, const udp::endpoint &from) {
+        receiveLoad(control, bytes, from);
+    };
+    asio::co_spawn(control.context, receiveDatagrams(control.socket, control.received, take), asio::detached);
     control.port.setRelay(makeRelay(control));
     control.port.observeCalls(
         [numbers = control.shared->numbers](const store_call &call) { countCall(*numbers, call); });
--- a/packages/daemon/src/roster_numbers.cpp
+++ b/packages/daemon/src/roster_numbers.cpp
@@ -41,11 +41,10 @@
 
 void countCall(metrics &numbers, const store_call &call)
 {
-    static const char *const results[] = {"answered", "turned-away", "unanswered"};
     const std::string kind(call.kind);
     countMetric(numbers,
-                "store_calls_total{kind=\"" + kind + "\",result=\"" + results[static_cast<int>(call.result)]
-                    + "\",way=\"" + (call.relayed ? "relayed" : "direct") + "\"}");
+                "store_calls_total{kind=\"" + kind + "\",result=\"" + nameOf(call.result) + "\",way=\""
+                    + (call.relayed ? "relayed" : "direct") + "\"}");
     observeDuration(numbers, "store_seconds{kind=\"" + kind + "\"}", call.took);
 }
 
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -24,6 +24,17 @@
 constexpr milliseconds newOwnerWait{120};
 constexpr milliseconds newOwnerStep{40}; ///< Between two tries within that time; each may cross regions.
 
+/** Retries as a deployment with a roster needs them: many daemons, each with a few requests. */
+void takeRosterRetries(traffic_thread &thread)
+{
+    thread.retryLimits.budgetCap = rosterBudgetCap;
+    thread.retryLimits.unreachableWaitLimit = unreachableWait;
+    thread.retryLimits.waitLimit = newOwnerWait;
+    thread.retryLimits.movingWait = newOwnerStep;
+    thread.retryLimits.leavesSilent = false; // There a target's silence is no reason to end its answer.
+    thread.budget.tokens = rosterBudgetCap;
+}
+
 } // namespace
 
 bool prepareTraffic(daemon_shared &shared, traffic_threads &traffic, last_reason &why)
@@ -34,12 +45,7 @@
         auto thread = std::make_unique<traffic_thread>();
         thread->shared = &shared;
         if (settings.roster) {
-            thread->retryLimits.budgetCap = rosterBudgetCap;
-            thread->retryLimits.unreachableWaitLimit = unreachableWait;
-            thread->retryLimits.waitLimit = newOwnerWait;
-            thread->retryLimits.movingWait = newOwnerStep;
-            thread->retryLimits.leavesSilent = false; // There a target's silence is no reason to end its answer.
-            thread->budget.tokens = rosterBudgetCap;
+            takeRosterRetries(*thread);
         }
         auto callers = listenOn(thread->context, {settings.host, settings.callersPort}, why);
         if (!callers) {
@@ -102,21 +108,6 @@
     return self;
 }
 
-bool bindDatagrams(udp::socket &socket, const daemon_settings &settings, last_reason &why)
-{
-    const auto at = resolved<udp>({settings.host, settings.peersPort});
-    error_code code;
-    socket.open(at.protocol(), code);
-    if (!code) {
-        socket.bind(at, code);
-    }
-    if (code) {
-        failed(why, "bind the control socket", settings.host + ":" + std::to_string(settings.peersPort),
-               code.message());
-    }
-    return !code;
-}
-
 asio::awaitable<void> awaitQuiet(daemon_shared &shared, steady_time limit)
 {
     using clock = elapsed_clock;
--- a/packages/daemon/src/traffic_start.h
+++ b/packages/daemon/src/traffic_start.h
@@ -49,15 +49,6 @@
  */
 cell_member selfOf(const daemon_shared &shared);
 
-/**
- * Binds the socket for datagrams between daemons.
- * @param socket Socket, closed as yet.
- * @param settings Settings.
- * @param why Receives the reason if it can't be bound.
- * @return Whether it is bound.
- */
-bool bindDatagrams(udp::socket &socket, const daemon_settings &settings, last_reason &why);
-
 /**
  * Waits until no request has been under way for a moment, then logs the end.
  * @param shared Shared state.
--- /dev/null
+++ b/packages/store/src/lease_store.cpp
@@ -0,0 +1,19 @@
+/** @file lease_store.cpp Names of how a call to the store ended. */
+#include "lease_store.h"
+
+namespace quetzalspool {
+
+const char *nameOf(call_result result)
+{
+    switch (result) {
+    case call_result::answered:
+        return "answered";
+    case call_result::turned_away:
+        return "turned-away";
+    case call_result::unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+} // namespace quetzalspool
--- a/packages/store/src/lease_store.h
+++ b/packages/store/src/lease_store.h
@@ -20,6 +20,13 @@
     unanswered, ///< There was no answer.
 };
 
+/**
+ * How a call ended, in metrics and logs.
+ * @param result How it ended.
+ * @return Its name.
+ */
+const char *nameOf(call_result result);
+
 /** One call to the store, for those that count. */
 struct store_call
 {
