Change: the reason of a lost attempt tells the time, the caller and a new owner from a break

Ruled out: the outcome, which was right (504, unknown). Change: time-over, caller-left, owner-changed beside daemon-lost and target-lost; the reason of an unknown outcome is that of the attempt that may have run.

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -29,7 +29,7 @@
     std::uint32_t attempts = 0; ///< Attempts made.
     std::uint32_t handOvers = 0; ///< Targets that it was handed to.
     request_outcome last; ///< How the last attempt ended.
-    bool mayHaveRun = false; ///< Whether the outcome of an attempt is unknown.
+    std::optional<std::string> lossText; ///< Reason of the last attempt whose outcome is unknown; nothing if none is.
     milliseconds waited{0}; ///< Waits between attempts.
 };
 
@@ -185,7 +185,8 @@
         }
         co_return outcome;
     }
-    request_outcome outcome{attempt_result::unknown, refusal::none, "daemon-lost"};
+    const loss_facts facts{clock::now() >= request->deadline, sink->abandoned(), ownerChanged(thread, *request)};
+    request_outcome outcome{attempt_result::unknown, refusal::none, lossReason(facts, "daemon-lost")};
     if (failureOf(*opened.call) == peer_failure::not_processed) {
         outcome = {attempt_result::not_run, refusal::leaving, "daemon-leaving", milliseconds(100)};
         co_return outcome;
@@ -261,12 +262,16 @@
     return note;
 }
 
-/** How the request ended: as its last attempt did, but "not run" must be true of all attempts. */
+/**
+ * How the request ended: as its last attempt did, but "not run" must be true of all attempts. If it is not, the reason
+ * is that of the attempt that may have run.
+ */
 request_outcome endOf(const route_state &state)
 {
     auto outcome = state.last;
-    if (state.mayHaveRun && outcome.result == attempt_result::not_run) {
+    if (state.lossText && outcome.result == attempt_result::not_run) {
         outcome.result = attempt_result::unknown;
+        outcome.text = *state.lossText;
     }
     return outcome;
 }
@@ -306,7 +311,9 @@
         }
         note.attempts.push_back(noteOf(choice, *state.request, outcome, startedAt, note.arrivedAt));
         outcome.attempts = state.attempts;
-        state.mayHaveRun = state.mayHaveRun || outcome.result == attempt_result::unknown;
+        if (outcome.result == attempt_result::unknown) {
+            state.lossText = outcome.text;
+        }
         state.last = outcome;
         if (outcome.result == attempt_result::answered || state.sink->abandoned()) {
             co_return endOf(state);
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -210,15 +210,17 @@
 {
     last_reason why;
     note.handedOver = true;
+    const auto handedOverAt = clock::now();
     auto granted = withGrant(*request, shared.names, targetLifeOf(shared));
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
     std::optional<target_head> head;
     if (sent) {
-        head = co_await readTargetHead(exchange, answerUntil(*request, clock::now()), why);
+        head = co_await readTargetHead(exchange, answerUntil(*request, handedOverAt), why);
     }
     if (!head) {
         note.detail = describe(why);
-        request_outcome lost{attempt_result::unknown, refusal::none, "target-lost"};
+        const loss_facts facts{clock::now() >= answerUntil(*request, handedOverAt), sink->abandoned(), false};
+        request_outcome lost{attempt_result::unknown, refusal::none, lossReason(facts, "target-lost")};
         lost.handedOver = true;
         co_return lost;
     }
--- a/packages/daemon/src/outcome.cpp
+++ b/packages/daemon/src/outcome.cpp
@@ -13,6 +13,17 @@
     state = *next;
 }
 
+const char *lossReason(const loss_facts &facts, const char *broken)
+{
+    if (facts.callerLeft) {
+        return "caller-left";
+    }
+    if (facts.timeOver) {
+        return "time-over";
+    }
+    return facts.ownerChanged ? "owner-changed" : broken;
+}
+
 const char *nameOf(attempt_result result)
 {
     switch (result) {
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -67,6 +67,22 @@
     void take(std::string_view event);
 };
 
+/** What is known when no answer came. */
+struct loss_facts
+{
+    bool timeOver = false; ///< Whether the request's time is over.
+    bool callerLeft = false; ///< Whether the caller waits no longer.
+    bool ownerChanged = false; ///< Whether the key has another owner by now.
+};
+
+/**
+ * The reason why no answer came of an attempt that was passed on or handed over.
+ * @param facts What is known.
+ * @param broken Reason if none of it is so: what was asked is lost, "daemon-lost" or "target-lost".
+ * @return A word of the list of reasons.
+ */
+const char *lossReason(const loss_facts &facts, const char *broken);
+
 /**
  * Words for an outcome, as the header gives them.
  * @param result Result.
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -122,6 +122,17 @@
     EXPECT_EQ(readComparison(*other).size(), 1U);
 }
 
+TEST(reasons, whyNoAnswerCameTellsTheTimeTheCallerAndTheOwnerFromABreak)
+{
+    EXPECT_STREQ(lossReason({}, "daemon-lost"), "daemon-lost");
+    EXPECT_STREQ(lossReason({.timeOver = true, .ownerChanged = true}, "daemon-lost"), "time-over");
+    EXPECT_STREQ(lossReason({.timeOver = true, .callerLeft = true}, "target-lost"), "caller-left");
+    EXPECT_STREQ(lossReason({.ownerChanged = true}, "daemon-lost"), "owner-changed");
+    for (const std::string word : {"time-over", "caller-left", "owner-changed", "daemon-lost", "target-lost"}) {
+        EXPECT_NE(findReason(word), nullptr) << word;
+    }
+}
+
 TEST(reasons, theListHoldsEveryRefusal)
 {
     for (auto reason = static_cast<int>(refusal::not_owner); reason <= static_cast<int>(refusal::cancelled); ++reason) {
--- a/packages/trace/src/table/reasons.h
+++ b/packages/trace/src/table/reasons.h
@@ -38,8 +38,10 @@
     reason_row{"cancelled-before-hand-over", "the first daemon took the attempt back before it was handed over", ""},
     reason_row{"target-refused", "the target said that it did not run it", "target-life owners-written"},
     reason_row{"target-lost", "it was handed over, and no answer of the target came back", "target-life target-silent"},
-    reason_row{"daemon-lost", "the other daemon gave no answer: the connection broke or the time ran out",
-               "node-gone stopping started"},
+    reason_row{"daemon-lost", "the other daemon gave no answer: the connection broke", "node-gone stopping started"},
+    reason_row{"time-over", "the time was over before an answer came", "target-silent"},
+    reason_row{"caller-left", "the caller left before an answer came", ""},
+    reason_row{"owner-changed", "the key got another owner before an answer came", "owners-written node-gone"},
     reason_row{"duplicate", "a request with this id was under way or had run", ""},
     reason_row{"bad-message", "the message between the daemons could not be read", ""},
 };
