Fix: what its caller has left is not passed on

The one shown: sent 7.714, the client leaves 7.975, the server gets it at 8.538 from another daemon, and its run is cut at 8.838. The owner cuts within 300 ms of hearing of it, and the entry looks at its caller every 150 ms once an attempt is out; so the entry passed it on at about 8.53: it was behind, read the request after its caller had gone, and made the first attempt without a look at the caller. Not traced: why that entry was behind. Change: each attempt begins with a look at the caller. Test: route.whatItsCallerHasLeftIsNotPassedOn, failing before (an attempt was made), passing after.

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -286,6 +286,11 @@
     state.sink = std::move(sink);
     earnBudget(thread.budget, thread.retryLimits);
     for (;;) {
+        if (state.sink->abandoned()) {
+            // A daemon that is behind reads a request after its caller has left; it must not pass that on.
+            state.last.text = "cancelled";
+            co_return endOf(state);
+        }
         ++state.attempts;
         const auto startedAt = clock::now();
         const auto choice = chooseOwner(thread, state);
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -2,6 +2,8 @@
 #include "admission_func.h"
 #include "caller_request.h"
 #include "documents.h"
+#include "elapsed_clock.h"
+#include "forward.h"
 #include "peer_wire.h"
 
 #include "catalog_func.h"
@@ -122,6 +124,31 @@
     EXPECT_EQ(readComparison(*other).size(), 1U);
 }
 
+TEST(route, whatItsCallerHasLeftIsNotPassedOn)
+{
+    daemon_shared shared;
+    shared.routing.store(std::make_shared<const routing_view>());
+    traffic_thread thread;
+    thread.shared = &shared;
+    for (const bool left : {true, false}) {
+        auto sink = std::make_shared<answer_sink>();
+        sink->abandoned = [left] { return left; };
+        request_note note;
+        request_outcome outcome;
+        const auto work = [&]() -> asio::awaitable<void> {
+            routed_request request;
+            request.deadline = elapsed_clock::now() + milliseconds(50);
+            outcome = co_await routeRequest(thread, std::move(request), sink, note);
+        };
+        asio::co_spawn(thread.context, work, asio::detached);
+        thread.context.restart();
+        thread.context.run();
+        EXPECT_EQ(outcome.result, attempt_result::not_run);
+        EXPECT_EQ(outcome.text, left ? "cancelled" : "no-pool");
+        EXPECT_EQ(note.attempts.empty(), left) << "a daemon that is behind reads a request after its caller has left";
+    }
+}
+
 TEST(reasons, whyNoAnswerCameTellsTheTimeTheCallerAndTheOwnerFromABreak)
 {
     EXPECT_STREQ(lossReason({}, "daemon-lost"), "daemon-lost");
