--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -153,6 +153,17 @@
     return pool == view->pools.end() ? milliseconds(0) : pool->second.row.takeoverGrace;
 }
 
+/** Notes what the target hears of the lease by the answer to its announcement. */
+void tellLease(control_state &control, bool checksGrants)
+{
+    auto &at = control.shared->admission;
+    const std::lock_guard lock(at.mutex);
+    at.admission.toldUntil.reset();
+    if (checksGrants) {
+        at.admission.toldUntil = ownCell(control).lease.validUntil;
+    }
+}
+
 } // namespace
 
 bool startControl(control_state &control, last_reason &why)
@@ -218,6 +229,7 @@
     const bool changed = cell.self.target != facts;
     cell.self.target = facts;
     control.targetHeard = now;
+    tellLease(control, facts.checksGrants);
     if (!changed) {
         return;
     }
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -97,7 +97,7 @@
     note.inFlight = admission.inFlight;
     note.queued = admission.queue.size();
     note.service = milliseconds(std::llround(serviceOf(admission, isUrgent(asked))));
-    note.leaseLeft = std::chrono::duration_cast<milliseconds>(admission.leaseUntil - now);
+    note.leaseLeft = std::chrono::duration_cast<milliseconds>(grantUntil(admission) - now);
     const auto verdict = admit(admission, asked, now);
     if (verdict.queued) {
         shared.admission.waiters[asked.id] = [box](const admission_verdict &decided) {
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -6,6 +6,7 @@
 #include "row_type.h"
 
 #include <map>
+#include <optional>
 
 namespace quetzalspool {
 
@@ -90,6 +91,7 @@
     bool leaving = false; ///< Whether the target is being drained.
     steady_time leavingSince{}; ///< When that was first known.
     steady_time leaseUntil{}; ///< End of the instance lease.
+    std::optional<steady_time> toldUntil; ///< End of the lease that the target has heard of, if it asks and checks.
     steady_time announcedAt{}; ///< When the target first announced itself in this run.
     std::map<std::pair<pool_id, slot_number>, open_slot> slots; ///< Slots served, by pool and number.
     std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -40,7 +40,7 @@
     if (found->second.closed || now < found->second.opensAt) {
         return refusal::moving;
     }
-    return now < state.leaseUntil ? refusal::none : refusal::no_lease;
+    return now < grantUntil(state) ? refusal::none : refusal::no_lease;
 }
 
 /** Whether a busy target has finished nothing for too long. */
@@ -205,7 +205,7 @@
     if (found == state.slots.end() || found->second.fence != request.slot->fence) {
         return refusal::not_owner;
     }
-    return now < state.leaseUntil ? refusal::none : refusal::no_lease;
+    return now < grantUntil(state) ? refusal::none : refusal::no_lease;
 }
 
 void finish(admission_state &state, const admission_request &request, bool progress, milliseconds service,
@@ -255,6 +255,11 @@
     return decided;
 }
 
+steady_time grantUntil(const admission_state &state)
+{
+    return std::min(state.leaseUntil, state.toldUntil.value_or(state.leaseUntil));
+}
+
 void setServed(admission_state &state, const served_slots &served, steady_time leaseUntil, milliseconds grace,
                steady_time now)
 {
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -50,6 +50,14 @@
  */
 std::vector<decided_request> advanceQueue(admission_state &state, steady_time now);
 
+/**
+ * Until when keyed work may be handed over: to the end of the lease, and of what the target has heard of it. A target
+ * that checks grants refuses the rest, and each such refusal counts as a repeat.
+ * @param state Admission.
+ * @return That moment.
+ */
+steady_time grantUntil(const admission_state &state);
+
 /**
  * Takes the slots that the cell's record and this daemon's releases allow. A closed slot that is not being given back
  * any more has another owner by now: what still waits for its hand-over is refused.
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -147,6 +147,20 @@
     EXPECT_EQ(checkHandOver(gate, ask(1), now), refusal::no_lease);
 }
 
+// A daemon that starts again beside a living target may have its lease before the target asks for it the next time.
+TEST(admission, aTargetThatChecksGrantsGetsNothingBeforeItHasHeardOfTheLease)
+{
+    auto gate = makeGate(2, 1);
+    gate.toldUntil = now;
+    EXPECT_EQ(admit(gate, ask(1), now).refused, refusal::no_lease) << "it would refuse, as a repeat that counts";
+    EXPECT_EQ(checkHandOver(gate, ask(1), now), refusal::no_lease);
+    gate.toldUntil = now + milliseconds(250);
+    EXPECT_TRUE(admit(gate, ask(1), now).admitted);
+    EXPECT_EQ(checkHandOver(gate, ask(1), now), refusal::none);
+    gate.leaseUntil = now;
+    EXPECT_EQ(checkHandOver(gate, ask(1), now), refusal::no_lease) << "the lease itself counts as before";
+}
+
 TEST(admission, aClosedSlotTakesNothingNewAndDrains)
 {
     auto gate = makeGate(2, 1);
