--- a/packages/daemon/src/datagrams.cpp
+++ b/packages/daemon/src/datagrams.cpp
@@ -27,7 +27,7 @@
         error_code code;
         const auto length =
             co_await socket.async_receive_from(asio::buffer(buffer.data(), buffer.size()), from, reporting(code));
-        if (code == asio::error::operation_aborted) {
+        if (code == asio::error::operation_aborted || !socket.is_open()) {
             co_return;
         }
         if (code) {
