Codechange: one way of smoothing a time of work

Cause: review: noteService wrote out what smoothService does. Result: admission, load and retry tests pass.

--- a/packages/decisions/src/admission_wait.cpp
+++ b/packages/decisions/src/admission_wait.cpp
@@ -60,7 +60,8 @@
 void noteService(admission_state &state, const admission_request &request, milliseconds service)
 {
     const auto newest = static_cast<double>(service.count());
-    state.serviceMs = std::max(state.serviceMs + serviceSmoothing * (newest - state.serviceMs), leastService);
+    smoothService(state.serviceMs, newest);
+    state.serviceMs = std::max(state.serviceMs, leastService);
     smoothService(isUrgent(request) ? state.urgentServiceMs : state.usualServiceMs, newest);
 }
 
