Add: changes of the store are told from daemon to daemon; one daemon of a region watches and verifies for all

Ruled out: longer pauses of the watches (at their bound of 500 ms already); batched conditional reads (a list of all entries is one call for all). Change: whom a daemon asks follows from the present entries alone (upstream.cpp): one daemon of a region asks the store, some of each failure domain ask that one, all others ask those of their domain. Questions wait for a change for 0.8 s; who hears nothing for 1.25 s watches the store itself. The one that asks the store lists all entries each 1.8 s in place of its own; the moment of that list travels along, counted from the arrival of each question, so a right to grant still counts from before the store was asked. A mirror ignores late words of earlier writes. Owners of slots are looked up by name order.

--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -5,8 +5,11 @@
 #include "documents.h"
 #include "elapsed_clock.h"
 #include "local_run.h"
+#include "mirror_func.h"
 #include "peer_wire.h"
 
+#include <sstream>
+
 namespace quetzalspool {
 
 namespace {
@@ -92,6 +95,35 @@
     endAnswer(*responder);
 }
 
+/** Reads a question for changes; what can't be read names no prefix. */
+changes_request questionFrom(const peer_request &request)
+{
+    changes_request question{{headerOf(request.headers, "qs-node")}, {}};
+    std::istringstream seen(headerOf(request.headers, "qs-seen"));
+    for (std::string part; std::getline(seen, part, ',');) {
+        question.seen.push_back({std::atoll(part.c_str())});
+    }
+    return question;
+}
+
+/** Tells another daemon of changes of the store. */
+asio::awaitable<void> answerQuestion(traffic_thread &thread, peer_request request,
+                                     std::shared_ptr<peer_responder> responder)
+{
+    const auto &answers = thread.shared->answerChanges;
+    std::optional<changes_answer> answer;
+    if (answers) {
+        auto question = questionFrom(request);
+        answer = co_await answers(std::move(question));
+    }
+    sendHead(*responder, answer ? 200 : noAnswer, {});
+    if (answer) {
+        auto body = encodeAnswer(*answer);
+        co_await sendPart(responder, std::move(body));
+    }
+    endAnswer(*responder);
+}
+
 } // namespace
 
 asio::awaitable<void> answerPeer(traffic_thread &thread, peer_request request,
@@ -110,6 +142,10 @@
         endAnswer(*responder);
         co_return;
     }
+    if (request.path == changesPath) {
+        co_await answerQuestion(thread, std::move(request), responder);
+        co_return;
+    }
     if (request.path == storePath) {
         co_await answerRelay(thread, std::move(request), responder);
         co_return;
--- a/packages/daemon/src/peer_wire.h
+++ b/packages/daemon/src/peer_wire.h
@@ -12,6 +12,7 @@
 constexpr const char *cancelPath = "/cancel"; ///< Cancel an attempt unless it was handed over.
 constexpr const char *comparePath = "/documents/compare"; ///< Which documents differ.
 constexpr const char *storePath = "/store"; ///< Make a call to the store for a daemon that it turns away.
+constexpr const char *changesPath = "/changes"; ///< Tell me what changed in the store since what I know.
 constexpr const char *fetchPath = "/documents/fetch"; ///< Send these documents.
 
 /**
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -7,6 +7,7 @@
 #include "http_server.h"
 #include "log_func.h"
 #include "message_type.h"
+#include "roster_exchange.h"
 #include "roster_func.h"
 #include "roster_numbers.h"
 #include "roster_relay.h"
@@ -45,12 +46,17 @@
 
 slot_run ownersOf(const run_record &record, const std::vector<cell_member> &members)
 {
+    // Members come in the order of their names.
+    const auto indexOf = [&](const instance_id &id) {
+        const auto found = std::lower_bound(members.begin(), members.end(), id,
+                                            [](const auto &member, const auto &wanted) { return member.id < wanted; });
+        const bool known = found != members.end() && found->id == id;
+        return known ? static_cast<std::int32_t>(found - members.begin()) : -1;
+    };
     slot_run owners;
     owners.owners.resize(numericSlots);
     for (const auto &run : record.runs) {
-        const auto found =
-            std::find_if(members.begin(), members.end(), [&](const auto &member) { return member.id == run.owner; });
-        const auto index = found == members.end() ? -1 : static_cast<std::int32_t>(found - members.begin());
+        const auto index = indexOf(run.owner);
         for (auto slot = run.first; slot <= run.last; ++slot) {
             owners.owners[slot] = {index, run.fence};
         }
@@ -120,6 +126,7 @@
         publishView(control, now);
     }
     publishGate(control, now);
+    wakeWaiting(control);
 }
 
 void advance(roster_control &control)
@@ -308,9 +315,13 @@
     control.port.setRelay(makeRelay(control));
     control.port.observeCalls(
         [numbers = control.shared->numbers](const store_call &call) { countCall(*numbers, call); });
+    control.shared->answerChanges = [&control](changes_request request) {
+        return asio::co_spawn(control.context, answerChanges(control, std::move(request)), asio::use_awaitable);
+    };
     const auto onChange = [&control] { advance(control); };
     asio::co_spawn(control.context, followTables(control, onChange), asio::detached);
     asio::co_spawn(control.context, followRoster(control, onChange), asio::detached);
+    asio::co_spawn(control.context, askForChanges(control, onChange), asio::detached);
     asio::co_spawn(control.context, tickLoop(control), asio::detached);
     return true;
 }
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -2,6 +2,7 @@
 #ifndef ROSTER_CONTROL_H
 #define ROSTER_CONTROL_H
 
+#include "mirror_type.h"
 #include "peer_client.h"
 #include "roster_base.h"
 #include "roster_port.h"
@@ -15,13 +16,25 @@
 /** Keys of the store that are followed: all under one prefix. */
 struct followed_prefix
 {
-    std::string prefix; ///< Prefix.
+    mirrored_keys mirror; ///< What is known of them.
     bool pauses = false; ///< Whether changes in quick succession may come together.
-    revision_number seen; ///< All changes up to this revision were taken.
-    revision_number emptyAt; ///< Revision at which the changes after `seen` were asked for and none was told.
-    std::function<asio::awaitable<std::optional<revision_number>>(last_reason &why)>
-        readAll; ///< Reads everything and takes it; gives the revision to go on from, or nothing without an answer.
+    revision_number emptyAt; ///< Revision at which the changes after those seen were asked for and none was told.
+    std::function<asio::awaitable<std::optional<range_result>>(last_reason &why)>
+        readAll; ///< Reads all keys; gives nothing without an answer.
     std::function<void(const watch_event &)> takeEvent; ///< Takes one change.
+    std::function<void()> takeListed; ///< Called when all keys have been taken.
+};
+
+/** Asking other daemons for changes, and answering those that ask this one. */
+struct change_exchange
+{
+    steady_time toldUntil{}; ///< Other daemons tell of all changes until this moment; the store is not watched.
+    std::map<endpoint, steady_time> avoidedUntil; ///< Daemons that did not answer, and until when they are not asked.
+    std::optional<steady_time> verifiedAt; ///< Every entry that is known was there at this moment or later.
+    steady_time askedAt{}; ///< When another daemon last asked this one.
+    std::uint64_t version = 0; ///< Grows with each change or verification that others may wait for.
+    std::uint64_t toldVersion = 0; ///< Version at which those that wait were last woken.
+    std::vector<std::shared_ptr<asio::steady_timer>> waiting; ///< Questions that wait for a change.
 };
 
 /** What the control thread owns. */
@@ -40,7 +53,8 @@
     std::shared_ptr<peer_client> peers =
         makePeerClient(context.get_executor()); ///< For calls to the store through others.
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing among them.
-    std::vector<std::shared_ptr<followed_prefix>> followed; ///< What is followed.
+    std::vector<std::shared_ptr<followed_prefix>> followed; ///< What is followed; the same order in all daemons.
+    change_exchange exchange; ///< Changes told by and to other daemons.
     std::set<revision_number> explained; ///< Revisions of changes that were told under any followed prefix.
     revision_number storeRevision; ///< Revision of the whole store at the last confirmation.
     steady_time nextLoad{}; ///< When to tell about the own load next.
--- a/packages/daemon/src/roster_daemon.cpp
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -18,8 +18,9 @@
 struct roster_parts
 {
     daemon_shared shared; ///< Shared state.
-    roster_control control; ///< Control thread.
     traffic_threads traffic; ///< Traffic threads.
+    roster_control
+        control; ///< Control thread; ends first, since its answers to other daemons wait for traffic threads.
 };
 
 /** Waits until callers know that they should go elsewhere, then until nothing is under way. */
--- /dev/null
+++ b/packages/daemon/src/roster_exchange.cpp
@@ -0,0 +1,209 @@
+/** @file roster_exchange.cpp Changes of the store told from daemon to daemon. */
+#include "roster_exchange.h"
+
+#include "elapsed_clock.h"
+#include "log_func.h"
+#include "mirror_func.h"
+#include "peer_wire.h"
+#include "roster_follow.h"
+#include "roster_func.h"
+#include "roster_keys.h"
+#include "upstream_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = elapsed_clock;
+
+constexpr milliseconds longestWait{800}; ///< A question is answered after this long, also without a change.
+constexpr milliseconds answerSlack{350}; ///< An answer may come this much later.
+constexpr milliseconds toldFor{
+    1250}; ///< After an answer the next one is awaited this long before the store is watched.
+constexpr milliseconds connectTimeout{300}; ///< Bound on connecting to another daemon.
+constexpr milliseconds avoidFor{3000}; ///< A daemon that did not answer is not asked again for this long.
+constexpr milliseconds refusedFor{400}; ///< A daemon that knew nothing fresh is not asked again for this long.
+constexpr unsigned answered = 200; ///< Status of an answer.
+constexpr milliseconds askPause{50}; ///< After an answer with changes: those in quick succession come together.
+constexpr milliseconds nobodyWait{200}; ///< Until the next look if there is nobody to ask.
+constexpr milliseconds freshLimit{4000}; ///< A daemon that knows the store only as it was before tells nothing.
+
+/** Takes an answer. Returns whether it brought news. */
+bool takeAnswer(roster_control &control, const changes_answer &answer, steady_time askedAt)
+{
+    bool news = false;
+    for (std::size_t index = 0; index < answer.updates.size(); ++index) {
+        news = takeTold(control, *control.followed[index], answer.updates[index]) || news;
+    }
+    // The question arrived after it was sent, so this moment is no later than the one meant.
+    const auto verifiedAt = askedAt + answer.verifiedAfter;
+    auto &exchange = control.exchange;
+    if (!exchange.verifiedAt || verifiedAt > *exchange.verifiedAt) {
+        exchange.verifiedAt = verifiedAt;
+        ++exchange.version;
+    }
+    takeVerified(control.state, answer.entry, verifiedAt);
+    exchange.toldUntil = clock::now() + toldFor;
+    return news;
+}
+
+peer_request questionOf(const roster_control &control)
+{
+    std::string seen;
+    for (const auto &followed : control.followed) {
+        seen += (seen.empty() ? "" : ",") + std::to_string(followed->mirror.seen.value);
+    }
+    return {changesPath, {{"qs-node", control.state.self.member.id.value}, {"qs-seen", seen}}, ""};
+}
+
+/** How a question ended. */
+enum class ask_result
+{
+    news, ///< There were changes.
+    no_news, ///< Nothing has changed.
+    refused, ///< The other daemon has not heard of the store lately.
+    silent, ///< There was no answer.
+};
+
+/** Asks one daemon. */
+asio::awaitable<ask_result> askOne(roster_control &control, endpoint at)
+{
+    const auto askedAt = clock::now();
+    auto question = questionOf(control);
+    const auto opened = co_await openCall(control.peers, at, std::move(question), connectTimeout);
+    if (!opened.call) {
+        co_return ask_result::silent;
+    }
+    const auto reply = co_await readWhole(opened.call, askedAt + longestWait + answerSlack);
+    if (!reply) {
+        abandonCall(*opened.call);
+        co_return ask_result::silent;
+    }
+    if (reply->status != answered) {
+        co_return ask_result::refused;
+    }
+    last_reason why;
+    const auto answer = decodeAnswer(reply->body, why);
+    if (!answer || answer->updates.size() != control.followed.size()) {
+        logEvent(log_level::warn, "changes-unread", {{"peer", toString(at)}, {"reason", describe(why)}});
+        co_return ask_result::refused;
+    }
+    co_return takeAnswer(control, *answer, askedAt) ? ask_result::news : ask_result::no_news;
+}
+
+/** Asks the daemons in their order until one answers. */
+asio::awaitable<ask_result> askAny(roster_control &control)
+{
+    const auto upstreams = control.state.listed ? upstreamsOf(control.state) : std::vector<endpoint>();
+    auto &avoided = control.exchange.avoidedUntil;
+    for (const auto &at : upstreams) {
+        if (avoided.contains(at) && clock::now() < avoided[at]) {
+            continue;
+        }
+        const auto result = co_await askOne(control, at);
+        if (result == ask_result::news || result == ask_result::no_news) {
+            co_return result;
+        }
+        const bool silent = result == ask_result::silent;
+        logEvent(log_level::info, silent ? "upstream-silent" : "upstream-refused", {{"peer", toString(at)}});
+        avoided[at] = clock::now() + (silent ? avoidFor : refusedFor);
+    }
+    co_return ask_result::silent;
+}
+
+/** Revision of a node's entry as known; 0 if it is not there. */
+revision_number entryRevision(const roster_control &control, const instance_id &node)
+{
+    const auto roster = findFollowed(control, rootPrefix);
+    const auto entry = roster->mirror.values.find(entryKey(node));
+    const bool there = entry != roster->mirror.values.end() && !entry->second.removed;
+    return there ? entry->second.revision : revision_number{};
+}
+
+bool isFresh(const roster_control &control)
+{
+    const auto &verifiedAt = control.exchange.verifiedAt;
+    return verifiedAt && clock::now() - *verifiedAt < freshLimit;
+}
+
+/** Whether there is a change that the asker does not know. */
+bool hasNews(const roster_control &control, const changes_request &request)
+{
+    for (std::size_t index = 0; index < request.seen.size(); ++index) {
+        if (!changesAfter(control.followed[index]->mirror, request.seen[index]).changes.empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Waits for a change or until the time is over. */
+asio::awaitable<void> awaitChange(roster_control &control)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(control.context, longestWait);
+    control.exchange.waiting.push_back(timer);
+    error_code code;
+    co_await timer->async_wait(reporting(code));
+    std::erase(control.exchange.waiting, timer);
+}
+
+} // namespace
+
+asio::awaitable<void> askForChanges(roster_control &control, std::function<void()> onChange)
+{
+    for (;;) {
+        const auto result = co_await askAny(control);
+        if (result == ask_result::silent) {
+            co_await sleepFor(nobodyWait);
+            continue;
+        }
+        onChange();
+        if (result == ask_result::news) {
+            co_await sleepFor(askPause);
+        }
+    }
+}
+
+asio::awaitable<std::optional<changes_answer>> answerChanges(roster_control &control, changes_request request)
+{
+    const auto arrivedAt = clock::now();
+    control.exchange.askedAt = arrivedAt;
+    if (request.seen.size() != control.followed.size()) {
+        co_return std::nullopt;
+    }
+    if (!isFresh(control)) {
+        if (readsForOthers(control, arrivedAt)) {
+            control.state.lease.nextConfirm = std::min(control.state.lease.nextConfirm, arrivedAt);
+        }
+        co_return std::nullopt;
+    }
+    if (!hasNews(control, request)) {
+        co_await awaitChange(control);
+    }
+    if (!isFresh(control)) {
+        co_return std::nullopt;
+    }
+    changes_answer answer;
+    for (std::size_t index = 0; index < request.seen.size(); ++index) {
+        answer.updates.push_back(changesAfter(control.followed[index]->mirror, request.seen[index]));
+    }
+    const auto after = std::chrono::floor<milliseconds>(*control.exchange.verifiedAt - arrivedAt);
+    answer.verifiedAfter = after - std::chrono::abs(after) * control.state.timing.driftPercent / 100;
+    answer.entry = entryRevision(control, request.node);
+    co_return answer;
+}
+
+void wakeWaiting(roster_control &control)
+{
+    auto &exchange = control.exchange;
+    if (std::exchange(exchange.toldVersion, exchange.version) == exchange.version) {
+        return;
+    }
+    for (const auto &timer : exchange.waiting) {
+        timer->cancel();
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/daemon/src/roster_follow.cpp
+++ b/packages/daemon/src/roster_follow.cpp
@@ -3,7 +3,9 @@
 
 #include "elapsed_clock.h"
 #include "log_func.h"
+#include "mirror_func.h"
 #include "roster_func.h"
+#include "upstream_func.h"
 
 #include <algorithm>
 
@@ -15,6 +17,8 @@
 
 constexpr milliseconds watchWait{10000}; ///< One wait for changes; a longer one would hide a dead connection longer.
 constexpr milliseconds noWait{1}; ///< A watch that only asks what there is by now.
+constexpr std::size_t regionsAtMost = 12; ///< One daemon of each watches the store for all others.
+constexpr milliseconds askedLately{3000}; ///< A daemon that another one asked within this time reads for it too.
 constexpr milliseconds followRetry{200}; ///< Wait after a failed read or watch.
 
 /** Whether a watch came back with changes. Otherwise it was cut, fell behind the history, or was deaf. */
@@ -23,22 +27,48 @@
     return seen && !seen->forgotten && !seen->events.empty();
 }
 
+/** Tells the decisions of news. */
+void passNews(roster_control &control, followed_prefix &followed, const std::vector<key_change> &news)
+{
+    for (const auto &change : news) {
+        followed.takeEvent({{change.key, change.now.text, change.now.revision}, change.now.removed});
+    }
+    control.exchange.version += news.empty() ? 0 : 1;
+}
+
 /** Takes the changes that are new. */
 void takeEvents(roster_control &control, followed_prefix &followed, const watch_result &result)
 {
+    std::vector<key_change> news;
     for (const auto &event : result.events) {
         control.explained.insert(event.value.revision);
-        if (event.value.revision > followed.seen) {
-            followed.takeEvent(event);
+        key_change change{event.value.key, {event.value.value, event.value.revision, event.removed}};
+        if (takeChange(followed.mirror, change)) {
+            news.push_back(std::move(change));
         }
     }
-    followed.seen = std::max(followed.seen, result.revision);
+    noteSeen(followed.mirror, result.revision);
+    passNews(control, followed, news);
+}
+
+/** Waits while other daemons tell of all changes. */
+asio::awaitable<void> sleepWhileTold(roster_control &control)
+{
+    for (auto now = clock::now(); now < control.exchange.toldUntil; now = clock::now()) {
+        co_await sleepFor(std::chrono::duration_cast<milliseconds>(control.exchange.toldUntil - now) + noWait);
+    }
+}
+
+/** Daemons that watch the store themselves now, as far as this one knows. */
+std::size_t watchersOf(const roster_control &control)
+{
+    return upstreamsOf(control.state).empty() ? regionsAtMost : control.state.nodes.size();
 }
 
 /** Whether all changes up to a revision are known: told by this prefix, or under another one that is followed. */
 bool knowsAll(const roster_control &control, const followed_prefix &followed, revision_number until)
 {
-    for (auto at = followed.seen.value + 1; at <= until.value; ++at) {
+    for (auto at = followed.mirror.seen.value + 1; at <= until.value; ++at) {
         if (!control.explained.contains({at})) {
             return false;
         }
@@ -51,7 +81,7 @@
 {
     auto least = control.storeRevision;
     for (const auto &followed : control.followed) {
-        least = std::min(least, followed->seen);
+        least = std::min(least, followed->mirror.seen);
     }
     control.explained.erase(control.explained.begin(), control.explained.upper_bound(least));
 }
@@ -60,25 +90,28 @@
 asio::awaitable<void> catchUp(roster_control &control, std::shared_ptr<followed_prefix> followed)
 {
     last_reason why;
-    const auto result = co_await control.port.store.watch(followed->prefix, followed->seen, noWait, why);
+    auto &mirror = followed->mirror;
+    const auto result = co_await control.port.store.watch(mirror.prefix, mirror.seen, noWait, why);
     if (!result) {
         co_return; // The next confirmation asks again.
     }
     if (result->forgotten) {
-        const auto from = co_await followed->readAll(why);
-        followed->seen = std::max(followed->seen, from.value_or(followed->seen));
+        const auto all = co_await followed->readAll(why);
+        if (all) {
+            takeRead(control, *followed, mirror.prefix, *all);
+        }
         co_return;
     }
     const auto count = std::count_if(result->events.begin(), result->events.end(),
-                                     [&](const auto &event) { return event.value.revision > followed->seen; });
-    if (count == 0 && followed->emptyAt <= followed->seen) {
+                                     [&](const auto &event) { return event.value.revision > mirror.seen; });
+    if (count == 0 && followed->emptyAt <= mirror.seen) {
         followed->emptyAt = result->revision; // May be deaf too: the next confirmation asks once more.
         co_return;
     }
     if (count > 0) {
         logEvent(log_level::warn, "watch-deaf",
-                 {{"prefix", followed->prefix},
-                  {"seen", std::to_string(followed->seen.value)},
+                 {{"prefix", mirror.prefix},
+                  {"seen", std::to_string(mirror.seen.value)},
                   {"changes", std::to_string(count)}});
     }
     takeEvents(control, *followed, *result);
@@ -99,31 +132,75 @@
     }
 }
 
+std::shared_ptr<followed_prefix> findFollowed(const roster_control &control, std::string_view prefix)
+{
+    const auto found = std::find_if(control.followed.begin(), control.followed.end(),
+                                    [&](const auto &followed) { return followed->mirror.prefix == prefix; });
+    return found == control.followed.end() ? nullptr : *found;
+}
+
+bool readsForOthers(const roster_control &control, steady_time now)
+{
+    const bool told = now < control.exchange.toldUntil;
+    return !told && (upstreamsOf(control.state).empty() || now - control.exchange.askedAt < askedLately);
+}
+
+bool takeTold(roster_control &control, followed_prefix &followed, const mirror_update &update)
+{
+    const auto news = takeUpdate(followed.mirror, update);
+    passNews(control, followed, news);
+    if (update.whole && followed.takeListed) {
+        followed.takeListed();
+    }
+    return !news.empty();
+}
+
+void takeRead(roster_control &control, followed_prefix &followed, std::string_view prefix, const range_result &all)
+{
+    std::vector<key_change> values;
+    values.reserve(all.values.size());
+    for (const auto &value : all.values) {
+        values.push_back({value.key, {value.value, value.revision, false}});
+    }
+    passNews(control, followed, takeWhole(followed.mirror, prefix, values, all.revision));
+    if (prefix == followed.mirror.prefix && followed.takeListed) {
+        followed.takeListed();
+    }
+}
+
 asio::awaitable<void> follow(roster_control &control, std::shared_ptr<followed_prefix> followed,
                              std::function<void()> onChange)
 {
     control.followed.push_back(followed);
+    auto &mirror = followed->mirror;
+    bool told = false; // Whether other daemons have told of all changes since the last read.
     for (;;) {
         last_reason why;
-        const auto from = co_await followed->readAll(why);
-        noteStore(control, from.has_value(), why);
-        if (!from) {
-            co_await sleepFor(followRetry);
-            continue;
+        if (!told) {
+            const auto all = co_await followed->readAll(why);
+            noteStore(control, all.has_value(), why);
+            if (!all) {
+                co_await sleepFor(followRetry);
+                continue;
+            }
+            takeRead(control, *followed, mirror.prefix, *all);
+            onChange();
         }
-        followed->seen = std::max(followed->seen, *from);
-        onChange();
+        co_await sleepWhileTold(control);
         auto watchedAt = clock::now();
-        auto seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
+        auto seen = co_await control.port.store.watch(mirror.prefix, mirror.seen, watchWait, why);
         while (isTelling(seen)) {
             takeEvents(control, *followed, *seen);
             onChange();
             if (followed->pauses) {
-                co_await sleepFor(watchPause(control.state.nodes.size(), control.shared->settings.roster->storeReads));
+                co_await sleepFor(watchPause(watchersOf(control), control.shared->settings.roster->storeReads));
             }
+            co_await sleepWhileTold(control);
             watchedAt = clock::now();
-            seen = co_await control.port.store.watch(followed->prefix, followed->seen, watchWait, why);
+            seen = co_await control.port.store.watch(mirror.prefix, mirror.seen, watchWait, why);
         }
+        // What a watch missed while others told of it is known.
+        told = clock::now() < control.exchange.toldUntil;
         if (clock::now() - watchedAt < followRetry) {
             co_await sleepFor(followRetry); // A store that ends watches at once is not asked again at once.
         }
@@ -134,11 +211,12 @@
 {
     const auto before = std::exchange(control.storeRevision, revision);
     for (const auto &followed : control.followed) {
-        if (followed->seen == revision_number{} || followed->seen >= before) {
+        auto &seen = followed->mirror.seen;
+        if (seen == revision_number{} || seen >= before) {
             continue;
         }
         if (knowsAll(control, *followed, before)) {
-            followed->seen = before;
+            seen = before;
         } else {
             co_await catchUp(control, followed);
         }
--- a/packages/daemon/src/roster_follow.h
+++ b/packages/daemon/src/roster_follow.h
@@ -15,8 +15,42 @@
 void noteStore(roster_control &control, bool heard, const last_reason &why);
 
 /**
- * Reads everything, then watches, for as long as the process runs. A watch that was cut or told nothing may have missed
- * changes, so a read follows it.
+ * Finds what is followed under a prefix.
+ * @param control Control state.
+ * @param prefix Prefix.
+ * @return It, or null.
+ */
+std::shared_ptr<followed_prefix> findFollowed(const roster_control &control, std::string_view prefix);
+
+/**
+ * Tells whether other daemons rest on what this one reads of the store.
+ * @param control Control state.
+ * @param now Present time.
+ * @return Whether it asks the store, and others ask it or should.
+ */
+bool readsForOthers(const roster_control &control, steady_time now);
+
+/**
+ * Takes changes that another daemon told.
+ * @param control Control state.
+ * @param followed What is followed.
+ * @param update Changes.
+ * @return Whether there was any news.
+ */
+bool takeTold(roster_control &control, followed_prefix &followed, const mirror_update &update);
+
+/**
+ * Takes all keys under a prefix, as they were read from the store.
+ * @param control Control state.
+ * @param followed What is followed.
+ * @param prefix The followed prefix or a longer one.
+ * @param all What was read.
+ */
+void takeRead(roster_control &control, followed_prefix &followed, std::string_view prefix, const range_result &all);
+
+/**
+ * Reads everything, then watches, for as long as the process runs, but for the times in which other daemons tell of all
+ * changes. A watch that was cut or told nothing may have missed changes, so a read follows it.
  * @param control Control state.
  * @param followed What is followed.
  * @param onChange Called after each change taken.
--- /dev/null
+++ b/packages/daemon/src/roster_keys.h
@@ -0,0 +1,48 @@
+/** @file roster_keys.h Where the roster's values lie in the store. */
+#ifndef ROSTER_KEYS_H
+#define ROSTER_KEYS_H
+
+#include "base_type.h"
+
+#include <string_view>
+
+namespace quetzalspool {
+
+constexpr std::string_view rootPrefix = "quetzalspool/"; ///< All keys of this product.
+constexpr std::string_view entryPrefix = "quetzalspool/nodes/"; ///< Entries, bound to leases.
+constexpr std::string_view markerPrefix = "quetzalspool/markers/"; ///< Markers, which stay.
+constexpr std::string_view runsPrefix = "quetzalspool/owners/"; ///< Owners of keys by pool.
+
+/**
+ * Key of a node's entry.
+ * @param id Node.
+ * @return Key.
+ */
+inline std::string entryKey(const instance_id &id)
+{
+    return std::string(entryPrefix) + id.value;
+}
+
+/**
+ * Key of a node's marker.
+ * @param id Node.
+ * @return Key.
+ */
+inline std::string markerKey(const instance_id &id)
+{
+    return std::string(markerPrefix) + id.value;
+}
+
+/**
+ * Key of the owners of a pool.
+ * @param pool Pool.
+ * @return Key.
+ */
+inline std::string runsKey(const pool_id &pool)
+{
+    return std::string(runsPrefix) + pool.value;
+}
+
+} // namespace quetzalspool
+
+#endif // ROSTER_KEYS_H
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -5,6 +5,7 @@
 #include "log_func.h"
 #include "roster_follow.h"
 #include "roster_func.h"
+#include "roster_keys.h"
 #include "routing_func.h"
 
 #include <algorithm>
@@ -15,26 +16,6 @@
 
 using clock = elapsed_clock;
 
-constexpr std::string_view rootPrefix = "quetzalspool/"; ///< All keys of this product.
-constexpr std::string_view entryPrefix = "quetzalspool/nodes/"; ///< Entries, bound to leases.
-constexpr std::string_view markerPrefix = "quetzalspool/markers/"; ///< Markers, which stay.
-constexpr std::string_view runsPrefix = "quetzalspool/owners/"; ///< Owners of keys by pool.
-
-std::string entryKey(const instance_id &id)
-{
-    return std::string(entryPrefix) + id.value;
-}
-
-std::string markerKey(const instance_id &id)
-{
-    return std::string(markerPrefix) + id.value;
-}
-
-std::string runsKey(const pool_id &pool)
-{
-    return std::string(runsPrefix) + pool.value;
-}
-
 void takeStoredEntry(roster_control &control, const instance_id &id, const stored_value &value, steady_time now)
 {
     last_reason why;
@@ -84,24 +65,20 @@
     }
 }
 
-/** Takes a whole list: nodes that it does not name are missing. */
-void takeList(roster_control &control, const range_result &all, steady_time now)
+/** Notes which of the known nodes are missing, once all entries were read or told. */
+void takeListed(roster_control &control, const mirrored_keys &mirror)
 {
-    std::set<instance_id> listed;
-    for (const auto &value : all.values) {
-        takeValue(control, value, now);
-        if (value.key.starts_with(entryPrefix)) {
-            listed.insert({value.key.substr(entryPrefix.size())});
-        }
-    }
+    const auto now = clock::now();
     std::vector<instance_id> missing;
     for (const auto &[id, seen] : control.state.nodes) {
-        if (!listed.contains(id) && seen.marker <= all.revision) {
+        const auto entry = mirror.values.find(entryKey(id));
+        const bool there = entry != mirror.values.end() && !entry->second.removed;
+        if (!there && seen.marker <= mirror.seen) {
             missing.push_back(id);
         }
     }
     for (const auto &id : missing) {
-        takeEntry(control.state, id, std::nullopt, all.revision, now);
+        takeEntry(control.state, id, std::nullopt, mirror.seen, now);
     }
     control.state.listed = true;
 }
@@ -251,7 +228,7 @@
               {"absent", std::to_string(action.absent.size())}});
 }
 
-asio::awaitable<void> confirm(roster_control &control)
+asio::awaitable<void> readOwnEntry(roster_control &control)
 {
     last_reason why;
     const auto sentAt = clock::now();
@@ -273,25 +250,55 @@
     co_await catchUpWhereBehind(control, result->revision);
 }
 
+/** Reads all entries: the own one, and those of all daemons that ask this one. */
+asio::awaitable<void> readAllEntries(roster_control &control, std::shared_ptr<followed_prefix> roster)
+{
+    last_reason why;
+    const auto sentAt = clock::now();
+    const auto all = co_await control.port.store.list(std::string(entryPrefix), why);
+    const auto now = clock::now();
+    noteStore(control, all.has_value(), why);
+    if (!all) {
+        takeUnconfirmed(control.state, now);
+        co_return;
+    }
+    const auto key = entryKey(control.state.self.member.id);
+    const auto own =
+        std::find_if(all->values.begin(), all->values.end(), [&](const auto &value) { return value.key == key; });
+    std::optional<roster_node> found;
+    if (own != all->values.end()) {
+        found = parseNode(own->value, why);
+    }
+    takeConfirmed(control.state, found, found ? own->revision : revision_number{}, sentAt, now);
+    takeRead(control, *roster, entryPrefix, *all);
+    control.exchange.verifiedAt = sentAt;
+    ++control.exchange.version;
+    co_await catchUpWhereBehind(control, all->revision);
+}
+
+asio::awaitable<void> confirm(roster_control &control)
+{
+    const auto roster = findFollowed(control, rootPrefix);
+    if (roster && readsForOthers(control, clock::now())) {
+        co_await readAllEntries(control, roster);
+    } else {
+        co_await readOwnEntry(control);
+    }
+}
+
 } // namespace
 
 asio::awaitable<void> followRoster(roster_control &control, std::function<void()> onChange)
 {
     auto followed = std::make_shared<followed_prefix>();
-    followed->prefix = rootPrefix;
+    followed->mirror.prefix = rootPrefix;
     followed->pauses = true;
-    followed->readAll = [&control](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
-        const auto all = co_await control.port.store.list(std::string(rootPrefix), why);
-        if (!all) {
-            co_return std::nullopt;
-        }
-        takeList(control, *all, clock::now());
-        co_return all->revision;
-    };
+    followed->readAll = [&control](last_reason &why) { return control.port.store.list(std::string(rootPrefix), why); };
     followed->takeEvent = [&control](const watch_event &event) {
         const auto now = clock::now();
         event.removed ? takeRemoved(control, event.value, now) : takeValue(control, event.value, now);
     };
+    followed->takeListed = [&control, &mirror = followed->mirror] { takeListed(control, mirror); };
     co_await follow(control, followed, onChange);
 }
 
@@ -299,16 +306,17 @@
 {
     const auto key = control.port.tablesKey;
     auto followed = std::make_shared<followed_prefix>();
-    followed->prefix = key;
-    followed->readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<revision_number>> {
-        const auto read = co_await control.port.store.read(key, why);
+    followed->mirror.prefix = key;
+    followed->readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<range_result>> {
+        auto read = co_await control.port.store.read(key, why);
         if (!read) {
             co_return std::nullopt;
         }
+        range_result all{read->revision, {}};
         if (read->value) {
-            takeTables(control, *read->value);
+            all.values.push_back(std::move(*read->value));
         }
-        co_return read->revision;
+        co_return all;
     };
     followed->takeEvent = [&control, key](const watch_event &event) {
         if (!event.removed && event.value.key == key) {
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -2,9 +2,11 @@
 #ifndef SHARED_BASE_H
 #define SHARED_BASE_H
 
+#include "asio_type.h"
 #include "catalog_base.h"
 #include "gate.h"
 #include "metrics_func.h"
+#include "mirror_type.h"
 #include "routing_base.h"
 #include "settings_type.h"
 #include "wire_names.h"
@@ -30,6 +32,9 @@
     std::atomic<bool> storeHeard = true; ///< Whether the store answered the last call made from here.
     std::atomic<std::shared_ptr<const endpoint>> neighbour; ///< Where the daemon listens for others that last passed a
                                                             ///< request to this one; null before the first.
+    std::function<asio::awaitable<std::optional<changes_answer>>(changes_request)>
+        answerChanges; ///< Tells another daemon of changes of the store; null where that is not done. Set before
+                       ///< threads start.
     std::atomic<steady_time> answersUntil{steady_time::max()}; ///< In a planned stop: requests are answered by then.
     std::atomic<bool> leaving = false; ///< Whether a planned stop is under way.
     std::atomic<std::uint64_t> requestsOpen = 0; ///< Callers' requests and peers' requests under way.
--- /dev/null
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -0,0 +1,63 @@
+/** @file mirror_codec.cpp Answers about changes as MessagePack arrays. */
+#include "mirror_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalspool {
+
+namespace {
+
+using json = nlohmann::json;
+
+json formatUpdate(const mirror_update &update)
+{
+    json changes = json::array();
+    for (const auto &change : update.changes) {
+        changes.push_back({change.key, change.now.text, change.now.revision.value, change.now.removed});
+    }
+    return {update.whole, update.seen.value, std::move(changes)};
+}
+
+mirror_update parseUpdate(const json &row)
+{
+    mirror_update update;
+    update.whole = row.at(0).get<bool>();
+    update.seen.value = row.at(1).get<std::int64_t>();
+    for (const auto &change : row.at(2)) {
+        update.changes.push_back(
+            {change.at(0).get<std::string>(),
+             {change.at(1).get<std::string>(), {change.at(2).get<std::int64_t>()}, change.at(3).get<bool>()}});
+    }
+    return update;
+}
+
+} // namespace
+
+std::string encodeAnswer(const changes_answer &answer)
+{
+    json updates = json::array();
+    for (const auto &update : answer.updates) {
+        updates.push_back(formatUpdate(update));
+    }
+    std::string bytes;
+    json::to_msgpack(json{std::move(updates), answer.verifiedAfter.count(), answer.entry.value}, bytes);
+    return bytes;
+}
+
+std::optional<changes_answer> decodeAnswer(std::string_view bytes, last_reason &why)
+{
+    try {
+        const auto body = json::from_msgpack(bytes);
+        changes_answer answer;
+        for (const auto &row : body.at(0)) {
+            answer.updates.push_back(parseUpdate(row));
+        }
+        answer.verifiedAfter = milliseconds(body.at(1).get<std::int64_t>());
+        answer.entry.value = body.at(2).get<std::int64_t>();
+        return answer;
+    } catch (const json::exception &error) {
+        return failed(why, "decode changes", "", error.what());
+    }
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/src/mirror_type.h
@@ -0,0 +1,72 @@
+/** @file mirror_type.h What a daemon knows of keys of the store, kept so that it can tell other daemons. */
+#ifndef MIRROR_TYPE_H
+#define MIRROR_TYPE_H
+
+#include "base_type.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace quetzalspool {
+
+/** One key as last known. */
+struct mirrored_value
+{
+    std::string text; ///< Value; empty if the key was removed.
+    revision_number revision; ///< Revision of its last change.
+    bool removed = false; ///< Whether it was removed.
+
+    bool operator==(const mirrored_value &) const = default;
+};
+
+/** A change of one key. */
+struct key_change
+{
+    std::string key; ///< Key.
+    mirrored_value now; ///< What it is now.
+
+    bool operator==(const key_change &) const = default;
+};
+
+/** All keys under one prefix, as this daemon knows them. */
+struct mirrored_keys
+{
+    std::string prefix; ///< Prefix.
+    revision_number seen; ///< All changes up to this revision are known.
+    revision_number forgotten; ///< Removals up to this revision may have been forgotten.
+    std::map<std::string, mirrored_value> values; ///< By key, lately removed ones too.
+    std::size_t removals = 0; ///< Removed ones among them.
+};
+
+/** What changed under one prefix since a revision. */
+struct mirror_update
+{
+    bool whole = false; ///< Whether these are all keys: what is not named does not exist.
+    revision_number seen; ///< All changes up to this revision are known now.
+    std::vector<key_change> changes; ///< Changes, oldest first.
+
+    bool operator==(const mirror_update &) const = default;
+};
+
+/** What one daemon asks another one: to be told of changes. */
+struct changes_request
+{
+    instance_id node; ///< Who asks.
+    std::vector<revision_number> seen; ///< By followed prefix: what it knows.
+};
+
+/** The answer. */
+struct changes_answer
+{
+    std::vector<mirror_update> updates; ///< By followed prefix.
+    milliseconds verifiedAfter{0}; ///< From the arrival of the question to when the store was last asked for all
+                                   ///< entries of nodes; negative if that was before.
+    revision_number entry; ///< Revision of the asker's entry, which was there then or later; 0 if it was not.
+
+    bool operator==(const changes_answer &) const = default;
+};
+
+} // namespace quetzalspool
+
+#endif // MIRROR_TYPE_H
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -257,6 +257,17 @@
     takeEntry(state, state.self.member.id, found, revision, now);
 }
 
+void takeVerified(roster_state &state, revision_number revision, steady_time verifiedAt)
+{
+    auto &lease = state.lease;
+    const auto own = state.nodes.find(state.self.member.id);
+    if (!lease.entered || own == state.nodes.end() || revision != own->second.marker) {
+        return; // An own read finds out; until then the right runs down.
+    }
+    lease.validUntil = std::max(lease.validUntil, verifiedAt + state.timing.leasePeriod);
+    lease.nextConfirm = std::max(lease.nextConfirm, verifiedAt + state.timing.verifyLimit);
+}
+
 void takeUnconfirmed(roster_state &state, steady_time now)
 {
     state.lease.busy = false;
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -75,6 +75,14 @@
 void takeConfirmed(roster_state &state, const std::optional<roster_node> &found, revision_number revision,
                    steady_time sentAt, steady_time now);
 
+/**
+ * Takes what another daemon read of the own entry.
+ * @param state Roster.
+ * @param revision Revision of the entry that the other daemon knows; 0 if it knows none.
+ * @param verifiedAt A moment after which the entry was surely still there.
+ */
+void takeVerified(roster_state &state, revision_number revision, steady_time verifiedAt);
+
 /**
  * Notes that a read of the own entry got no answer.
  * @param state Roster.
--- /dev/null
+++ b/packages/decisions/src/upstream.cpp
@@ -0,0 +1,77 @@
+/** @file upstream.cpp Whom a daemon asks for changes of the store. */
+#include "upstream_func.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::size_t followersPerUpstream = 16; ///< Daemons of a failure domain that one of them tells of changes.
+constexpr std::size_t upstreamsTried = 2; ///< Daemons of the own failure domain that are asked before the region's.
+
+using member_list = std::vector<const cell_member *>;
+
+std::uint64_t hashOf(const instance_id &id, std::uint64_t seed = 0)
+{
+    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), seed);
+}
+
+/** Present members of the own region that don't leave, by hash of their names. */
+member_list membersOfRegion(const roster_state &state)
+{
+    member_list members;
+    for (const auto &[id, seen] : state.nodes) {
+        if (!seen.present || !seen.node || seen.node->member.leaving) {
+            continue;
+        }
+        if (seen.node->member.region == state.self.member.region) {
+            members.push_back(&seen.node->member);
+        }
+    }
+    std::sort(members.begin(), members.end(),
+              [](const auto *a, const auto *b) { return hashOf(a->id) < hashOf(b->id); });
+    return members;
+}
+
+endpoint peersOf(const cell_member &member)
+{
+    return {member.at.host, member.at.peers};
+}
+
+} // namespace
+
+std::vector<endpoint> upstreamsOf(const roster_state &state)
+{
+    const auto &self = state.self.member;
+    const auto members = membersOfRegion(state);
+    if (members.empty() || members.front()->id == self.id) {
+        return {};
+    }
+    const auto *first = members.front();
+    member_list domain;
+    for (const auto *member : members) {
+        if (member->domain == self.domain && member != first) {
+            domain.push_back(member);
+        }
+    }
+    domain.resize((domain.size() + followersPerUpstream - 1) / followersPerUpstream);
+    const bool tellsDomain =
+        std::any_of(domain.begin(), domain.end(), [&](const auto *member) { return member->id == self.id; });
+    if (tellsDomain) {
+        return {peersOf(*first)};
+    }
+    // Each follower has an order of its own, so that they spread evenly.
+    std::sort(domain.begin(), domain.end(), [seed = hashOf(self.id)](const auto *a, const auto *b) {
+        return hashOf(a->id, seed) < hashOf(b->id, seed);
+    });
+    std::vector<endpoint> upstreams;
+    for (std::size_t index = 0; index < std::min(upstreamsTried, domain.size()); ++index) {
+        upstreams.push_back(peersOf(*domain[index]));
+    }
+    upstreams.push_back(peersOf(*first));
+    return upstreams;
+}
+
+} // namespace quetzalspool
