Fix: a daemon that was started again proves nothing of what its run before was sent

Cause: an order ran at a server, herd_kill took server and daemon, the daemon started again within 1.3 s, and the entry asked it to cancel the attempt. Ruled out: the exchange of changes (the question and its answer are as they were before it). Change: the question names the run of the daemon that was sent the attempt; another run proves nothing, the caller hears that the outcome is unknown. The test fails to compile and, without the check, fails on the code before.

--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -54,6 +54,11 @@
     return token;
 }
 
+endpoint peersOf(const cell_member &member)
+{
+    return {member.at.host, member.at.peers};
+}
+
 route_choice chooseOwner(traffic_thread &thread, const route_state &state)
 {
     route_choice choice;
@@ -93,12 +98,19 @@
     return owner && owner->fence != request.slot->fence;
 }
 
-/** Asks the daemon that got an attempt to cancel it, and tells whether that proves that it did not run. */
-asio::awaitable<bool> provedCancelled(traffic_thread &thread, endpoint to,
+/**
+ * Asks the daemon that got an attempt to cancel it, and tells whether that proves that it did not run. Only the very
+ * run of the daemon that was sent the attempt can know.
+ */
+asio::awaitable<bool> provedCancelled(traffic_thread &thread, std::shared_ptr<const cell_member> member,
                                       std::shared_ptr<const routed_request> request)
 {
-    peer_request ask{cancelPath, {{"qs-id", request->id}, {"qs-attempt", request->attempt}}, ""};
-    const auto opened = co_await openCall(thread.client, to, std::move(ask), cancelTimeout);
+    peer_request ask{cancelPath,
+                     {{"qs-id", request->id},
+                      {"qs-attempt", request->attempt},
+                      {"qs-run", std::to_string(member->incarnation.value)}},
+                     ""};
+    const auto opened = co_await openCall(thread.client, peersOf(*member), std::move(ask), cancelTimeout);
     if (!opened.call) {
         co_return false;
     }
@@ -164,14 +176,14 @@
 }
 
 /** One attempt through another daemon. */
-asio::awaitable<request_outcome> attemptRemote(traffic_thread &thread, endpoint to,
+asio::awaitable<request_outcome> attemptRemote(traffic_thread &thread, std::shared_ptr<const cell_member> member,
                                                std::shared_ptr<const routed_request> request,
                                                std::shared_ptr<answer_sink> sink)
 {
     auto message = toPeer(*request, clock::now());
     const auto &settings = thread.shared->settings;
     message.headers.emplace_back(senderHeader, toString({settings.host, settings.peersPort}));
-    const auto opened = co_await openCall(thread.client, to, std::move(message), connectTimeout);
+    const auto opened = co_await openCall(thread.client, peersOf(*member), std::move(message), connectTimeout);
     if (!opened.call) {
         request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetry};
         outcome.reachedOwner = false;
@@ -193,7 +205,7 @@
     }
     abandonCall(*opened.call);
     if (!request->idempotent) {
-        const bool proved = co_await provedCancelled(thread, to, request);
+        const bool proved = co_await provedCancelled(thread, member, request);
         if (proved) {
             outcome = {attempt_result::not_run, refusal::leaving, "cancelled-before-hand-over", milliseconds(100)};
         }
@@ -212,8 +224,8 @@
     if (member.id == thread.shared->settings.instance) {
         outcome = co_await runLocally(*thread.shared, thread.targets, request, sink);
     } else {
-        const endpoint to{member.at.host, member.at.peers};
-        outcome = co_await attemptRemote(thread, to, request, sink);
+        const auto other = std::make_shared<const cell_member>(member);
+        outcome = co_await attemptRemote(thread, other, request, sink);
         if (member.region != thread.shared->settings.region) {
             thread.shared->linkBytes += request->http.body.size() + outcome.answerBytes;
         }
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -356,8 +356,11 @@
     co_return outcome;
 }
 
-bool cancelLocally(daemon_shared &shared, const std::string &id, const std::string &attempt)
+bool cancelLocally(daemon_shared &shared, incarnation_id run, const std::string &id, const std::string &attempt)
 {
+    if (run != shared.incarnation) {
+        return false; // The run before may have handed it over.
+    }
     const std::lock_guard lock(shared.admission.mutex);
     return cancelRequest(shared.admission.ledger, id, attempt, clock::now());
 }
--- a/packages/daemon/src/local_run.h
+++ b/packages/daemon/src/local_run.h
@@ -23,11 +23,12 @@
 /**
  * Cancels an attempt unless it was handed over.
  * @param shared Shared state.
+ * @param run Run of this daemon that was sent the attempt; another run knows nothing of it.
  * @param id Request id.
  * @param attempt Token of the attempt.
  * @return Whether it is proved that it did not and will not run.
  */
-bool cancelLocally(daemon_shared &shared, const std::string &id, const std::string &attempt);
+bool cancelLocally(daemon_shared &shared, incarnation_id run, const std::string &id, const std::string &attempt);
 
 } // namespace quetzalspool
 
--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -136,8 +136,9 @@
         co_return;
     }
     if (request.path == cancelPath) {
-        const bool proved =
-            cancelLocally(*thread.shared, headerOf(request.headers, "qs-id"), headerOf(request.headers, "qs-attempt"));
+        const incarnation_id run{std::strtoull(headerOf(request.headers, "qs-run").c_str(), nullptr, 10)};
+        const bool proved = cancelLocally(*thread.shared, run, headerOf(request.headers, "qs-id"),
+                                          headerOf(request.headers, "qs-attempt"));
         sendHead(*responder, 200, {{"qs-cancelled", proved ? "1" : "0"}});
         endAnswer(*responder);
         co_return;
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -4,6 +4,7 @@
 #include "documents.h"
 #include "elapsed_clock.h"
 #include "forward.h"
+#include "local_run.h"
 #include "peer_wire.h"
 
 #include "catalog_func.h"
@@ -37,6 +38,16 @@
 
 } // namespace
 
+// A daemon that was killed while its target worked on an order, and runs again, was asked whether the order had run.
+TEST(cancel, aDaemonThatWasStartedAgainProvesNothingOfItsRunBefore)
+{
+    daemon_shared shared;
+    shared.incarnation = {7};
+    EXPECT_FALSE(cancelLocally(shared, {6}, "order", "attempt"));
+    EXPECT_FALSE(cancelLocally(shared, {}, "order", "attempt")) << "who names no run is told nothing";
+    EXPECT_TRUE(cancelLocally(shared, {7}, "order", "attempt"));
+}
+
 TEST(callerRequest, findsOneKeyForAllSpellings)
 {
     EXPECT_EQ(keyOf("/formulas/rose/42"), "rose");
