Change: a process that starts watches the store a little later; confirmations follow the length of the lease

Cause: where a whole fleet starts, each daemon's first watches were cut by every entry, until it knew whom to ask. The right of daemons with a lease shorter than usual ran out between two confirmations, as the limits stood in plain figures. Change: 0.6 s before the first watch of the roster, twice that for the tables; a third of the lease between confirmations at most, and an own read of the entry after half of it.

--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -29,6 +29,8 @@
 constexpr double firstService = 200; ///< Time of work in milliseconds that is assumed before any was seen.
 constexpr milliseconds usualLeaveTime{2000}; ///< What a target serves after its leaving is known, if none is named.
 constexpr int leavePercent = 75; ///< Part of that time for new work; the rest is for what is on its way.
+constexpr milliseconds firstWatchPause{600}; ///< Daemons of a deployment start within some tenths of a second.
+constexpr int confirmsPerLease = 3; ///< Confirmations that a right is given time for, at least.
 constexpr milliseconds stallLimit{4000}; ///< Longer than nearly all work takes.
 const cell_id rosterCell{"roster"}; ///< Name under which the roster stands in the routing view.
 
@@ -304,6 +306,7 @@
     roster_timing timing;
     timing.leasePeriod = roster.leasePeriod;
     timing.holdPeriod = roster.holdPeriod;
+    timing.confirmInterval = std::min(timing.confirmInterval, timing.leasePeriod / confirmsPerLease);
     control.state = startRoster({selfOf(*control.shared), {}}, timing, clock::now());
     if (!bindDatagrams(control.socket, control.shared->settings, why) || !startListeners(control, why)) {
         return false;
@@ -315,6 +318,7 @@
     control.port.setRelay(makeRelay(control));
     control.port.observeCalls(
         [numbers = control.shared->numbers](const store_call &call) { countCall(*numbers, call); });
+    control.exchange.firstPause = firstWatchPause;
     control.shared->answerChanges = [&control](changes_request request) {
         return asio::co_spawn(control.context, answerChanges(control, std::move(request)), asio::use_awaitable);
     };
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -18,6 +18,7 @@
 {
     mirrored_keys mirror; ///< What is known of them.
     bool pauses = false; ///< Whether changes in quick succession may come together.
+    milliseconds firstPause{0}; ///< Between the first read and the first watch.
     revision_number emptyAt; ///< Revision at which the changes after those seen were asked for and none was told.
     std::function<asio::awaitable<std::optional<range_result>>(last_reason &why)>
         readAll; ///< Reads all keys; gives nothing without an answer.
@@ -28,6 +29,8 @@
 /** Asking other daemons for changes, and answering those that ask this one. */
 struct change_exchange
 {
+    milliseconds firstPause{0}; ///< Wait before the first watch of the roster: where a whole fleet starts, other
+                                ///< daemons show up meanwhile and tell of changes from then on.
     steady_time toldUntil{}; ///< Other daemons tell of all changes until this moment; the store is not watched.
     std::map<endpoint, steady_time> avoidedUntil; ///< Daemons that did not answer, and until when they are not asked.
     std::optional<steady_time> verifiedAt; ///< Every entry that is known was there at this moment or later.
--- a/packages/daemon/src/roster_follow.cpp
+++ b/packages/daemon/src/roster_follow.cpp
@@ -185,6 +185,7 @@
             }
             takeRead(control, *followed, mirror.prefix, *all);
             onChange();
+            co_await sleepFor(std::exchange(followed->firstPause, milliseconds(0)));
         }
         co_await sleepWhileTold(control);
         auto watchedAt = clock::now();
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -293,6 +293,7 @@
     auto followed = std::make_shared<followed_prefix>();
     followed->mirror.prefix = rootPrefix;
     followed->pauses = true;
+    followed->firstPause = control.exchange.firstPause;
     followed->readAll = [&control](last_reason &why) { return control.port.store.list(std::string(rootPrefix), why); };
     followed->takeEvent = [&control](const watch_event &event) {
         const auto now = clock::now();
@@ -307,6 +308,7 @@
     const auto key = control.port.tablesKey;
     auto followed = std::make_shared<followed_prefix>();
     followed->mirror.prefix = key;
+    followed->firstPause = control.exchange.firstPause * 2; // The roster shows whom to ask for both.
     followed->readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<range_result>> {
         auto read = co_await control.port.store.read(key, why);
         if (!read) {
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -265,7 +265,8 @@
         return; // An own read finds out; until then the right runs down.
     }
     lease.validUntil = std::max(lease.validUntil, verifiedAt + state.timing.leasePeriod);
-    lease.nextConfirm = std::max(lease.nextConfirm, verifiedAt + state.timing.verifyLimit);
+    // The owner reads its entry itself once half of the right has passed without a later word.
+    lease.nextConfirm = std::max(lease.nextConfirm, verifiedAt + state.timing.leasePeriod / 2);
 }
 
 void takeUnconfirmed(roster_state &state, steady_time now)
--- a/packages/decisions/src/roster_type.h
+++ b/packages/decisions/src/roster_type.h
@@ -26,7 +26,6 @@
 {
     milliseconds leasePeriod{7000}; ///< Right to grant that one confirmation by the store gives.
     milliseconds confirmInterval{1800}; ///< Between two confirmations by a read of the own entry.
-    milliseconds verifyLimit{3600}; ///< An entry that no other daemon has verified for this long is read by its owner.
     milliseconds entryTtl{3000}; ///< Time to live of the store lease under the own entry.
     milliseconds entryRenewal{900}; ///< Between two renewals of that store lease.
     milliseconds holdPeriod{5500}; ///< How long a target may serve its keys after one report.
