--- a/packages/daemon/src/roster_exchange.cpp
+++ b/packages/daemon/src/roster_exchange.cpp
@@ -34,13 +34,17 @@
 bool takeAnswer(roster_control &control, const changes_answer &answer, steady_time askedAt)
 {
     bool news = false;
+    bool same = true;
     for (std::size_t index = 0; index < answer.updates.size(); ++index) {
-        news = takeTold(control, *control.followed[index], answer.updates[index]) || news;
+        const auto &followed = control.followed[index];
+        news = takeTold(control, *followed, answer.updates[index]) || news;
+        same = same && digestOf(followed->mirror) == answer.updates[index].digest;
     }
     // The question arrived after it was sent, so this moment is no later than the one meant.
     const auto verifiedAt = askedAt + answer.verifiedAfter;
     auto &exchange = control.exchange;
-    if (!exchange.verifiedAt || verifiedAt > *exchange.verifiedAt) {
+    // Only what the other daemon knows to be there was verified; more than that must not be told on.
+    if (same && (!exchange.verifiedAt || verifiedAt > *exchange.verifiedAt)) {
         exchange.verifiedAt = verifiedAt;
         ++exchange.version;
     }
@@ -53,7 +57,7 @@
 {
     std::string seen;
     for (const auto &followed : control.followed) {
-        seen += (seen.empty() ? "" : ",") + std::to_string(followed->mirror.seen.value);
+        seen += (seen.empty() ? "" : ",") + std::to_string(askAfter(followed->mirror).value);
     }
     return {changesPath, {{"qs-node", control.state.self.member.id.value}, {"qs-seen", seen}}, ""};
 }
--- a/packages/decisions/src/mirror_cmd.cpp
+++ b/packages/decisions/src/mirror_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace quetzalspool {
 
@@ -95,6 +96,7 @@
 {
     mirror_update update;
     update.seen = keys.seen;
+    update.digest = digestOf(keys);
     update.whole = after < keys.forgotten || after == revision_number{};
     for (const auto &[key, value] : keys.values) {
         if (update.whole ? !value.removed : value.revision > after) {
@@ -105,18 +107,36 @@
     return update;
 }
 
-std::vector<key_change> takeUpdate(mirrored_keys &keys, const mirror_update &update)
+std::uint64_t digestOf(const mirrored_keys &keys)
 {
-    if (update.whole) {
-        return takeWhole(keys, keys.prefix, update.changes, update.seen);
+    std::uint64_t digest = 0;
+    for (const auto &[key, value] : keys.values) {
+        const auto seed = static_cast<std::uint64_t>(value.revision.value);
+        digest ^= value.removed ? 0 : XXH3_64bits_withSeed(key.data(), key.size(), seed);
     }
+    return digest;
+}
+
+revision_number askAfter(const mirrored_keys &keys)
+{
+    return keys.differs ? revision_number{} : keys.seen;
+}
+
+std::vector<key_change> takeUpdate(mirrored_keys &keys, const mirror_update &update)
+{
+    const bool noOlder = update.seen >= keys.seen;
     std::vector<key_change> news;
-    for (const auto &change : update.changes) {
-        if (takeChange(keys, change)) {
-            news.push_back(change);
+    if (update.whole) {
+        news = takeWhole(keys, keys.prefix, update.changes, update.seen);
+    } else {
+        for (const auto &change : update.changes) {
+            if (takeChange(keys, change)) {
+                news.push_back(change);
+            }
         }
+        noteSeen(keys, update.seen);
     }
-    noteSeen(keys, update.seen);
+    keys.differs = noOlder && digestOf(keys) != update.digest;
     return news;
 }
 
--- a/packages/decisions/src/mirror_codec.cpp
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -15,7 +15,7 @@
     for (const auto &change : update.changes) {
         changes.push_back({change.key, change.now.text, change.now.revision.value, change.now.removed});
     }
-    return {update.whole, update.seen.value, std::move(changes)};
+    return {update.whole, update.seen.value, update.digest, std::move(changes)};
 }
 
 mirror_update parseUpdate(const json &row)
@@ -23,7 +23,8 @@
     mirror_update update;
     update.whole = row.at(0).get<bool>();
     update.seen.value = row.at(1).get<std::int64_t>();
-    for (const auto &change : row.at(2)) {
+    update.digest = row.at(2).get<std::uint64_t>();
+    for (const auto &change : row.at(3)) {
         update.changes.push_back(
             {change.at(0).get<std::string>(),
              {change.at(1).get<std::string>(), {change.at(2).get<std::int64_t>()}, change.at(3).get<bool>()}});
--- a/packages/decisions/src/mirror_func.h
+++ b/packages/decisions/src/mirror_func.h
@@ -44,8 +44,23 @@
 mirror_update changesAfter(const mirrored_keys &keys, revision_number after);
 
 /**
- * Takes what another daemon told.
+ * Reckons a digest of all keys that exist, with their revisions.
  * @param keys Mirror.
+ * @return Digest; equal for mirrors that know the same.
+ */
+std::uint64_t digestOf(const mirrored_keys &keys);
+
+/**
+ * What a mirror asks others for changes after.
+ * @param keys Mirror.
+ * @return The revision up to which it knows all; 0, for all keys, if it was seen to differ.
+ */
+revision_number askAfter(const mirrored_keys &keys);
+
+/**
+ * Takes what another daemon told. A watch may have passed over a change that is older than what this mirror has seen,
+ * so that it is not among those told; the digest shows it.
+ * @param keys Mirror; marked if it differs from one that is no older.
  * @param update Changes since the revision that this mirror had seen.
  * @return What was news, oldest first.
  */
--- a/packages/decisions/src/mirror_type.h
+++ b/packages/decisions/src/mirror_type.h
@@ -37,6 +37,8 @@
     revision_number forgotten; ///< Removals up to this revision may have been forgotten.
     std::map<std::string, mirrored_value> values; ///< By key, lately removed ones too.
     std::size_t removals = 0; ///< Removed ones among them.
+    bool differs =
+        false; ///< Whether another daemon's mirror that is no older was seen to differ: all is asked for next.
 };
 
 /** What changed under one prefix since a revision. */
@@ -44,6 +46,7 @@
 {
     bool whole = false; ///< Whether these are all keys: what is not named does not exist.
     revision_number seen; ///< All changes up to this revision are known now.
+    std::uint64_t digest = 0; ///< Of all keys that exist, as digestOf reckons it.
     std::vector<key_change> changes; ///< Changes, oldest first.
 
     bool operator==(const mirror_update &) const = default;
--- a/packages/decisions/tests/mirror_test.cpp
+++ b/packages/decisions/tests/mirror_test.cpp
@@ -92,6 +92,35 @@
     EXPECT_FALSE(takeChange(keys, put("a/3", 8))) << "its removal was forgotten";
 }
 
+// A watch that told nothing of a removal moved on beyond it; the daemon that is asked knows of the removal from a list.
+TEST(mirror, aRemovalThatAWatchPassedOverIsNoticedAndHealed)
+{
+    mirrored_keys first{"a/"};
+    takeWhole(first, "a/", {put("a/1", 3), put("a/2", 4)}, {5});
+    auto second = first;
+    takeChange(first, removal("a/1", 7));
+    noteSeen(first, {9});
+    noteSeen(second, {9});
+    EXPECT_TRUE(takeUpdate(second, changesAfter(first, askAfter(second))).empty());
+    EXPECT_NE(digestOf(second), digestOf(first)) << "its entries must not be told on as verified";
+    EXPECT_EQ(askAfter(second), revision_number{});
+    const auto news = takeUpdate(second, changesAfter(first, askAfter(second)));
+    EXPECT_EQ(news, std::vector<key_change>{removal("a/1", 9)});
+    EXPECT_EQ(digestOf(second), digestOf(first));
+    EXPECT_EQ(askAfter(second), revision_number{9});
+}
+
+TEST(mirror, whoKnowsMoreThanTheDaemonItAsksDoesNotAskForAllAgain)
+{
+    mirrored_keys behind{"a/"};
+    takeWhole(behind, "a/", {put("a/1", 3)}, {5});
+    auto ahead = behind;
+    takeChange(ahead, put("a/2", 6));
+    noteSeen(ahead, {6});
+    takeUpdate(ahead, changesAfter(behind, askAfter(ahead)));
+    EXPECT_EQ(askAfter(ahead), revision_number{6});
+}
+
 TEST(mirror, chainsOfMirrorsEndEqualWhateverIsLostOnTheWay)
 {
     std::mt19937_64 random(20261204);
@@ -105,7 +134,7 @@
             noteSeen(chain[0], {revision});
             // Any later one asks any earlier one; some answers are lost, some come twice.
             const auto asker = 1 + random() % 3;
-            const auto answer = changesAfter(chain[random() % asker], chain[asker].seen);
+            const auto answer = changesAfter(chain[random() % asker], askAfter(chain[asker]));
             for (auto times = random() % 3; times > 0; --times) {
                 takeUpdate(chain[asker], answer);
             }
@@ -120,7 +149,7 @@
 TEST(mirror, answersAreReadAsTheyWereWritten)
 {
     changes_answer answer;
-    answer.updates = {{true, {9}, {put("a/1", 4)}}, {false, {8}, {removal("b/2", 7)}}};
+    answer.updates = {{true, {9}, ~0ULL, {put("a/1", 4)}}, {false, {8}, 12, {removal("b/2", 7)}}};
     answer.verifiedAfter = milliseconds(-1200);
     answer.entry = {4};
     const auto bytes = encodeAnswer(answer);
--- a/packages/decisions/tests/roster_world.cpp
+++ b/packages/decisions/tests/roster_world.cpp
@@ -200,7 +200,9 @@
         deliverMissing(world, node);
     }
     const auto verifiedAt = sentAt + answer.verifiedAfter;
-    node.verifiedAt = std::max(node.verifiedAt.value_or(verifiedAt), verifiedAt);
+    if (digestOf(node.mirror) == answer.updates.front().digest) {
+        node.verifiedAt = std::max(node.verifiedAt.value_or(verifiedAt), verifiedAt);
+    }
     takeVerified(node.roster, answer.entry, verifiedAt);
     node.toldUntil = world.now + toldFor;
 }
@@ -238,7 +240,7 @@
     }
     // Peer ports count up from 1 in the order of the nodes.
     const std::size_t asked = upstreams[world.random() % upstreams.size()].port - 1U;
-    const auto seen = node.mirror.seen;
+    const auto seen = askAfter(node.mirror);
     const auto id = node.roster.self.member.id.value;
     carry(world, index, asked, [&world, index, asked, seen, id, sentAt = world.now] {
         answerQuestion(world, index, asked, seen, id, sentAt);
