Fix: a region whose reader's watch is deaf, or is lost, hears of changes in time; currency is told from daemon to daemon

Besides, each hop of a chain counted its 1.25 s anew, so stops in series added up. Ruled out: the stop of the reader (after the first late version); silent questions (no such line). Change: watches under way are dropped when the store is back; a confirmation looks for deaf ones 250 ms later, not at the next one; confirmations each 1.5 s; an answer says up to when all changes are known, from the last call that the store answered to the start of the chain; nobody left to ask ends the rest of watches at once; followers press a store that is away less often (0.5 s).

--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -4,6 +4,7 @@
 #include "admission_func.h"
 #include "datagrams.h"
 #include "elapsed_clock.h"
+#include "exchange_func.h"
 #include "http_server.h"
 #include "log_func.h"
 #include "message_type.h"
@@ -197,6 +198,7 @@
 asio::awaitable<void> tickLoop(roster_control &control)
 {
     for (;;) {
+        chooseRenewal(control.exchange.state, control.state, clock::now());
         advance(control);
         tellLoad(control, clock::now());
         advanceGate(control.shared->admission, clock::now());
@@ -316,8 +318,12 @@
     };
     asio::co_spawn(control.context, receiveDatagrams(control.socket, control.received, take), asio::detached);
     control.port.setRelay(makeRelay(control));
-    control.port.observeCalls(
-        [numbers = control.shared->numbers](const store_call &call) { countCall(*numbers, call); });
+    control.port.observeCalls([&control](const store_call &call) {
+        countCall(*control.shared->numbers, call);
+        if (call.result == call_result::answered && !call.waits) {
+            noteHeard(control.exchange.state, clock::now() - call.took);
+        }
+    });
     control.exchange.firstPause = firstWatchPause;
     control.shared->answerChanges = [&control](changes_request request) {
         return asio::co_spawn(control.context, answerChanges(control, std::move(request)), asio::use_awaitable);
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -8,6 +8,7 @@
 #include "roster_base.h"
 #include "roster_port.h"
 #include "shared_base.h"
+#include "wake_event.h"
 
 #include <array>
 #include <random>
@@ -21,6 +22,8 @@
     bool pauses = false; ///< Whether changes in quick succession may come together.
     milliseconds firstPause{0}; ///< Between the first read and the first watch.
     revision_number emptyAt; ///< Revision at which the changes after those seen were asked for and none was told.
+    std::optional<steady_time> watchedSince; ///< Since when it is watched at the store; nothing while it is not.
+    std::function<void()> dropWatch; ///< Ends the watch under way, which is then made anew; empty if there is none.
     std::function<asio::awaitable<std::optional<range_result>>(last_reason &why)>
         readAll; ///< Reads all keys; gives nothing without an answer.
     std::function<void(const watch_event &)> takeEvent; ///< Takes one change.
@@ -56,8 +59,8 @@
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing among them.
     std::vector<std::shared_ptr<followed_prefix>> followed; ///< What is followed; the same order in all daemons.
     change_exchange exchange; ///< Changes told by and to other daemons.
+    wake_event toldEnds{context.get_executor()}; ///< Wakes watches that rest while other daemons tell of all changes.
     std::set<revision_number> explained; ///< Revisions of changes that were told under any followed prefix.
-    revision_number storeRevision; ///< Revision of the whole store at the last confirmation.
     steady_time nextLoad{}; ///< When to tell about the own load next.
     bool storeHeard = true; ///< Whether the last call to the store was answered.
     steady_time nextGauges{}; ///< When to set the gauges next.
--- a/packages/daemon/src/roster_exchange.cpp
+++ b/packages/daemon/src/roster_exchange.cpp
@@ -8,6 +8,7 @@
 #include "peer_wire.h"
 #include "roster_follow.h"
 #include "roster_keys.h"
+#include "store_watch.h"
 #include "upstream_func.h"
 
 #include <algorithm>
@@ -89,6 +90,9 @@
 asio::awaitable<ask_result> askAny(roster_control &control)
 {
     const auto upstreams = control.state.listed ? upstreamsOf(control.state) : std::vector<endpoint>();
+    if (upstreams.empty()) {
+        endRest(control); // This daemon reads for its region now.
+    }
     auto &avoided = control.exchange.avoidedUntil;
     for (const auto &at : upstreams) {
         if (avoided.contains(at) && clock::now() < avoided[at]) {
@@ -102,6 +106,7 @@
         logEvent(log_level::info, silent ? "upstream-silent" : "upstream-refused", {{"peer", toString(at)}});
         avoided[at] = clock::now() + (silent ? avoidFor : refusedFor);
     }
+    endRest(control);
     co_return ask_result::silent;
 }
 
@@ -170,6 +175,7 @@
     answer.verifiedAfter = verifiedAfter(exchange, control.state.timing, arrivedAt);
     const auto *entry = findExisting(findFollowed(control, rootPrefix)->mirror, entryKey(request.node));
     answer.entry = entry == nullptr ? revision_number{} : entry->revision;
+    answer.knownAfter = knownAfter(exchange, arrivedAt);
     co_return answer;
 }
 
--- a/packages/daemon/src/roster_follow.cpp
+++ b/packages/daemon/src/roster_follow.cpp
@@ -2,12 +2,15 @@
 #include "roster_follow.h"
 
 #include "elapsed_clock.h"
+#include "exchange_func.h"
 #include "log_func.h"
 #include "mirror_func.h"
 #include "roster_func.h"
+#include "store_watch.h"
 #include "upstream_func.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace quetzalspool {
 
@@ -15,10 +18,12 @@
 
 using clock = elapsed_clock;
 
-constexpr milliseconds watchWait{10000}; ///< One wait for changes; a longer one would hide a dead connection longer.
 constexpr milliseconds noWait{1}; ///< A watch that only asks what there is by now.
 constexpr std::size_t regionsAtMost = 12; ///< One daemon of each watches the store for all others.
 constexpr milliseconds followRetry{200}; ///< Wait after a failed read or watch.
+constexpr milliseconds followerRetry{500}; ///< The same where another daemon may hear of the store sooner: all of them
+                                           ///< together must not press a store that is away.
+constexpr milliseconds tellTime{250}; ///< A watch that works has told of a change this long after it was made.
 
 /** Whether a watch came back with changes. Otherwise it was cut, fell behind the history, or was deaf. */
 bool isTelling(const std::optional<watch_result> &seen)
@@ -50,20 +55,18 @@
     passNews(control, followed, news);
 }
 
-/** Waits while other daemons tell of all changes. */
-asio::awaitable<void> sleepWhileTold(roster_control &control)
-{
-    for (auto now = clock::now(); now < control.exchange.state.toldUntil; now = clock::now()) {
-        co_await sleepFor(std::chrono::duration_cast<milliseconds>(control.exchange.state.toldUntil - now) + noWait);
-    }
-}
-
 /** Daemons that watch the store themselves now, as far as this one knows. */
 std::size_t watchersOf(const roster_control &control)
 {
     return upstreamsOf(control.state).empty() ? regionsAtMost : control.state.nodes.size();
 }
 
+/** Pause before a prefix that pauses is watched again after a change. */
+milliseconds pauseOf(const roster_control &control)
+{
+    return watchPause(watchersOf(control), control.shared->settings.roster->storeReads);
+}
+
 /** Whether all changes up to a revision are known: told by this prefix, or under another one that is followed. */
 bool knowsAll(const roster_control &control, const followed_prefix &followed, revision_number until)
 {
@@ -78,7 +81,7 @@
 /** Forgets explained revisions that all followed prefixes have passed. */
 void forgetExplained(roster_control &control)
 {
-    auto least = control.storeRevision;
+    revision_number least{std::numeric_limits<std::int64_t>::max()};
     for (const auto &followed : control.followed) {
         least = std::min(least, followed->mirror.seen);
     }
@@ -125,6 +128,7 @@
         control.storeHeard = heard;
         if (heard) {
             logEvent(log_level::info, "store-back");
+            dropWatches(control);
         } else {
             logEvent(log_level::warn, "store-lost", {{"reason", describe(why)}});
         }
@@ -173,28 +177,29 @@
             const auto all = co_await followed->readAll(why);
             noteStore(control, all.has_value(), why);
             if (!all) {
-                co_await sleepFor(followRetry);
+                const bool reads = readsForOthers(control.exchange.state, control.state, clock::now());
+                co_await sleepFor(reads ? followRetry : followerRetry);
                 continue;
             }
             takeRead(control, *followed, mirror.prefix, *all);
             onChange();
             co_await sleepFor(std::exchange(followed->firstPause, milliseconds(0)));
         }
-        co_await sleepWhileTold(control);
+        co_await restWhileTold(control, followed);
         auto watchedAt = clock::now();
-        auto seen = co_await control.port.store.watch(mirror.prefix, mirror.seen, watchWait, why);
+        auto seen = co_await watchStore(control, followed, why);
         while (isTelling(seen)) {
             takeEvents(control, *followed, *seen);
             onChange();
             if (followed->pauses) {
-                co_await sleepFor(watchPause(watchersOf(control), control.shared->settings.roster->storeReads));
+                co_await sleepFor(pauseOf(control));
             }
-            co_await sleepWhileTold(control);
+            co_await restWhileTold(control, followed);
             watchedAt = clock::now();
-            seen = co_await control.port.store.watch(mirror.prefix, mirror.seen, watchWait, why);
+            seen = co_await watchStore(control, followed, why);
         }
         // What a watch missed while others told of it is known.
-        told = clock::now() < control.exchange.state.toldUntil;
+        told = isTold(control.exchange.state, clock::now());
         if (clock::now() - watchedAt < followRetry) {
             co_await sleepFor(followRetry); // A store that ends watches at once is not asked again at once.
         }
@@ -203,15 +208,18 @@
 
 asio::awaitable<void> catchUpWhereBehind(roster_control &control, revision_number revision)
 {
-    const auto before = std::exchange(control.storeRevision, revision);
+    co_await sleepFor(tellTime);
     for (const auto &followed : control.followed) {
+        if (followed->pauses) {
+            co_await sleepFor(pauseOf(control));
+        }
         auto &seen = followed->mirror.seen;
-        if (seen == revision_number{} || seen >= before) {
+        if (seen == revision_number{} || seen >= revision) {
             continue;
         }
-        if (knowsAll(control, *followed, before)) {
-            seen = before;
-        } else {
+        if (knowsAll(control, *followed, revision)) {
+            seen = revision;
+        } else if (!isTold(control.exchange.state, clock::now())) {
             co_await catchUp(control, followed);
         }
     }
--- a/packages/daemon/src/roster_follow.h
+++ b/packages/daemon/src/roster_follow.h
@@ -52,8 +52,8 @@
                              std::function<void()> onChange);
 
 /**
- * Compares the store's revision with what the watches have told. A watch may be deaf without being cut; what the store
- * had changed at the confirmation before, it has had time to tell.
+ * Compares the store's revision with what the watches have told once they have had time to tell it. A watch may be deaf
+ * without being cut.
  * @param control Control state.
  * @param revision Revision of the whole store at this confirmation.
  * @return An awaitable.
--- /dev/null
+++ b/packages/daemon/src/store_watch.cpp
@@ -0,0 +1,107 @@
+/** @file store_watch.cpp Watches of the store that can be dropped. */
+#include "store_watch.h"
+
+#include "elapsed_clock.h"
+#include "exchange_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = elapsed_clock;
+
+constexpr milliseconds watchWait{10000}; ///< One wait for changes; a longer one would hide a dead connection longer.
+constexpr milliseconds answerLimit{60000}; ///< Far beyond what a call may take; its end always comes before.
+
+/** A watch under way. */
+struct open_watch
+{
+    explicit open_watch(const asio::any_io_executor &executor)
+        : ended(executor)
+    { }
+
+    std::optional<watch_result> seen; ///< What the store told.
+    last_reason why; ///< Why it told nothing.
+    bool over = false; ///< Whether it was answered, failed, or was dropped.
+    wake_event ended; ///< Wakes whoever waits for its end.
+};
+
+/** Notes since when all that is followed is watched. */
+void noteWatching(roster_control &control)
+{
+    auto since = std::optional<steady_time>(steady_time::min());
+    for (const auto &followed : control.followed) {
+        since =
+            since && followed->watchedSince ? std::optional(std::max(*since, *followed->watchedSince)) : std::nullopt;
+    }
+    control.exchange.state.watchedSince = since;
+}
+
+/** Runs to its own end, also if nobody waits for it any more. */
+asio::awaitable<void> performWatch(roster_control &control, std::string prefix, revision_number after,
+                                   std::shared_ptr<open_watch> watch)
+{
+    last_reason why;
+    auto seen = co_await control.port.store.watch(std::move(prefix), after, watchWait, why);
+    if (!watch->over) {
+        watch->seen = std::move(seen);
+        watch->why = std::move(why);
+        watch->over = true;
+        watch->ended.wake();
+    }
+}
+
+} // namespace
+
+asio::awaitable<std::optional<watch_result>> watchStore(roster_control &control,
+                                                        std::shared_ptr<followed_prefix> followed, last_reason &why)
+{
+    followed->watchedSince = followed->watchedSince.value_or(clock::now());
+    noteWatching(control);
+    const auto watch = std::make_shared<open_watch>(control.context.get_executor());
+    followed->dropWatch = [watch] {
+        watch->over = true;
+        watch->ended.wake();
+    };
+    const auto &mirror = followed->mirror;
+    asio::co_spawn(control.context, performWatch(control, mirror.prefix, mirror.seen, watch), asio::detached);
+    while (!watch->over) {
+        co_await watch->ended.waitUntil(clock::now() + answerLimit);
+    }
+    followed->dropWatch = nullptr;
+    if (!watch->seen) {
+        followed->watchedSince.reset();
+        noteWatching(control);
+    }
+    why = watch->why;
+    co_return std::move(watch->seen);
+}
+
+asio::awaitable<void> restWhileTold(roster_control &control, std::shared_ptr<followed_prefix> followed)
+{
+    const auto &exchange = control.exchange.state;
+    while (isTold(exchange, clock::now())) {
+        followed->watchedSince.reset();
+        noteWatching(control);
+        co_await control.toldEnds.waitUntil(toldUntil(exchange));
+    }
+}
+
+void endRest(roster_control &control)
+{
+    endTold(control.exchange.state);
+    control.toldEnds.wake();
+}
+
+void dropWatches(roster_control &control)
+{
+    for (const auto &followed : control.followed) {
+        if (followed->dropWatch) {
+            followed->dropWatch();
+        }
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/decisions/src/exchange_cmd.cpp
+++ b/packages/decisions/src/exchange_cmd.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr milliseconds toldFor{
-    1250}; ///< After an answer the next one is awaited this long before the store is watched.
+constexpr milliseconds toldFor{1250}; ///< Without news for this long the store is watched: two renewals of the daemon
+                                      ///< that reads it, and the way here.
 constexpr milliseconds freshLimit{4000}; ///< A daemon that knows the store only as it was before tells nothing.
 constexpr milliseconds askedLately{3000}; ///< A daemon that another one asked within this time reads for it too.
 
@@ -23,10 +23,37 @@
     return exchange.verifiedAt && now - *exchange.verifiedAt < freshLimit;
 }
 
+bool isTold(const exchange_state &exchange, steady_time now)
+{
+    return now < toldUntil(exchange);
+}
+
+steady_time toldUntil(const exchange_state &exchange)
+{
+    return exchange.toldAt + toldFor;
+}
+
+void endTold(exchange_state &exchange)
+{
+    exchange.toldAt = {};
+}
+
+void noteHeard(exchange_state &exchange, steady_time sentAt)
+{
+    if (exchange.watchedSince && sentAt >= *exchange.watchedSince && sentAt > exchange.readAt) {
+        exchange.readAt = sentAt;
+        ++exchange.version;
+    }
+}
+
+void chooseRenewal(const exchange_state &exchange, roster_state &roster, steady_time now)
+{
+    roster.lease.renewsOften = exchange.watchedSince && now - exchange.askedAt < askedLately;
+}
+
 bool readsForOthers(const exchange_state &exchange, const roster_state &roster, steady_time now)
 {
-    const bool told = now < exchange.toldUntil;
-    return !told && (upstreamsOf(roster).empty() || now - exchange.askedAt < askedLately);
+    return !isTold(exchange, now) && (upstreamsOf(roster).empty() || now - exchange.askedAt < askedLately);
 }
 
 void noteVerified(exchange_state &exchange, steady_time sentAt)
@@ -44,6 +71,12 @@
     return after - std::chrono::abs(after) * timing.driftPercent / 100;
 }
 
+milliseconds knownAfter(const exchange_state &exchange, steady_time arrivedAt)
+{
+    const auto knownAt = std::max(exchange.toldAt, exchange.readAt);
+    return std::chrono::floor<milliseconds>(knownAt - arrivedAt);
+}
+
 void takeProof(exchange_state &exchange, roster_state &roster, const changes_answer &answer, bool same,
                steady_time askedAt, steady_time now)
 {
@@ -53,7 +86,11 @@
         noteVerified(exchange, verifiedAt);
     }
     takeVerified(roster, answer.entry, verifiedAt);
-    exchange.toldUntil = now + toldFor;
+    const auto toldAt = std::min(askedAt + answer.knownAfter, now);
+    if (toldAt > exchange.toldAt) {
+        exchange.toldAt = toldAt;
+        ++exchange.version; // Others may wait for just this word.
+    }
 }
 
 } // namespace quetzalspool
--- a/packages/decisions/src/exchange_func.h
+++ b/packages/decisions/src/exchange_func.h
@@ -16,6 +16,46 @@
  */
 bool isFresh(const exchange_state &exchange, steady_time now);
 
+/**
+ * Tells whether others have told of all changes until a moment ago, so that the store need not be watched. What counts
+ * is when the store was heard at the start of the chain, not when the last daemon of it answered: a chain whose first
+ * daemon is lost goes stale everywhere at once.
+ * @param exchange State of the exchange.
+ * @param now Present time.
+ * @return Whether they have.
+ */
+bool isTold(const exchange_state &exchange, steady_time now);
+
+/**
+ * Tells until when isTold holds if nobody tells more.
+ * @param exchange State of the exchange.
+ * @return That moment.
+ */
+steady_time toldUntil(const exchange_state &exchange);
+
+/**
+ * Notes that nobody is left to tell of changes.
+ * @param exchange State of the exchange.
+ */
+void endTold(exchange_state &exchange);
+
+/**
+ * Notes that the store has answered a call other than a watch. If all watches were under way by then, they have told of
+ * all changes that were made before.
+ * @param exchange State of the exchange.
+ * @param sentAt Moment before the call was sent.
+ */
+void noteHeard(exchange_state &exchange, steady_time sentAt);
+
+/**
+ * Chooses how often the own store lease is renewed: more often where others rest on what this daemon reads, since each
+ * answer of the store shows them that its way there is open, and a renewal is the cheapest call.
+ * @param exchange State of the exchange.
+ * @param roster Roster.
+ * @param now Present time.
+ */
+void chooseRenewal(const exchange_state &exchange, roster_state &roster, steady_time now);
+
 /**
  * Tells whether other daemons rest on what this one reads of the store.
  * @param exchange State of the exchange.
@@ -41,6 +81,14 @@
  */
 milliseconds verifiedAfter(const exchange_state &exchange, const roster_timing &timing, steady_time arrivedAt);
 
+/**
+ * Makes the other half of the answer: up to when all changes are known.
+ * @param exchange State of the exchange.
+ * @param arrivedAt Arrival of the question.
+ * @return From then to that moment; negative if it was before.
+ */
+milliseconds knownAfter(const exchange_state &exchange, steady_time arrivedAt);
+
 /**
  * Takes what an answer proves.
  * @param exchange State of the exchange.
--- a/packages/decisions/src/mirror_codec.cpp
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -41,7 +41,8 @@
         updates.push_back(formatUpdate(update));
     }
     std::string bytes;
-    json::to_msgpack(json{std::move(updates), answer.verifiedAfter.count(), answer.entry.value}, bytes);
+    json::to_msgpack(
+        json{std::move(updates), answer.verifiedAfter.count(), answer.entry.value, answer.knownAfter.count()}, bytes);
     return bytes;
 }
 
@@ -55,6 +56,7 @@
         }
         answer.verifiedAfter = milliseconds(body.at(1).get<std::int64_t>());
         answer.entry.value = body.at(2).get<std::int64_t>();
+        answer.knownAfter = milliseconds(body.at(3).get<std::int64_t>());
         return answer;
     } catch (const json::exception &error) {
         return failed(why, "decode changes", "", error.what());
--- a/packages/decisions/src/mirror_type.h
+++ b/packages/decisions/src/mirror_type.h
@@ -66,6 +66,8 @@
     milliseconds verifiedAfter{0}; ///< From the arrival of the question to when the store was last asked for all
                                    ///< entries of nodes; negative if that was before.
     revision_number entry; ///< Revision of the asker's entry, which was there then or later; 0 if it was not.
+    milliseconds knownAfter{0}; ///< From the arrival of the question to the moment up to which all changes are known;
+                                ///< negative if that was before.
 
     bool operator==(const changes_answer &) const = default;
 };
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -39,6 +39,7 @@
     steady_time nextConfirm{}; ///< When to confirm the entry next.
     steady_time nextEntry{}; ///< No write of the entry before this moment, after a failure.
     steady_time nextRenewal{}; ///< When to renew the store lease next.
+    bool renewsOften = false; ///< Whether renewals also show other daemons that the store is reached.
 };
 
 /** What is known of the target beside this daemon. */
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -146,7 +146,7 @@
         actions.push_back(read_owners_action{});
     }
     if (lease.entered && now >= lease.nextRenewal) {
-        lease.nextRenewal = now + state.timing.entryRenewal;
+        lease.nextRenewal = now + (lease.renewsOften ? state.timing.quickRenewal : state.timing.entryRenewal);
         actions.push_back(renew_action{});
     }
     if (!state.writing && now >= state.nextWrite && mayGrant(state, now)) {
--- a/packages/decisions/src/roster_type.h
+++ b/packages/decisions/src/roster_type.h
@@ -25,9 +25,10 @@
 struct roster_timing
 {
     milliseconds leasePeriod{7000}; ///< Right to grant that one confirmation by the store gives.
-    milliseconds confirmInterval{1800}; ///< Between two confirmations by a read of the own entry.
+    milliseconds confirmInterval{1500}; ///< Between two confirmations by a read of the own entry.
     milliseconds entryTtl{3000}; ///< Time to live of the store lease under the own entry.
     milliseconds entryRenewal{900}; ///< Between two renewals of that store lease.
+    milliseconds quickRenewal{600}; ///< The same where other daemons rest on this one's way to the store.
     milliseconds holdPeriod{5500}; ///< How long a target may serve its keys after one report.
     milliseconds settleTime{1500}; ///< Quiet time before the first owners of a pool are chosen.
     milliseconds absentLimit{3000}; ///< A node whose entry is missing for this long gets no new work.
--- /dev/null
+++ b/packages/decisions/tests/exchange_world_test.cpp
@@ -0,0 +1,154 @@
+/** @file exchange_world_test.cpp How soon a change of the store is known where daemons tell each other and are lost. */
+#include "exchange_func.h"
+#include "roster_world_parts.h"
+#include "upstream_func.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+constexpr milliseconds changeLimit{1800}; ///< Changes are in force after 2 s; the rest is for what follows in a daemon.
+constexpr milliseconds look{50}; ///< Between two looks at who knows what.
+constexpr milliseconds quickChanges{250}; ///< Between two changes.
+constexpr milliseconds stopLead{500}; ///< A daemon that stops says so this long before it is gone.
+constexpr milliseconds startTime{3000}; ///< A daemon that has just started may know less.
+
+const std::string probe = "markers/probe";
+
+/** A value that is changed again and again, and when each change was made. */
+struct probe_history
+{
+    std::vector<std::pair<steady_time, std::int64_t>> changes; ///< Moment and revision.
+
+    void change(roster_world &world)
+    {
+        ++world.store.revision;
+        world.store.values[probe] = {"x", world.store.revision, 0};
+        changes.emplace_back(world.now, world.store.revision);
+    }
+
+    /** Latest revision that all have to know. */
+    [[nodiscard]] std::int64_t due(steady_time now) const
+    {
+        std::int64_t revision = 0;
+        for (const auto &[at, value] : changes) {
+            revision = at + changeLimit <= now ? value : revision;
+        }
+        return revision;
+    }
+};
+
+std::int64_t knownOf(const fake_node &node)
+{
+    const auto *value = findExisting(node.mirror, probe);
+    return value == nullptr ? 0 : value->revision.value;
+}
+
+/** The daemon that asks the store for its region, as the others see it. */
+std::size_t readerOf(const roster_world &world)
+{
+    for (std::size_t index = 0; index < world.nodes.size(); ++index) {
+        const auto &node = world.nodes[index];
+        if (node.up && !node.roster.stopping && upstreamsOf(node.roster).empty()) {
+            return index;
+        }
+    }
+    return 0;
+}
+
+/** How a daemon is lost. */
+enum class loss
+{
+    planned, ///< It says that it leaves, then ends.
+    sudden, ///< It ends.
+    cut, ///< It runs on without a path to the store.
+    silent, ///< It runs on without a path to anybody.
+};
+
+void lose(roster_world &world, std::size_t index, loss how)
+{
+    auto &node = world.nodes[index];
+    const auto end = [&world, index] { world.nodes[index].up = false; };
+    switch (how) {
+    case loss::planned:
+        node.roster.stopping = true;
+        node.roster.self.member.leaving = true;
+        after(world, stopLead, end);
+        break;
+    case loss::sudden:
+        end();
+        break;
+    case loss::silent:
+        node.cutFromPeersUntil = world.now + seconds(4);
+        [[fallthrough]];
+    case loss::cut:
+        node.cutUntil = world.now + seconds(4);
+        return;
+    }
+    after(world, seconds(2), [&world, index] { restartDaemon(world, index); });
+}
+
+/** Loses the reader of the region again and again while the probe changes; gives the worst lateness. */
+void playLosses(std::uint64_t seed, loss how)
+{
+    auto world = makeRosterWorld(seed, 12);
+    world.exchanges = true;
+    runFor(world, seconds(20));
+    probe_history history;
+    std::map<std::size_t, steady_time> troubledAt;
+    std::map<std::size_t, std::uint64_t> runs;
+    steady_time nextLoss = world.now;
+    steady_time nextChange = world.now;
+    const auto until = world.now + seconds(12);
+    while (world.now < until) {
+        if (world.now >= nextChange) {
+            history.change(world);
+            nextChange = world.now + quickChanges;
+        }
+        if (world.now >= nextLoss) {
+            const auto lost = readerOf(world);
+            lose(world, lost, how);
+            nextLoss = world.now + milliseconds(900);
+        }
+        runFor(world, look);
+        for (std::size_t index = 0; index < world.nodes.size(); ++index) {
+            const auto &node = world.nodes[index];
+            const bool newRun = std::exchange(runs[index], node.run) != node.run;
+            if (newRun || !node.up || node.roster.stopping || !reaches(world, node)
+                || world.now < node.cutFromPeersUntil) {
+                troubledAt[index] = world.now;
+            }
+            if (troubledAt[index] != steady_time{} && world.now < troubledAt[index] + startTime) {
+                continue;
+            }
+            ASSERT_GE(knownOf(node), history.due(world.now))
+                << "seed " << seed << ", loss " << static_cast<int>(how) << ", n" << index << " at "
+                << std::chrono::duration_cast<milliseconds>(world.now.time_since_epoch()).count();
+        }
+    }
+    EXPECT_EQ(world.fault, "");
+}
+
+} // namespace
+
+class exchange_losses : public testing::TestWithParam<loss>
+{ };
+
+TEST_P(exchange_losses, changesAreKnownInTimeWhereThoseThatReadForTheRegionAreLostInSeries)
+{
+    constexpr std::uint64_t firstSeed = 700;
+    constexpr std::uint64_t seeds = 4;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+        playLosses(seed, GetParam());
+        if (HasFatalFailure()) {
+            return;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(all, exchange_losses, testing::Values(loss::planned, loss::sudden, loss::cut, loss::silent));
+
+} // namespace quetzalspool::test
--- a/packages/decisions/tests/roster_world.cpp
+++ b/packages/decisions/tests/roster_world.cpp
@@ -150,6 +150,7 @@
         return [&world, index, entry, revision, sentAt, all, entries, storeRevision] {
             auto &node = world.nodes[index];
             takeConfirmed(node.roster, entry, {revision}, sentAt, world.now);
+            noteHeard(node.exchange, sentAt);
             if (all) {
                 deliverNews(world, node, takeWhole(node.mirror, "nodes/", entries, storeRevision));
                 noteVerified(node.exchange, sentAt);
@@ -161,11 +162,11 @@
 
 void renew(roster_world &world, std::size_t index)
 {
-    const auto act = [&world, index]() -> std::function<void()> {
+    const auto act = [&world, index, sentAt = world.now]() -> std::function<void()> {
         const auto lease = world.store.leases.find(world.nodes[index].lease);
         if (lease != world.store.leases.end()) {
             lease->second.endsAt = world.now + lease->second.ttl;
-            return [] {};
+            return [&world, index, sentAt] { noteHeard(world.nodes[index].exchange, sentAt); };
         }
         return [&world, index] { takeLapsed(world.nodes[index].roster, world.now); };
     };
@@ -285,6 +286,7 @@
     if (node.up) {
         follow(world, node);
         ask(world, index);
+        chooseRenewal(node.exchange, node.roster, world.now);
         for (auto &action : tick(node.roster, world.now)) {
             perform(world, index, std::move(action));
         }
--- a/packages/decisions/tests/roster_world_exchange.cpp
+++ b/packages/decisions/tests/roster_world_exchange.cpp
@@ -71,6 +71,7 @@
     answer.verifiedAfter = verifiedAfter(node.exchange, node.roster.timing, world.now);
     const auto *entry = findExisting(node.mirror, keyOf("nodes", id));
     answer.entry = entry == nullptr ? revision_number{} : entry->revision;
+    answer.knownAfter = knownAfter(node.exchange, world.now);
     carry(world, asked, asker, [&world, asker, answer, sentAt] { takeAnswer(world, asker, answer, sentAt); });
 }
 
@@ -119,8 +120,14 @@
 /** What the watch and lists tell: everything present, and that known entries are missing. */
 void follow(roster_world &world, fake_node &node)
 {
-    if (!reaches(world, node) || world.now < node.watchDeafUntil || node.known == world.store.revision
-        || world.now < node.exchange.toldUntil) {
+    if (isTold(node.exchange, world.now)) {
+        node.exchange.watchedSince.reset();
+        return;
+    }
+    if (!node.exchange.watchedSince) {
+        node.exchange.watchedSince = world.now;
+    }
+    if (!reaches(world, node) || world.now < node.watchDeafUntil || node.known == world.store.revision) {
         return;
     }
     ++world.storeReads;
@@ -139,6 +146,7 @@
     node.nextQuestion = world.now + questionInterval;
     const auto upstreams = upstreamsOf(node.roster);
     if (upstreams.empty()) {
+        endTold(node.exchange);
         return;
     }
     // Peer ports count up from 1 in the order of the nodes.
--- a/packages/store/src/lease_store.h
+++ b/packages/store/src/lease_store.h
@@ -33,6 +33,7 @@
     std::string_view kind; ///< What was asked: "read", "list", "watch", "commit", "open-lease" or "renew-lease".
     call_result result = call_result::unanswered; ///< How it ended.
     bool relayed = false; ///< Whether another daemon made it.
+    bool waits = false; ///< Whether it waits for changes, so that its answer tells nothing of when the store was heard.
     milliseconds took{0}; ///< How long it took.
 };
 
