Add: large answers are sent with leave, as many bytes at once as the instance's link carries without a queue

Change: pieces of 16 KB of large answers need leave; a ping after each piece shows its delivery; the bytes under way follow the delay that deliveries show (as in RFC 6817); the answer that began first goes first; readers that confirm nothing get no more meanwhile.

--- a/packages/daemon/src/peer_answer.cpp
+++ b/packages/daemon/src/peer_answer.cpp
@@ -17,6 +17,7 @@
 using clock = elapsed_clock;
 
 constexpr unsigned noAnswer = 504; ///< The store did not answer.
+constexpr std::uint64_t smallAnswer = 16384; ///< Bytes of a body that are sent at once, whatever else is under way.
 
 double busyNow(daemon_shared &shared)
 {
@@ -24,16 +25,26 @@
     return busyOf(shared.admission.admission);
 }
 
-/** A sink that passes an answer back to another daemon. */
+/** A sink that passes an answer back to another daemon. A body whose length is not known is large once it proves so. */
 std::shared_ptr<answer_sink> sinkTo(daemon_shared &shared, const std::shared_ptr<peer_responder> &responder)
 {
     auto sink = std::make_shared<answer_sink>();
+    const auto bytes = std::make_shared<std::uint64_t>(0);
     sink->head = [&shared, responder](unsigned status, std::vector<http_header> headers,
                                       std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
+        if (length.value_or(0) > smallAnswer) {
+            sendAsBulk(*responder);
+        }
         sendHead(*responder, status, answerHeaders(headers, length, busyNow(shared)));
         co_return !isAbandoned(*responder);
     };
-    sink->part = [responder](std::string part) { return sendPart(responder, std::move(part)); };
+    sink->part = [responder, bytes](std::string part) {
+        *bytes += part.size();
+        if (*bytes > smallAnswer) {
+            sendAsBulk(*responder);
+        }
+        return sendPart(responder, std::move(part));
+    };
     sink->end = [responder](bool whole) { whole ? endAnswer(*responder) : breakAnswer(*responder); };
     sink->abandoned = [responder] { return isAbandoned(*responder); };
     return sink;
--- /dev/null
+++ b/packages/decisions/src/link_share_func.h
@@ -0,0 +1,48 @@
+/**
+ * @file link_share_func.h Decisions about the part of an instance's link that large answers may use.
+ *
+ * The load: large answers of a target to many callers fill the link of its instance, and small ones, which others wait
+ * for with a slot in hand, stand behind them. How fast the link is, nobody tells: the time in which deliveries are
+ * confirmed shows when a queue builds up before it, and the bytes under way follow that, as in RFC 6817.
+ */
+#ifndef LINK_SHARE_FUNC_H
+#define LINK_SHARE_FUNC_H
+
+#include "link_share_base.h"
+
+namespace quetzalspool {
+
+/**
+ * Tells whether another piece of a large answer may be sent.
+ * @param share Share.
+ * @return Whether there is room.
+ */
+bool hasRoom(const link_share &share);
+
+/**
+ * Notes that a piece is sent.
+ * @param share Share.
+ * @param bytes Its bytes.
+ */
+void noteSent(link_share &share, std::size_t bytes);
+
+/**
+ * Notes that bytes are no longer under way, without any word about the link: their connection has ended, they were not
+ * sent after all, or their reader is silent.
+ * @param share Share.
+ * @param bytes Bytes.
+ */
+void noteDropped(link_share &share, std::size_t bytes);
+
+/**
+ * Notes that the other daemon has confirmed a piece, and adapts the share.
+ * @param share Share.
+ * @param path Way to that daemon.
+ * @param piece The piece.
+ * @param now Present time.
+ */
+void noteDelivered(link_share &share, path_delay &path, const delivery &piece, steady_time now);
+
+} // namespace quetzalspool
+
+#endif // LINK_SHARE_FUNC_H
--- /dev/null
+++ b/packages/peer/src/bulk_sender.h
@@ -0,0 +1,97 @@
+/**
+ * @file bulk_sender.h Large answers of one thread on their way over the instance's link. Internal to the package.
+ *
+ * A large answer is sent in pieces, each after leave. A ping follows each piece: its acknowledgement shows that the
+ * other daemon has read everything before it. Small answers and everything else need no leave.
+ */
+#ifndef BULK_SENDER_H
+#define BULK_SENDER_H
+
+#include "asio_type.h"
+#include "link_share_base.h"
+
+#include <map>
+#include <memory>
+
+namespace quetzalspool {
+
+struct h2_session;
+struct h2_stream;
+
+/** A piece that has leave, or was sent and is not known to be delivered. */
+struct bulk_piece
+{
+    std::weak_ptr<h2_session> session; ///< Whose piece.
+    delivery sent; ///< Bytes and moment; those of the leave until it is sent.
+};
+
+/** A large answer that waits for leave. */
+struct bulk_waiting
+{
+    std::weak_ptr<h2_session> session; ///< Session.
+    std::weak_ptr<h2_stream> stream; ///< Stream.
+};
+
+/** All large answers of one thread. */
+struct bulk_sender
+{
+    explicit bulk_sender(const asio::any_io_executor &executor)
+        : timer(executor)
+    { }
+
+    link_share share; ///< Decisions.
+    std::map<std::uint64_t, bulk_waiting> waiting; ///< By order: the answer that began first is finished first.
+    std::map<std::uint64_t, bulk_piece> pieces; ///< By number, oldest first.
+    std::uint64_t nextNumber = 1; ///< Number of the next answer or piece.
+    asio::steady_timer timer; ///< Ends when the oldest piece no longer counts.
+    bool posted = false; ///< Whether leave is about to be given.
+};
+
+/**
+ * Makes an answer one that is sent with leave.
+ * @param sender Sender.
+ * @param stream Its stream.
+ */
+void beginBulk(bulk_sender &sender, h2_stream &stream);
+
+/**
+ * Tells whether an answer has leave to send a piece; if not, it gets it later and is resumed then.
+ * @param session Session.
+ * @param stream Its stream.
+ * @return Whether it may be sent now.
+ */
+bool mayReadBulk(h2_session &session, h2_stream &stream);
+
+/**
+ * Notes that a piece is handed to the session; a ping follows it.
+ * @param session Session.
+ * @param stream Its stream, which had leave.
+ * @param bytes Bytes of the piece.
+ * @param now Present time.
+ */
+void noteBulkRead(h2_session &session, h2_stream &stream, std::size_t bytes, steady_time now);
+
+/**
+ * Takes the acknowledgement of a ping.
+ * @param session Session.
+ * @param number Number of the piece before it.
+ * @param now Present time.
+ */
+void noteBulkDelivered(h2_session &session, std::uint64_t number, steady_time now);
+
+/**
+ * Takes back the leave of an answer that has ended.
+ * @param session Session.
+ * @param stream Its stream.
+ */
+void endBulk(h2_session &session, h2_stream &stream);
+
+/**
+ * Forgets the pieces of a session that has ended.
+ * @param session Session.
+ */
+void endBulkSession(h2_session &session);
+
+} // namespace quetzalspool
+
+#endif // BULK_SENDER_H
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -1,9 +1,12 @@
 /** @file h2_session.cpp One nghttp2 session over a socket. */
 #include "h2_session.h"
+
+#include "bulk_sender.h"
 #include "elapsed_clock.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
 #include <cstring>
 
 namespace quetzalspool {
@@ -65,6 +68,11 @@
         session.goingAway = true;
         return 0;
     }
+    if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0 && session.bulk) {
+        const auto number = boost::endian::load_big_u64(frame->ping.opaque_data);
+        noteBulkDelivered(session, number, elapsed_clock::now());
+        return 0;
+    }
     const auto stream = findStream(session, frame->hd.stream_id);
     if (!stream || (frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA)) {
         return 0;
@@ -112,21 +120,26 @@
         stream->closed = true;
         stream->errorCode = errorCode;
         stream->changed.wake();
+        endBulk(session, *stream);
         session.streams.erase(id);
     }
     return 0;
 }
 
 ssize_t readOutgoing(nghttp2_session * /*session*/, std::int32_t /*id*/, std::uint8_t *buffer, std::size_t length,
-                     std::uint32_t *flags, nghttp2_data_source *source, void * /*user*/)
+                     std::uint32_t *flags, nghttp2_data_source *source, void *user)
 {
     auto &stream = *static_cast<h2_stream *>(source->ptr);
     const auto available = stream.outgoing.size() - stream.outgoingSent;
-    if (available == 0 && !stream.outgoingDone) {
+    const bool needsLeave = stream.bulkOrder != 0 && available > 0;
+    if ((available == 0 && !stream.outgoingDone) || (needsLeave && !mayReadBulk(sessionOf(user), stream))) {
         stream.outgoingDeferred = true;
         return NGHTTP2_ERR_DEFERRED;
     }
     const auto count = std::min(available, length);
+    if (needsLeave) {
+        noteBulkRead(sessionOf(user), stream, count, elapsed_clock::now());
+    }
     std::memcpy(buffer, stream.outgoing.data() + stream.outgoingSent, count);
     stream.outgoingSent += count;
     if (stream.outgoingSent == stream.outgoing.size()) {
@@ -252,7 +265,9 @@
     session->socket.close(ignored);
     auto streams = std::move(session->streams);
     session->streams.clear();
+    endBulkSession(*session);
     for (auto &[id, stream] : streams) {
+        endBulk(*session, *stream);
         stream->closed = true;
         stream->errorCode = NGHTTP2_INTERNAL_ERROR;
         stream->changed.wake();
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -3,6 +3,7 @@
 #define H2_SESSION_H
 
 #include "asio_type.h"
+#include "link_share_base.h"
 #include "peer_type.h"
 #include "wake_event.h"
 
@@ -14,8 +15,10 @@
 
 namespace quetzalspool {
 
+struct bulk_sender;
+
 /** One stream of a session. */
-struct h2_stream
+struct h2_stream : std::enable_shared_from_this<h2_stream>
 {
     std::int32_t id = 0; ///< Stream id.
     std::vector<http_header> headers; ///< Headers received.
@@ -30,7 +33,9 @@
     std::string outgoing; ///< Body to be sent.
     std::size_t outgoingSent = 0; ///< Bytes of it already sent.
     bool outgoingDone = false; ///< Whether no more will be added.
-    bool outgoingDeferred = false; ///< Whether sending waits for more.
+    bool outgoingDeferred = false; ///< Whether sending waits for more, or for leave.
+    std::uint64_t bulkOrder = 0; ///< Place among large answers; 0 if it is none.
+    std::uint64_t bulkLeave = 0; ///< Number of the piece that it has leave to send; 0 if it has none.
     wake_event changed; ///< Wakes whoever waits for any of this.
 
     explicit h2_stream(const asio::any_io_executor &executor)
@@ -54,6 +59,9 @@
     bool goingAway = false; ///< Whether the other end accepts no new streams.
     steady_time lastReceived{}; ///< Last time that anything came.
     steady_time pingSentAt{}; ///< When the other end was last asked for a sign of life.
+    std::shared_ptr<bulk_sender> bulk; ///< Gives leave to send large answers; null at the end that asks.
+    bool silent = false; ///< Whether the other end has confirmed nothing for long: it gets no large answers meanwhile.
+    path_delay path; ///< What the delivery of large answers has shown of the way to the other end.
     std::uint64_t bytesIn = 0; ///< Bytes received.
     std::uint64_t bytesOut = 0; ///< Bytes sent.
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams; ///< Open streams.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -1,6 +1,7 @@
 /** @file peer_server.cpp The end that answers other daemons. */
 #include "peer_server.h"
 
+#include "bulk_sender.h"
 #include "elapsed_clock.h"
 #include "h2_session.h"
 #include "socket_guard.h"
@@ -26,11 +27,13 @@
 {
     explicit peer_server(tcp::acceptor listening)
         : acceptor(std::move(listening))
+        , bulk(std::make_shared<bulk_sender>(acceptor.get_executor()))
     { }
 
     tcp::acceptor acceptor; ///< Listening socket.
     peer_handler handler; ///< Handles requests.
     std::set<std::shared_ptr<h2_session>> sessions; ///< Connected daemons.
+    std::shared_ptr<bulk_sender> bulk; ///< Large answers to all of them.
 };
 
 namespace {
@@ -72,6 +75,7 @@
                 takeRequest(server, held, stream);
             }
         };
+        session->bulk = server->bulk;
         startSession(session, true);
         server->sessions.insert(session);
         asio::co_spawn(server->acceptor.get_executor(), serveSession(server, session), asio::detached);
@@ -113,6 +117,13 @@
     flush(responder.session);
 }
 
+void sendAsBulk(peer_responder &responder)
+{
+    if (responder.stream->bulkOrder == 0) {
+        beginBulk(*responder.session->bulk, *responder.stream);
+    }
+}
+
 asio::awaitable<bool> sendPart(std::shared_ptr<peer_responder> responder, std::string part)
 {
     auto &stream = *responder->stream;
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -41,6 +41,12 @@
  */
 void sendHead(peer_responder &responder, unsigned status, std::vector<http_header> headers);
 
+/**
+ * Makes the rest of an answer's body yield to everything else that is sent over the instance's link.
+ * @param responder Responder.
+ */
+void sendAsBulk(peer_responder &responder);
+
 /**
  * Sends a part of the body; waits while too much is unsent.
  * @param responder Responder.
