Add: callers that come back are told from new ones; usual answers that are passed on hold no slot while the next passes in time

Cause 1: under more load than the targets can do, callers that were refused come back with a goal counted anew; each takes the place of a first attempt, so all are late. Change 1: who was turned away here and comes back names clearly less than first attempts; its goal counts from its first attempt, and admission, which lets in whom it can answer in time, prefers the others by that alone. Cause 2: a usual request held its slot until its answer had passed the link, so few were let in, and those waited: bundles 1.3 s at the median. Change 2: made answers hold no slot for usual requests either; one more is let in if its own answer will pass in time, by a line learnt over the number passed on at once.

--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -125,6 +125,12 @@
            }));
 }
 
+std::optional<milliseconds> deadlineNamed(const http_request &http, const wire_names &names)
+{
+    const auto named = std::atoll(headerOf(http.headers, names.deadline).c_str());
+    return named > 0 ? std::optional(milliseconds(named)) : std::nullopt;
+}
+
 routed_request makeRouted(const route_row &route, http_request http, std::string key, const request_origin &origin)
 {
     routed_request request;
@@ -138,12 +144,13 @@
     request.pool = pickPool(route, origin.draw);
     request.key = std::move(key);
     auto deadline = route.deadline;
-    const auto wanted = std::atoll(headerOf(http.headers, names.deadline).c_str());
-    if (wanted > 0) {
-        deadline = std::min(deadline, milliseconds(wanted));
+    const auto wanted = deadlineNamed(http, names);
+    if (wanted) {
+        deadline = std::min(deadline, *wanted);
     }
     request.deadline = origin.now + deadline;
-    request.goal = route.latencyGoal.count() > 0 ? origin.now + route.latencyGoal : request.deadline;
+    request.goal =
+        route.latencyGoal.count() > 0 ? origin.now + route.latencyGoal - origin.askedBefore : request.deadline;
     auto id = headerOf(http.headers, names.requestId);
     id = id.empty() ? headerOf(http.headers, "Idempotency-Key") : id;
     const bool given = !id.empty() && id.size() <= maxIdBytes;
--- a/packages/daemon/src/caller_request.h
+++ b/packages/daemon/src/caller_request.h
@@ -48,9 +48,18 @@
     pool_id callerPool; ///< Pool of the target on this machine.
     std::string freshId; ///< Id to use if the caller gave none.
     std::uint64_t draw = 0; ///< Random number that picks one of several pools.
+    milliseconds askedBefore{0}; ///< How long ago the caller first asked.
     steady_time now{}; ///< Present time.
 };
 
+/**
+ * Reads how long a caller says that it waits.
+ * @param http Request.
+ * @param names Header names.
+ * @return The time, or nothing if it names none.
+ */
+std::optional<milliseconds> deadlineNamed(const http_request &http, const wire_names &names);
+
 /**
  * Makes the request that is routed: pool, class, deadline, id; headers that only daemons set are taken out.
  * @param route Route.
--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -1,6 +1,7 @@
 /** @file entry.cpp The end that callers talk to. */
 #include "entry.h"
 
+#include "caller_age_func.h"
 #include "caller_request.h"
 #include "elapsed_clock.h"
 #include "forward.h"
@@ -245,8 +246,15 @@
     }
     const auto freshId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
     const auto &settings = thread.shared->settings;
-    const request_origin origin{thread.shared->names, settings.roster ? settings.roster->pool : pool_id{}, freshId,
-                                thread.random(), clock::now()};
+    const auto now = clock::now();
+    const auto named = deadlineNamed(request, thread.shared->names);
+    const auto askedBefore = named ? noteCaller(thread.callerAges, route.name, *named, now) : milliseconds(0);
+    const request_origin origin{thread.shared->names,
+                                settings.roster ? settings.roster->pool : pool_id{},
+                                freshId,
+                                thread.random(),
+                                askedBefore,
+                                now};
     auto routed = makeRouted(route, std::move(request), std::move(*key), origin);
     // What comes during a planned stop is answered before the process has to end.
     routed.deadline = std::min(routed.deadline, thread.shared->answersUntil.load());
@@ -259,6 +267,9 @@
     const auto now = clock::now();
     countRequest(*thread.shared->numbers, note, outcome, now);
     logRequest(thread.lines, note, outcome, now);
+    if (outcome.result != attempt_result::answered && !note.route.empty()) {
+        noteTurnedAway(thread.callerAges, note.route, now);
+    }
 }
 
 /** Serves one request whose headers have been read. */
--- a/packages/daemon/src/local_run.cpp
+++ b/packages/daemon/src/local_run.cpp
@@ -202,12 +202,14 @@
     return limited ? std::min(request.deadline, handedOver + request.patience) : request.deadline;
 }
 
-/** Lets urgent requests start once the target has made an answer, which then has a length. */
-void freeWorker(daemon_shared &shared, admission_request &asked)
+/** Lets other requests start once the target has made an answer, which then has a length. */
+void freeWorker(daemon_shared &shared, admission_request &asked, steady_time startedAt)
 {
     {
         const std::lock_guard lock(shared.admission.mutex);
-        notePassing(shared.admission.admission, asked, clock::now());
+        const auto now = clock::now();
+        const auto worked = std::chrono::duration_cast<milliseconds>(now - startedAt);
+        notePassing(shared.admission.admission, asked, worked, now);
     }
     advanceGate(shared.admission, clock::now());
 }
@@ -244,7 +246,7 @@
         co_return refused;
     }
     if (head->length) {
-        freeWorker(shared, asked);
+        freeWorker(shared, asked, handedOverAt);
     }
     const bool wanted = co_await sink->head(head->status, std::move(head->headers), head->length);
     bool whole = false;
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -32,6 +32,8 @@
     steady_time goal = steady_time::max(); ///< An answer is worth less after this moment.
     pool_id pool; ///< Pool that is meant; empty if it is not checked.
     bool passing = false; ///< Whether the target has made the answer, which is still passed on.
+    milliseconds worked{0}; ///< How long the target worked on it, once its answer is made.
+    std::uint32_t passedAfter = 0; ///< Usual answers that were being passed on when its own was made.
 };
 
 /** Why a request was refused. All of these prove that it did not run. */
@@ -83,6 +85,19 @@
     steady_time since{}; ///< When it came.
 };
 
+/**
+ * How long answers are passed on, as a line over the number of those that were being passed on when they were made: on
+ * a link that carries one after the other it rises with that number, to callers on slow links of their own it does not.
+ */
+struct pass_line
+{
+    double ahead = 0; ///< Mean number ahead.
+    double tookMs = 0; ///< Mean time in milliseconds.
+    double aheadVariance = 0; ///< Variance of the number.
+    double covariance = 0; ///< Of number and time.
+    bool known = false; ///< Whether any was seen.
+};
+
 /** Admission beside one target. */
 struct admission_state
 {
@@ -97,6 +112,7 @@
     std::map<std::pair<pool_id, slot_number>, open_slot> slots; ///< Slots served, by pool and number.
     std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
     std::uint32_t passing = 0; ///< Those of them whose answer the target has made, and which are still passed on.
+    std::uint32_t usualPassing = 0; ///< Usual ones among those.
     std::vector<waiting_request> queue; ///< Requests that wait, in order of class and deadline.
     std::vector<waiting_request> displaced; ///< Requests that lost their place to more urgent ones.
     steady_time urgentAt{}; ///< Last time an urgent request came.
@@ -109,6 +125,7 @@
     double serviceMs = 5.0; ///< Smoothed service time in milliseconds, of all requests.
     double urgentServiceMs = 0; ///< The same of urgent requests; 0 while none was seen.
     double usualServiceMs = 0; ///< The same of usual lookups; 0 while none was seen.
+    pass_line pass; ///< How long usual answers are passed on.
     std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since it was last taken.
     std::map<refusal, std::uint64_t> refusals; ///< Refusals by reason, for metrics.
 };
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -145,6 +145,20 @@
     return now + milliseconds(std::llround(least)) < request.deadline;
 }
 
+/**
+ * Whether the answer to a request that starts now is passed on in time, those before it included. One that is late
+ * anyway must not make others late: it has to fit easily.
+ */
+bool passesInTime(const admission_state &state, const admission_request &request, steady_time now)
+{
+    const auto pass = passTime(state, 0, request);
+    const milliseconds service(std::llround(serviceOf(state, isUrgent(request))));
+    if (now >= request.goal) {
+        return now + (service + pass) * 2 <= request.deadline;
+    }
+    return pass == milliseconds(0) || now + service + pass <= latestAnswer(state, request);
+}
+
 admission_verdict enqueue(admission_state &state, const admission_request &request, steady_time now)
 {
     const auto at = std::find_if(state.queue.begin(), state.queue.end(),
@@ -153,11 +167,13 @@
     const bool urgent = isUrgent(request);
     const auto wait = predictedWait(state, before, urgent, now);
     const milliseconds service(std::llround(serviceOf(state, urgent)));
-    const bool fits = now + wait + service <= latestAnswer(state, request);
+    const auto pass = passTime(state, before, request);
+    const bool fits = now + wait + service + pass <= latestAnswer(state, request);
     const bool full = state.queue.size() >= state.limits.queue;
     const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
-        return refuse(state, refusal::overloaded, clampRetry(predictedWait(state, state.queue.size(), urgent, now)));
+        const auto allWait = predictedWait(state, state.queue.size(), urgent, now);
+        return refuse(state, refusal::overloaded, clampRetry(std::max(allWait, pass)));
     }
     state.queue.insert(at, {request, now});
     if (displaces) {
@@ -179,7 +195,7 @@
     }
     state.urgentAt = request.rank < usualRank ? now : state.urgentAt;
     const bool first = state.queue.empty() || goesBefore(request, state.queue.front().request);
-    if (first && state.inFlight < slotsFor(state, request, now)) {
+    if (first && state.inFlight < slotsFor(state, request, now) && passesInTime(state, request, now)) {
         start(state, request, now);
         return {true};
     }
@@ -208,21 +224,26 @@
     return now < grantUntil(state) ? refusal::none : refusal::no_lease;
 }
 
-void notePassing(admission_state &state, admission_request &request, steady_time now)
+void notePassing(admission_state &state, admission_request &request, milliseconds worked, steady_time now)
 {
     assert(!request.passing);
     request.passing = true;
+    request.worked = worked;
+    request.passedAfter = state.usualPassing;
     ++state.passing;
+    state.usualPassing += isUrgent(request) ? 0 : 1;
     state.lastProgress = now;
     state.probing = false;
 }
 
-void finish(admission_state &state, const admission_request &request, bool progress, milliseconds service,
-            steady_time now)
+void finish(admission_state &state, const admission_request &request, bool progress, milliseconds took, steady_time now)
 {
     assert(state.inFlight > 0);
     --state.inFlight;
-    state.passing -= request.passing ? 1 : 0;
+    if (request.passing) {
+        --state.passing;
+        state.usualPassing -= isUrgent(request) ? 0 : 1;
+    }
     noteUrgent(state, request, -1, now);
     if (request.slot) {
         const auto found = state.slots.find({request.slot->pool, request.slot->slot});
@@ -231,7 +252,8 @@
         }
     }
     if (progress) {
-        noteService(state, request, service);
+        noteService(state, request, request.passing ? request.worked : took);
+        notePassed(state, request, took);
         state.lastProgress = now;
         state.probing = false;
     } else if (now - state.lastProgress > state.limits.stallLimit) {
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -29,10 +29,10 @@
  * @param state Admission.
  * @param request Request.
  * @param progress Whether the target answered.
- * @param service How long the target worked on it.
+ * @param took Time since its start, that of passing its answer on included.
  * @param now Present time.
  */
-void finish(admission_state &state, const admission_request &request, bool progress, milliseconds service,
+void finish(admission_state &state, const admission_request &request, bool progress, milliseconds took,
             steady_time now);
 
 /** A waiting request that is decided. */
@@ -60,13 +60,14 @@
 
 /**
  * Notes that the target has made its answer, so that it works on another request while this one's is passed on. Under a
- * load of large answers to callers that read slowly, urgent requests get the slots that so become free; usual ones
- * don't, since their answers would only crowd the instance's link.
+ * load of large answers the slots that so become free go to urgent requests, and to usual ones whose own answers will
+ * still pass in time.
  * @param state Admission.
  * @param request Request, admitted; marked.
+ * @param worked How long the target worked on it.
  * @param now Present time.
  */
-void notePassing(admission_state &state, admission_request &request, steady_time now);
+void notePassing(admission_state &state, admission_request &request, milliseconds worked, steady_time now);
 
 /**
  * Takes the slots that the cell's record and this daemon's releases allow. A closed slot that is not being given back
--- a/packages/decisions/src/admission_wait.cpp
+++ b/packages/decisions/src/admission_wait.cpp
@@ -17,6 +17,8 @@
 constexpr double waitMargin = 2.0; ///< The wait of usual lookups varies: reckoned at its mean, half of the last ones
                                    ///< let in would be late.
 constexpr double leastService = 0.1; ///< Milliseconds; a target is never reckoned faster.
+constexpr double leastPass = 2; ///< Milliseconds; answers that are passed on in less don't wait for each other.
+constexpr double leastVariance = 0.1; ///< Of the number of answers passed on at once: below, it shows no slope.
 constexpr double leastSlots = 0.5; ///< Slots that usual lookups are reckoned to get at least, all together.
 
 /** Requests that may be in flight now: fewer while the target is cold or was stalled. */
@@ -65,6 +67,36 @@
     smoothService(isUrgent(request) ? state.urgentServiceMs : state.usualServiceMs, newest);
 }
 
+void notePassed(admission_state &state, const admission_request &request, milliseconds took)
+{
+    if (!request.passing || isUrgent(request)) {
+        return;
+    }
+    auto &line = state.pass;
+    const auto passed = static_cast<double>((took - request.worked).count());
+    const auto weight = line.known ? serviceSmoothing : 1.0;
+    const auto aheadOff = request.passedAfter - line.ahead;
+    const auto tookOff = passed - line.tookMs;
+    line.ahead += weight * aheadOff;
+    line.tookMs += weight * tookOff;
+    line.aheadVariance = (1 - weight) * (line.aheadVariance + weight * aheadOff * aheadOff);
+    line.covariance = (1 - weight) * (line.covariance + weight * aheadOff * tookOff);
+    line.known = true;
+}
+
+milliseconds passTime(const admission_state &state, std::size_t before, const admission_request &request)
+{
+    const auto &line = state.pass;
+    if (!state.goalBound || isUrgent(request) || line.tookMs < leastPass) {
+        return milliseconds(0);
+    }
+    const auto each = line.aheadVariance > leastVariance ? std::max(line.covariance / line.aheadVariance, 0.0) : 0.0;
+    // Some of those in flight now are passed on while the target works.
+    const auto done = each > 0 ? serviceOf(state, false) / each : 0.0;
+    const auto ahead = std::max(static_cast<double>(state.inFlight - state.urgentInFlight + before) - done, 0.0);
+    return milliseconds(std::llround(std::max(line.tookMs + each * (ahead - line.ahead), 0.0)));
+}
+
 void noteUrgent(admission_state &state, const admission_request &request, int change, steady_time now)
 {
     smoothUrgentUse(state, now);
@@ -91,7 +123,8 @@
     }
     const bool yields =
         state.goalBound && request.rank >= usualRank && !request.slot && now - state.urgentAt < urgentTime;
-    return yields ? std::max<std::uint32_t>(slots - slots / reservePart, 1) : slots;
+    const auto usual = yields ? std::max<std::uint32_t>(slots - slots / reservePart, 1) : slots;
+    return state.goalBound ? usual + state.passing : usual;
 }
 
 } // namespace quetzalspool
--- a/packages/decisions/src/admission_wait_func.h
+++ b/packages/decisions/src/admission_wait_func.h
@@ -31,6 +31,25 @@
  */
 void noteService(admission_state &state, const admission_request &request, milliseconds service);
 
+/**
+ * Learns from an answer that was passed on. Answers of a target are passed on in the order in which they were made.
+ * @param state Admission.
+ * @param request Request.
+ * @param took Time since its start.
+ */
+void notePassed(admission_state &state, const admission_request &request, milliseconds took);
+
+/**
+ * Time from when the answer to a request is made until it is passed on. Answers the load of large answers on a link
+ * that carries less of them than the target makes: those in flight pass before it, and do so while the target works on
+ * it.
+ * @param state Admission.
+ * @param before Requests that go before it.
+ * @param request Request.
+ * @return The time; 0 if answers don't wait for each other, or the request is urgent.
+ */
+milliseconds passTime(const admission_state &state, std::size_t before, const admission_request &request);
+
 /**
  * Counts a request that begins or ends among the urgent ones, if it is urgent.
  * @param state Admission.
--- /dev/null
+++ b/packages/decisions/src/caller_age_base.h
@@ -0,0 +1,29 @@
+/** @file caller_age_base.h What a daemon has seen of callers that come back after a refusal. */
+#ifndef CALLER_AGE_BASE_H
+#define CALLER_AGE_BASE_H
+
+#include "base_type.h"
+
+#include <map>
+#include <string>
+
+namespace quetzalspool {
+
+/** Callers of one route. */
+struct route_callers
+{
+    double longestMs = 0; ///< Longest deadline named lately, in milliseconds.
+    double usualMs = 0; ///< Mean deadline of first attempts, in milliseconds.
+    double turnedAway = 0; ///< Callers that got no answer from a target and may come back, old ones counting less.
+    steady_time agedAt{}; ///< When the above was last aged.
+};
+
+/** Callers of all routes, as one thread sees them. */
+struct caller_ages
+{
+    std::map<std::string, route_callers> routes; ///< By name of the route.
+};
+
+} // namespace quetzalspool
+
+#endif // CALLER_AGE_BASE_H
