Fix: bytes without end that are no answer are given up after 128 KB; a body without end ends at the deadline

Where bytes are always there, no read waits long enough for its timer, so a body without end went on past the deadline. An announcement (1xx) was taken for the answer. Ruled out: endless heads (bounded by the parser's 8 KB) and bodies (passed on in parts, with backpressure).

--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds keptIdleLimit{4000}; ///< A kept connection that is idle for longer is closed.
 constexpr std::size_t keptAtMost = 24; ///< Kept connections to one target at most.
 constexpr std::size_t partSize = 32768; ///< Bytes of a body read at once.
+constexpr std::size_t readAheadLimit = 131072; ///< Bytes read ahead at most: of a head, or of what frames a body. A
+                                               ///< target in trouble may send bytes without end that are neither.
+constexpr unsigned firstFinal = 200; ///< Lower status codes announce an answer, they are none.
 constexpr unsigned misdirected = 421; ///< Status of a target that is not the one meant; it ran nothing.
 
 } // namespace
@@ -32,7 +35,7 @@
     target_rules rules; ///< Names in its answers.
     std::string requestId; ///< Id of the request under way, if it is echoed.
     beast::tcp_stream stream; ///< Connection.
-    beast::flat_buffer buffer; ///< Bytes read ahead.
+    beast::flat_buffer buffer{readAheadLimit}; ///< Bytes read ahead.
     std::optional<http::response_parser<http::buffer_body>> parser; ///< The answer being read.
     bool headOnly = false; ///< Whether the answer has no body by its method.
     bool whole = false; ///< Whether the answer was read whole.
@@ -146,6 +149,9 @@
     if (code) {
         co_return failed(why, "read the target's answer", toString(exchange->address), code.message());
     }
+    if (parser.get().result_int() < firstFinal) {
+        co_return failed(why, "read the target's answer", toString(exchange->address), "it announces an answer only");
+    }
     if (parser.need_eof() && !exchange->headOnly && !exchange->rules.unframed) {
         co_return failed(why, "read the target's answer", toString(exchange->address),
                          "neither a length nor chunks: its end could not be told from a break");
@@ -173,6 +179,10 @@
     auto &parser = *exchange->parser;
     std::string part(partSize, '\0');
     while (!parser.is_done()) {
+        // Where bytes are always there, no read waits long enough for its timer.
+        if (elapsed_clock::now() >= until) {
+            co_return failed(why, "read the target's answer", toString(exchange->address), "not whole in time");
+        }
         parser.get().body().data = part.data();
         parser.get().body().size = part.size();
         exchange->stream.expires_at(elapsed_clock::forTimers(until));
--- a/packages/target/tests/target_test.cpp
+++ b/packages/target/tests/target_test.cpp
@@ -33,6 +33,20 @@
     co_await asio::async_write(socket, asio::buffer(bytes), reporting(code));
 }
 
+/** Answers one request with some bytes, then with others again and again until the other end closes. */
+asio::awaitable<void> answerWithoutEnd(std::shared_ptr<tcp::acceptor> acceptor, std::string first, std::string again,
+                                       std::shared_ptr<std::size_t> written)
+{
+    error_code code;
+    auto socket = co_await acceptor->async_accept(reporting(code));
+    std::string request;
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", reporting(code));
+    co_await asio::async_write(socket, asio::buffer(first), reporting(code));
+    while (!code) {
+        *written += co_await asio::async_write(socket, asio::buffer(again), reporting(code));
+    }
+}
+
 exchange_end exchangeWith(const std::string &bytes)
 {
     asio::io_context context{1};
@@ -62,8 +76,85 @@
     return end;
 }
 
+/** How an exchange with bytes without end went. */
+struct endless_end
+{
+    bool head = false; ///< Whether there was a head.
+    bool whole = false; ///< Whether the answer was taken as whole.
+    milliseconds took = milliseconds::max(); ///< Until it was given up.
+    std::size_t written = 0; ///< Bytes that the target got rid of.
+};
+
+endless_end exchangeWithoutEnd(const std::string &first, const std::string &again)
+{
+    asio::io_context context{1};
+    endless_end end;
+    last_reason why;
+    auto acceptor = std::make_shared<tcp::acceptor>(*listenOn(context, {"127.0.0.1", 0}, why));
+    const endpoint at{"127.0.0.1", acceptor->local_endpoint().port()};
+    const auto written = std::make_shared<std::size_t>(0);
+    asio::co_spawn(context, answerWithoutEnd(acceptor, first, again, written), asio::detached);
+    auto work = [&]() -> asio::awaitable<void> {
+        const auto client = makeTargetClient({"Quetzalspool-Not-Run", "", true});
+        const auto exchange = co_await openTarget(client, at, milliseconds(0), seconds(1), why);
+        http_request request{"GET", "/", {}, ""};
+        const auto since = clock::now();
+        const auto until = since + seconds(2);
+        co_await sendToTarget(exchange, request, until, why);
+        const auto head = co_await readTargetHead(exchange, until, why);
+        end.head = head.has_value();
+        while (head) {
+            const auto part = co_await readTargetPart(exchange, until, why);
+            if (!part || part->empty()) {
+                end.whole = part.has_value();
+                break;
+            }
+        }
+        end.took = std::chrono::duration_cast<milliseconds>(clock::now() - since);
+        closeTarget(*client, exchange);
+        context.stop();
+    };
+    asio::co_spawn(context, work, asio::detached);
+    context.run_for(seconds(5));
+    end.written = *written;
+    return end;
+}
+
 } // namespace
 
+// Bytes that are no answer, without end, are given up after a bounded number of them, long before the deadline.
+TEST(target, bytesWithoutEndThatAreNoAnswerAreGivenUpSoon)
+{
+    const std::string filler(65536, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {"", filler},
+        {"HTTP/1.1 200 OK\r\nX-A: ", filler},
+        {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {head + "5;", filler},
+        {head + "5\r\nabcde\r\n0\r\nX-T: ", filler},
+        {head + "5\r\nabcdefgh", filler},
+    };
+    constexpr std::size_t boundedBytes = 32 * 1024 * 1024; // What two sockets hold, and far less than a daemon may use.
+    for (const auto &[first, again] : cases) {
+        const auto end = exchangeWithoutEnd(first, again);
+        EXPECT_FALSE(end.whole) << first;
+        EXPECT_LT(end.took, milliseconds(1000)) << first;
+        EXPECT_LT(end.written, boundedBytes) << first;
+    }
+}
+
+// A body without end and without a length can't be told from a long one: it is passed on in bounded parts until the
+// deadline, and never taken as whole.
+TEST(target, aBodyWithoutEndEndsAtTheDeadlineAndIsNotWhole)
+{
+    const auto end = exchangeWithoutEnd("HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'x'));
+    EXPECT_TRUE(end.head);
+    EXPECT_FALSE(end.whole);
+    EXPECT_LT(end.took, milliseconds(2500));
+}
+
 TEST(target, passesAWholeAnswer)
 {
     const auto end = exchangeWith("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-A: b\r\n\r\nabcd");
