--- a/packages/daemon/src/forward.cpp
+++ b/packages/daemon/src/forward.cpp
@@ -76,8 +76,8 @@
     }
     const auto &settings = thread.shared->settings;
     const auto members = membersOf(*choice.view, request.pool);
-    choice.member = chooseTarget(thread.balance, members, state.tried, {settings.region, settings.domain},
-                                 thread.random, clock::now());
+    choice.member = chooseTarget(thread.balance, members, state.tried,
+                                 {settings.instance, settings.region, settings.domain}, thread.random, clock::now());
     choice.another = members.size() > state.tried.size() + 1;
     return choice;
 }
--- a/packages/decisions/src/balance_cmd.cpp
+++ b/packages/decisions/src/balance_cmd.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr double domainPenalty = 0.15; ///< Load by which a target of the own domain may exceed another one.
-constexpr double farPenalty = 1.0; ///< The same for the own region: near targets are full at a load of 1.
+constexpr double linkPenalty = 0.2; ///< Load by which the own target may exceed another one of its domain.
+constexpr double domainPenalty = 0.35; ///< Load by which it may exceed one of another domain.
+constexpr double farPenalty = 1.2; ///< The same for another region: near targets are full at a load of 1.
 constexpr double ejectedPenalty = 100; ///< An ejected target is tried as a last resort.
 constexpr std::uint64_t jitterSteps = 1024; ///< Steps of the random part of a score.
 constexpr double mostJitter = 0.05; ///< Random part of a score, so that daemons don't all choose the same target.
@@ -32,7 +33,10 @@
     if (member.region != place.region) {
         return farPenalty;
     }
-    return member.domain == place.domain ? 0 : domainPenalty;
+    if (member.id == place.instance) {
+        return 0;
+    }
+    return member.domain == place.domain ? linkPenalty : domainPenalty;
 }
 
 /** Requests per slot: what its daemon said, unless that is old, and at least what went there from here. */
--- a/packages/decisions/src/balance_func.h
+++ b/packages/decisions/src/balance_func.h
@@ -13,13 +13,14 @@
 /** Where the choosing daemon stands. */
 struct balance_place
 {
+    instance_id instance; ///< The daemon itself; the target beside it is reached without any link.
     region_id region; ///< Region.
     domain_id domain; ///< Failure domain.
 };
 
 /**
- * Chooses the target with the least load, where distance counts as load: a near target is preferred until it is
- * clearly busier, and another region is chosen only if the targets of this one are full or unusable.
+ * Chooses the target with the least load, where distance counts as load: the own target, then a near one is preferred
+ * until it is clearly busier, and another region is chosen only if the targets of this one are full or unusable.
  * @param state Evidence.
  * @param members Targets of the pool.
  * @param tried Targets already tried for this request.
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -346,7 +346,7 @@
         members[index].target.slots = 4;
         list.push_back(&members[index]);
     }
-    const balance_place place{{"north"}, {"north-1"}};
+    const balance_place place{{"9"}, {"north"}, {"north-1"}};
     EXPECT_EQ(chooseTarget(state, list, {}, place, random, now), &members[0]);
     EXPECT_EQ(chooseTarget(state, list, {members[0].id}, place, random, now), &members[1]);
     EXPECT_EQ(chooseTarget(state, list, {members[0].id, members[1].id}, place, random, now), &members[2]);
@@ -358,6 +358,27 @@
     EXPECT_EQ(chooseTarget(state, list, {}, place, random, now + seconds(1)), &members[0]) << "and tried again";
 }
 
+TEST(balance, prefersTheTargetBesideItUntilThatIsBusier)
+{
+    balance_state state;
+    std::mt19937_64 random(1);
+    std::vector<cell_member> members(2);
+    std::vector<const cell_member *> list;
+    for (int index = 0; index < 2; ++index) {
+        members[index].id.value = std::to_string(index);
+        members[index].region.value = "north";
+        members[index].domain.value = "north-1";
+        members[index].target.slots = 4;
+        list.push_back(&members[index]);
+    }
+    const balance_place place{{"1"}, {"north"}, {"north-1"}};
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(chooseTarget(state, list, {}, place, random, now), &members[1]) << "its answers pass no link";
+    }
+    noteBusy(state, members[1].id, 0.5, now);
+    EXPECT_EQ(chooseTarget(state, list, {}, place, random, now), &members[0]);
+}
+
 TEST(placement, movesAsLittleAsPossible)
 {
     std::vector<cell_member> members(4);
