Fix: a caller that is late already gets a free slot also where its answer would end close to its deadline

Cause: the look at answers that pass also counted where none wait for each other, so callers that came back to an idle target were refused if little of their time was left. Ruled out: that the order of the queue refused them; they met free slots. Change: where answers don't wait for each other, a free slot is given. Test: an idle target; fails before.

--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -152,11 +152,14 @@
 bool passesInTime(const admission_state &state, const admission_request &request, steady_time now)
 {
     const auto pass = passTime(state, 0, request);
+    if (pass == milliseconds(0)) {
+        return true;
+    }
     const milliseconds service(std::llround(serviceOf(state, isUrgent(request))));
     if (now >= request.goal) {
         return now + (service + pass) * 2 <= request.deadline;
     }
-    return pass == milliseconds(0) || now + service + pass <= latestAnswer(state, request);
+    return now + service + pass <= latestAnswer(state, request);
 }
 
 admission_verdict enqueue(admission_state &state, const admission_request &request, steady_time now)
--- a/packages/decisions/tests/load_test.cpp
+++ b/packages/decisions/tests/load_test.cpp
@@ -237,6 +237,23 @@
     EXPECT_GT(files.inGoal + files.late, 60 * 4) << "files are passed on all the while";
 }
 
+// Answers no load at all: who is late already gets an idle target all the same.
+TEST(load, aCallerThatIsLateAlreadyGetsAFreeSlot)
+{
+    const steady_time now{std::chrono::hours(1)};
+    admission_state gate;
+    gate.hasTarget = true;
+    gate.goalBound = true;
+    gate.limits.concurrency = 2;
+    gate.announcedAt = now - seconds(60);
+    gate.serviceMs = 160;
+    gate.usualServiceMs = 160;
+    admission_request request;
+    request.goal = now - milliseconds(200);
+    request.deadline = now + milliseconds(250);
+    EXPECT_TRUE(admit(gate, request, now).admitted);
+}
+
 // Answers the load of a target that is asked for large files, more than its instance's link carries, beside short
 // calls: files that are let in pass in time, and the link is used.
 TEST(load, filesThatShareALinkPassInTimeOrAreRefusedAtOnce)
