Fix: late in a planned stop nothing is begun that could be cut

Ruled out: the target (its run ended before) and the peer (it had passed the request on). Test: a real daemon, a request on a kept connection 2.5 s before the end with 3 s to go: 504 before, 503 at once now.

--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -257,8 +257,14 @@
                                 askedBefore,
                                 now};
     auto routed = makeRouted(route, std::move(request), std::move(*key), origin);
-    // What comes during a planned stop is answered before the process has to end.
-    routed.deadline = std::min(routed.deadline, thread.shared->answersUntil.load());
+    // What comes during a planned stop is answered before the process has to end. Late in the stop, what might not be
+    // is not begun: a caller on a kept connection may come back on another one.
+    const auto until = thread.shared->answersUntil.load();
+    if (thread.shared->leaving && routed.deadline > until) {
+        refused = {unavailable, "leaving"};
+        co_return std::nullopt;
+    }
+    routed.deadline = std::min(routed.deadline, until);
     co_return routed;
 }
 
