--- a/packages/daemon/src/roster_daemon.cpp
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -14,7 +14,7 @@
 
 using clock = elapsed_clock;
 
-constexpr milliseconds lastWords{400}; ///< After the last deadline, for answers that are being written.
+constexpr milliseconds writeTime{400}; ///< After the last deadline, for answers that are being written.
 
 /** Everything that lives as long as the daemon. */
 struct roster_parts
@@ -28,7 +28,7 @@
 /** Waits until callers know that they should go elsewhere, then until nothing is under way. */
 asio::awaitable<void> finishStop(roster_parts &parts)
 {
-    const auto limit = clock::now() + parts.shared.settings.drainLimit + lastWords;
+    const auto limit = clock::now() + parts.shared.settings.drainLimit + writeTime;
     co_await sleepFor(parts.shared.settings.roster->stopNotice);
     parts.shared.leaving = true;
     closeListeners(parts.traffic);
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -89,7 +89,7 @@
  * How long answers are passed on, as a line over the number of those that were being passed on when they were made: on
  * a link that carries one after the other it rises with that number, to callers on slow links of their own it does not.
  */
-struct pass_line
+struct pass_estimate
 {
     double ahead = 0; ///< Mean number ahead.
     double tookMs = 0; ///< Mean time in milliseconds.
@@ -125,7 +125,7 @@
     double serviceMs = 5.0; ///< Smoothed service time in milliseconds, of all requests.
     double urgentServiceMs = 0; ///< The same of urgent requests; 0 while none was seen.
     double usualServiceMs = 0; ///< The same of usual lookups; 0 while none was seen.
-    pass_line pass; ///< How long usual answers are passed on.
+    pass_estimate pass; ///< How long usual answers are passed on.
     std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since it was last taken.
     std::map<refusal, std::uint64_t> refusals; ///< Refusals by reason, for metrics.
 };
--- a/packages/decisions/src/admission_wait.cpp
+++ b/packages/decisions/src/admission_wait.cpp
@@ -72,29 +72,30 @@
     if (!request.passing || isUrgent(request)) {
         return;
     }
-    auto &line = state.pass;
+    auto &estimate = state.pass;
     const auto passed = static_cast<double>((took - request.worked).count());
-    const auto weight = line.known ? serviceSmoothing : 1.0;
-    const auto aheadOff = request.passedAfter - line.ahead;
-    const auto tookOff = passed - line.tookMs;
-    line.ahead += weight * aheadOff;
-    line.tookMs += weight * tookOff;
-    line.aheadVariance = (1 - weight) * (line.aheadVariance + weight * aheadOff * aheadOff);
-    line.covariance = (1 - weight) * (line.covariance + weight * aheadOff * tookOff);
-    line.known = true;
+    const auto weight = estimate.known ? serviceSmoothing : 1.0;
+    const auto aheadOff = request.passedAfter - estimate.ahead;
+    const auto tookOff = passed - estimate.tookMs;
+    estimate.ahead += weight * aheadOff;
+    estimate.tookMs += weight * tookOff;
+    estimate.aheadVariance = (1 - weight) * (estimate.aheadVariance + weight * aheadOff * aheadOff);
+    estimate.covariance = (1 - weight) * (estimate.covariance + weight * aheadOff * tookOff);
+    estimate.known = true;
 }
 
 milliseconds passTime(const admission_state &state, std::size_t before, const admission_request &request)
 {
-    const auto &line = state.pass;
-    if (!state.goalBound || isUrgent(request) || line.tookMs < leastPass) {
+    const auto &estimate = state.pass;
+    if (!state.goalBound || isUrgent(request) || estimate.tookMs < leastPass) {
         return milliseconds(0);
     }
-    const auto each = line.aheadVariance > leastVariance ? std::max(line.covariance / line.aheadVariance, 0.0) : 0.0;
+    const auto each =
+        estimate.aheadVariance > leastVariance ? std::max(estimate.covariance / estimate.aheadVariance, 0.0) : 0.0;
     // Some of those in flight now are passed on while the target works.
     const auto done = each > 0 ? serviceOf(state, false) / each : 0.0;
     const auto ahead = std::max(static_cast<double>(state.inFlight - state.urgentInFlight + before) - done, 0.0);
-    return milliseconds(std::llround(std::max(line.tookMs + each * (ahead - line.ahead), 0.0)));
+    return milliseconds(std::llround(std::max(estimate.tookMs + each * (ahead - estimate.ahead), 0.0)));
 }
 
 void noteUrgent(admission_state &state, const admission_request &request, int change, steady_time now)
--- a/packages/peer/src/bulk_sender.cpp
+++ b/packages/peer/src/bulk_sender.cpp
@@ -52,13 +52,13 @@
     });
 }
 
-/** Gives leave for one piece. */
-void giveLeave(bulk_sender &sender, const std::shared_ptr<h2_session> &session, h2_stream &stream, steady_time now)
+/** Gives a permit for one piece. */
+void givePermit(bulk_sender &sender, const std::shared_ptr<h2_session> &session, h2_stream &stream, steady_time now)
 {
     const auto left = stream.outgoing.size() - stream.outgoingSent;
     const bool limited = !sender.waiting.empty() || left > pieceBytes;
-    stream.bulkLeave = sender.nextNumber++;
-    sender.pieces[stream.bulkLeave] = {session, {pieceBytes, limited, now}};
+    stream.bulkPermit = sender.nextNumber++;
+    sender.pieces[stream.bulkPermit] = {session, {pieceBytes, limited, now}};
     noteSent(sender.share, pieceBytes);
     stream.outgoingDeferred = false;
     nghttp2_session_resume_data(session->session, stream.id);
@@ -79,7 +79,7 @@
         }
         next = sender->waiting.erase(next);
         if (session && stream && !session->dead && !stream->closed) {
-            giveLeave(*sender, session, *stream, now);
+            givePermit(*sender, session, *stream, now);
         }
     }
     awaitSilence(sender);
@@ -107,7 +107,7 @@
 
 bool mayReadBulk(h2_session &session, h2_stream &stream)
 {
-    if (stream.bulkLeave != 0) {
+    if (stream.bulkPermit != 0) {
         return true;
     }
     session.bulk->waiting[stream.bulkOrder] = {session.weak_from_this(), stream.weak_from_this()};
@@ -117,10 +117,10 @@
 
 void noteBulkRead(h2_session &session, h2_stream &stream, std::size_t bytes, steady_time now)
 {
-    const auto number = std::exchange(stream.bulkLeave, 0);
+    const auto number = std::exchange(stream.bulkPermit, 0);
     const auto piece = session.bulk->pieces.find(number);
     if (piece == session.bulk->pieces.end()) {
-        return; // The session took its time; the leave no longer counts.
+        return; // The session took its time; the permit no longer counts.
     }
     noteDropped(session.bulk->share, piece->second.sent.bytes - bytes);
     piece->second.sent.bytes = bytes;
@@ -148,7 +148,7 @@
         return;
     }
     session.bulk->waiting.erase(stream.bulkOrder);
-    const auto piece = session.bulk->pieces.find(std::exchange(stream.bulkLeave, 0));
+    const auto piece = session.bulk->pieces.find(std::exchange(stream.bulkPermit, 0));
     if (piece != session.bulk->pieces.end()) {
         noteDropped(session.bulk->share, piece->second.sent.bytes);
         session.bulk->pieces.erase(piece);
--- a/packages/peer/src/bulk_sender.h
+++ b/packages/peer/src/bulk_sender.h
@@ -1,8 +1,8 @@
 /**
  * @file bulk_sender.h Large answers of one thread on their way over the instance's link. Internal to the package.
  *
- * A large answer is sent in pieces, each after leave. A ping follows each piece: its acknowledgement shows that the
- * other daemon has read everything before it. Small answers and everything else need no leave.
+ * A large answer is sent in pieces, each after a permit. A ping follows each piece: its acknowledgement shows that the
+ * other daemon has read everything before it. Small answers and everything else need no permit.
  */
 #ifndef BULK_SENDER_H
 #define BULK_SENDER_H
@@ -18,14 +18,14 @@
 struct h2_session;
 struct h2_stream;
 
-/** A piece that has leave, or was sent and is not known to be delivered. */
+/** A piece that has a permit, or was sent and is not known to be delivered. */
 struct bulk_piece
 {
     std::weak_ptr<h2_session> session; ///< Whose piece.
-    delivery sent; ///< Bytes and moment; those of the leave until it is sent.
+    delivery sent; ///< Bytes and moment; those of the permit until it is sent.
 };
 
-/** A large answer that waits for leave. */
+/** A large answer that waits for a permit. */
 struct bulk_waiting
 {
     std::weak_ptr<h2_session> session; ///< Session.
@@ -44,18 +44,18 @@
     std::map<std::uint64_t, bulk_piece> pieces; ///< By number, oldest first.
     std::uint64_t nextNumber = 1; ///< Number of the next answer or piece.
     asio::steady_timer timer; ///< Ends when the oldest piece no longer counts.
-    bool posted = false; ///< Whether leave is about to be given.
+    bool posted = false; ///< Whether permits are about to be given.
 };
 
 /**
- * Makes an answer one that is sent with leave.
+ * Makes an answer one that is sent with permits.
  * @param sender Sender.
  * @param stream Its stream.
  */
 void beginBulk(bulk_sender &sender, h2_stream &stream);
 
 /**
- * Tells whether an answer has leave to send a piece; if not, it gets it later and is resumed then.
+ * Tells whether an answer has a permit to send a piece; if not, it gets one later and is resumed then.
  * @param session Session.
  * @param stream Its stream.
  * @return Whether it may be sent now.
@@ -65,7 +65,7 @@
 /**
  * Notes that a piece is handed to the session; a ping follows it.
  * @param session Session.
- * @param stream Its stream, which had leave.
+ * @param stream Its stream, which had a permit.
  * @param bytes Bytes of the piece.
  * @param now Present time.
  */
@@ -80,7 +80,7 @@
 void noteBulkDelivered(h2_session &session, std::uint64_t number, steady_time now);
 
 /**
- * Takes back the leave of an answer that has ended.
+ * Takes back the permit of an answer that has ended.
  * @param session Session.
  * @param stream Its stream.
  */
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -33,9 +33,9 @@
     std::string outgoing; ///< Body to be sent.
     std::size_t outgoingSent = 0; ///< Bytes of it already sent.
     bool outgoingDone = false; ///< Whether no more will be added.
-    bool outgoingDeferred = false; ///< Whether sending waits for more, or for leave.
+    bool outgoingDeferred = false; ///< Whether sending waits for more, or for a permit.
     std::uint64_t bulkOrder = 0; ///< Place among large answers; 0 if it is none.
-    std::uint64_t bulkLeave = 0; ///< Number of the piece that it has leave to send; 0 if it has none.
+    std::uint64_t bulkPermit = 0; ///< Number of the piece that it may send; 0 if it has no permit.
     wake_event changed; ///< Wakes whoever waits for any of this.
 
     explicit h2_stream(const asio::any_io_executor &executor)
@@ -59,7 +59,7 @@
     bool goingAway = false; ///< Whether the other end accepts no new streams.
     steady_time lastReceived{}; ///< Last time that anything came.
     steady_time pingSentAt{}; ///< When the other end was last asked for a sign of life.
-    std::shared_ptr<bulk_sender> bulk; ///< Gives leave to send large answers; null at the end that asks.
+    std::shared_ptr<bulk_sender> bulk; ///< Gives permits to send large answers; null at the end that asks.
     bool silent = false; ///< Whether the other end has confirmed nothing for long: it gets no large answers meanwhile.
     path_delay path; ///< What the delivery of large answers has shown of the way to the other end.
     std::uint64_t bytesIn = 0; ///< Bytes received.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t bulkAhead = 16384; ///< Bytes of a large answer that wait for leave here.
+constexpr std::size_t bulkAhead = 16384; ///< Bytes of a large answer that wait for a permit here.
 constexpr std::chrono::hours sendPatience{1}; ///< A part waits for room at most this long; deadlines end it earlier.
 
 } // namespace
@@ -128,7 +128,7 @@
 asio::awaitable<bool> sendPart(std::shared_ptr<peer_responder> responder, std::string part)
 {
     auto &stream = *responder->stream;
-    // What waits for leave stays with the target, so that the end of its answer shows when it has passed.
+    // What waits for a permit stays with the target, so that the end of its answer shows when it has passed.
     const auto limit = stream.bulkOrder != 0 ? bulkAhead : outgoingLimit;
     while (!stream.closed && stream.outgoing.size() - stream.outgoingSent > limit) {
         co_await stream.changed.waitUntil(elapsed_clock::now() + sendPatience);
