Fix: a reader whose permits expired unused is asked for a sign of life, and gets large answers again

Cause: found by reading. A permit that expires before its piece could be sent, since the connection takes nothing, marked the reader silent; no ping follows a piece that was not sent, so nothing ever ended the silence, and its large answers waited until their deadlines. Ruled out: pieces that were sent (their pings come back late and end it), also after the answers were given up (test of its own, passed before). Change: who is marked silent is pinged at once. Test: two sessions, one piece at a time, the first never read: silent for good before, not after; 'aReaderWhosePermitsExpiredUnused...'.

--- a/packages/daemon/src/entry.cpp
+++ b/packages/daemon/src/entry.cpp
@@ -26,7 +26,7 @@
 constexpr unsigned unavailable = 503; ///< Not run; come back later.
 constexpr milliseconds noTablesRetry{300}; ///< When to come back while this daemon knows no tables yet.
 constexpr std::size_t readAhead = 4096; ///< Bytes asked for at first; most requests fit.
-constexpr std::size_t readAheadLimit = 131072; ///< Bytes read ahead at most: of heads, or of what frames a body.
+constexpr std::size_t readAheadLimit = 131072; ///< Bytes read ahead at most, beyond the longest head.
 constexpr std::chrono::seconds readTimeout{30}; ///< Bound on receiving one request.
 
 /** One caller's connection. */
@@ -38,7 +38,7 @@
 
     beast::tcp_stream stream; ///< Transport.
     const wire_names *names = nullptr; ///< Header names.
-    beast::flat_buffer buffer{readAheadLimit}; ///< Bytes read ahead.
+    beast::flat_buffer buffer; ///< Bytes read ahead.
     std::string address; ///< IP address of the caller.
     bool keepAlive = true; ///< Whether another request may follow.
     bool chunked = false; ///< Whether the present answer is chunked.
@@ -380,6 +380,7 @@
         const auto parser = std::make_shared<caller_parser>();
         const auto limits = limitsOf(*thread.shared);
         parser->header_limit(limits.headerBytes);
+        connection->buffer.max_size(limits.headerBytes + readAheadLimit);
         parser->body_limit(std::numeric_limits<std::uint64_t>::max()); // The route's limit is checked once it is known.
         code = co_await readRequestHead(connection, parser, limits);
         if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
--- a/packages/peer/src/bulk_sender.cpp
+++ b/packages/peer/src/bulk_sender.cpp
@@ -17,6 +17,23 @@
 
 void pumpSoon(const std::shared_ptr<bulk_sender> &sender);
 
+void submitPing(h2_session &session, std::uint64_t number)
+{
+    std::uint8_t payload[sizeof number];
+    boost::endian::store_big_u64(payload, number);
+    nghttp2_submit_ping(session.session, NGHTTP2_FLAG_NONE, payload);
+}
+
+/** Holds large answers back from a reader until it gives a sign of life, and asks for one. */
+void markSilent(const std::shared_ptr<h2_session> &session, std::uint64_t number)
+{
+    if (!session->silent && !session->dead) {
+        session->silent = true;
+        submitPing(*session, number);
+        flush(session);
+    }
+}
+
 /**
  * Forgets pieces that have been under way for so long that it is not the link they wait for. Their readers get no more
  * until they confirm something: others may use the link.
@@ -30,7 +47,7 @@
         }
         noteDropped(sender.share, oldest->second.sent.bytes);
         if (const auto session = oldest->second.session.lock()) {
-            session->silent = true;
+            markSilent(session, oldest->first);
         }
         sender.pieces.erase(oldest);
     }
@@ -125,9 +142,7 @@
     noteDropped(session.bulk->share, piece->second.sent.bytes - bytes);
     piece->second.sent.bytes = bytes;
     piece->second.sent.sentAt = now;
-    std::uint8_t payload[sizeof number];
-    boost::endian::store_big_u64(payload, number);
-    nghttp2_submit_ping(session.session, NGHTTP2_FLAG_NONE, payload);
+    submitPing(session, number);
 }
 
 void noteBulkDelivered(h2_session &session, std::uint64_t number, steady_time now)
--- a/packages/peer/tests/bulk_test.cpp
+++ b/packages/peer/tests/bulk_test.cpp
@@ -1,5 +1,7 @@
 /** @file bulk_test.cpp Large answers between daemons over a slow link: they stay whole, and small ones pass them. */
+#include "bulk_sender.h"
 #include "elapsed_clock.h"
+#include "h2_session.h"
 #include "http_server.h"
 #include "peer_client.h"
 #include "peer_server.h"
@@ -202,4 +204,87 @@
     EXPECT_EQ(reply->body, linked_peers::bodyOf(largeBytes));
 }
 
+// A permit may expire before its piece could be sent, since the connection took nothing: no ping follows that piece.
+TEST(bulk, readersThatWereSilentGetLargeAnswersAgain)
+{
+    linked_peers peers;
+    for (std::size_t reader = 0; reader < 8; ++reader) {
+        asio::co_spawn(peers.context, peers.askLarge(reader % peers.clients.size()), asio::detached);
+    }
+    for (int round = 0; round < 3; ++round) {
+        peers.context.run_for(milliseconds(300));
+        peers.link.stuck = true;
+        peers.context.run_for(milliseconds(900));
+        peers.link.stuck = false;
+    }
+    peers.context.run_for(seconds(1));
+    const auto before = peers.large;
+    peers.context.run_for(seconds(2));
+    EXPECT_GT(peers.large - before, 10U) << "the link carries 27 in this time";
+    EXPECT_EQ(peers.broken, 0U);
+}
+
+// Whoever waits for a permit while its reader is silent may give up: then nothing of it is sent, and nothing confirmed.
+TEST(bulk, aSilentReaderWhoseAnswersAreGivenUpGetsTheNextOnes)
+{
+    linked_peers peers;
+    peers.link.stuck = true;
+    const auto client = peers.clients.front();
+    std::optional<http_reply> reply;
+    auto work = [&]() -> asio::awaitable<void> {
+        for (int number = 0; number < 8; ++number) {
+            peer_request request{"/large", {}, ""};
+            const auto opened = co_await openCall(client, peers.at, std::move(request), seconds(1));
+            co_await sleepFor(milliseconds(100));
+            abandonCall(*opened.call);
+        }
+        peers.link.stuck = false;
+        co_await sleepFor(milliseconds(300));
+        peer_request request{"/large", {}, ""};
+        const auto opened = co_await openCall(client, peers.at, std::move(request), seconds(1));
+        reply = co_await readWhole(opened.call, clock::now() + seconds(3));
+        peers.context.stop();
+    };
+    asio::co_spawn(peers.context, work, asio::detached);
+    peers.context.run_for(seconds(8));
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->body, linked_peers::bodyOf(largeBytes));
+}
+
+// A permit may expire before its piece could be sent, since the connection took nothing: no ping follows that piece,
+// but the reader must get more once it gives a sign of life.
+TEST(bulk, aReaderWhosePermitsExpiredUnusedGetsNewOnes)
+{
+    asio::io_context context{1};
+    last_reason why;
+    auto acceptor = listenOn(context, {"127.0.0.1", 0}, why);
+    tcp::socket near(context);
+    near.connect(acceptor->local_endpoint());
+    const auto server = std::make_shared<h2_session>(acceptor->accept());
+    const auto reader = std::make_shared<h2_session>(std::move(near));
+    server->bulk = std::make_shared<bulk_sender>(context.get_executor());
+    server->bulk->share.budget = 1; // One piece at a time.
+    startSession(server, true);
+    startSession(reader, false);
+    asio::co_spawn(context, readLoop(server), asio::detached);
+    asio::co_spawn(context, readLoop(reader), asio::detached);
+    std::vector<std::shared_ptr<h2_stream>> streams;
+    for (int number = 0; number < 2; ++number) {
+        streams.push_back(std::make_shared<h2_stream>(context.get_executor()));
+        streams.back()->outgoing = linked_peers::bodyOf(largeBytes);
+        beginBulk(*server->bulk, *streams.back());
+        EXPECT_FALSE(mayReadBulk(*server, *streams.back()));
+    }
+    context.run_for(milliseconds(50));
+    EXPECT_NE(streams[0]->bulkPermit, 0U);
+    EXPECT_EQ(streams[1]->bulkPermit, 0U);
+    // The first piece is never read from its stream.
+    context.run_for(server->bulk->share.limits.silence + milliseconds(200));
+    EXPECT_FALSE(server->silent);
+    EXPECT_NE(streams[1]->bulkPermit, 0U);
+    closeSession(server);
+    closeSession(reader);
+    context.run_for(milliseconds(50));
+}
+
 } // namespace quetzalspool::test
--- a/standins/tests/caller_input_test.cpp
+++ b/standins/tests/caller_input_test.cpp
@@ -125,6 +125,24 @@
     EXPECT_EQ(sendRaw(at, std::string("\0\1\2\3\r\n\r\n", 8)).substr(0, 12), "HTTP/1.1 400");
 }
 
+// A chunk's extensions or a trailer without an end are no body: the caller is let go after a bounded number of bytes.
+TEST_F(caller_input, framingWithoutEnd)
+{
+    const std::string head = "POST /releases/k1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(65536, 'x');
+    constexpr std::size_t boundedBytes = 32 * 1024 * 1024; // What sockets hold, and far less than a daemon may use.
+    for (const std::string start : {"5;", "5\r\nabcde\r\n0\r\nX-T: "}) {
+        asio::io_context context;
+        auto socket = sendBytes(context, at, head + start);
+        error_code code;
+        std::size_t written = 0;
+        while (!code && written < 2 * boundedBytes) {
+            written += asio::write(socket, asio::buffer(filler), code);
+        }
+        EXPECT_LT(written, boundedBytes) << start;
+    }
+}
+
 TEST_F(caller_input, aCallersGrantHeadersAreTakenOut)
 {
     const auto answer = statusOf(at, "GET /formulas/k1 HTTP/1.1\r\nHost: a\r\nQuetzalspool-Fence: 1\r\n\r\n");
