--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -88,7 +88,10 @@
         asio::post(state->context, [&at = *state] {
             error_code ignored;
             at.callerAcceptor->close(ignored);
-            drainPeerServer(*at.peerServer);
+            const auto drained = drainPeerServer(*at.peerServer);
+            logEvent(log_level::info, "listeners-closed",
+                     {{"sessions", std::to_string(drained.sessions)},
+                      {"open_streams", std::to_string(drained.openStreams)}});
         });
     }
 }
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -66,6 +66,7 @@
     auto &session = sessionOf(user);
     if (frame->hd.type == NGHTTP2_GOAWAY) {
         session.goawayReceived = true;
+        session.goawayLastStream = frame->goaway.last_stream_id;
         return 0;
     }
     if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0 && session.bulk) {
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -294,6 +294,15 @@
     return peer_failure::unclear;
 }
 
+std::string describeRefusal(const peer_call &call)
+{
+    const auto stream = "stream " + std::to_string(call.stream->id);
+    if (!call.session->goawayReceived) {
+        return stream;
+    }
+    return stream + ", last accepted " + std::to_string(call.session->goawayLastStream);
+}
+
 bool isClosed(const peer_call &call)
 {
     return call.stream->closed;
--- a/packages/peer/src/peer_client.h
+++ b/packages/peer/src/peer_client.h
@@ -71,6 +71,13 @@
  */
 peer_failure classifyFailure(const peer_call &call);
 
+/**
+ * Describes how a request came to count as not processed, for the log.
+ * @param call Call that classifyFailure reports as not processed.
+ * @return The stream, and the last stream that the other daemon accepted, if it announced one.
+ */
+std::string describeRefusal(const peer_call &call);
+
 /**
  * Tells whether the stream of a call is closed.
  * @param call Call.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -94,8 +94,9 @@
     return server;
 }
 
-void drainPeerServer(peer_server &server)
+drained_sessions drainPeerServer(peer_server &server)
 {
+    drained_sessions drained;
     // Closed first, since a session accepted after the GOAWAYs below would get none.
     error_code ignored;
     server.acceptor.close(ignored);
@@ -103,7 +104,10 @@
         const auto last = nghttp2_session_get_last_proc_stream_id(session->session);
         nghttp2_submit_goaway(session->session, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
         flush(session);
+        ++drained.sessions;
+        drained.openStreams += session->streams.size();
     }
+    return drained;
 }
 
 void sendResponseHead(peer_responder &responder, unsigned status, std::vector<http_header> headers)
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -27,11 +27,19 @@
  */
 std::shared_ptr<peer_server> startPeerServer(tcp::acceptor acceptor, peer_handler handler);
 
+/** Connections of a server at the time at which it is drained. */
+struct drained_sessions
+{
+    std::size_t sessions = 0; ///< Sessions.
+    std::size_t openStreams = 0; ///< Streams open on them.
+};
+
 /**
  * Stops accepting connections and sends GOAWAY on all sessions. Requests in progress continue.
  * @param server Server.
+ * @return What was open.
  */
-void drainPeerServer(peer_server &server);
+drained_sessions drainPeerServer(peer_server &server);
 
 /**
  * Sends the response head.
