Fix: a stopping daemon handles no request that its GOAWAY reports as refused

Cause: drainPeerServer fixed the last stream when it queued the GOAWAY, and the session went on handling streams that it read until the GOAWAY was written. The sender takes these for not processed (RFC 9113, 6.8), tries again for 40 ms at a port that is closed, and answers 503. That is an event loop turn on an idle session, and as long as the bytes before it take on a slow link. Ruled out: a refused body (the library drops the stream at once); that the library does it by itself: it ignores later streams only once the GOAWAY is written. Change: the session keeps the number that it announced and ignores later streams from that moment on; the same number goes into the GOAWAY. Conclusion: the refusal and the decision not to handle are one number.

--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -33,7 +33,8 @@
 int onBeginHeaders(nghttp2_session * /*session*/, const nghttp2_frame *frame, void *user)
 {
     auto &session = sessionOf(user);
-    if (session.server && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+    const bool accepted = frame->hd.stream_id <= session.lastAcceptedStream;
+    if (session.server && frame->headers.cat == NGHTTP2_HCAT_REQUEST && accepted) {
         auto stream = std::make_shared<h2_stream>(session.socket.get_executor());
         stream->id = frame->hd.stream_id;
         session.streams[stream->id] = std::move(stream);
@@ -256,6 +257,15 @@
     }
 }
 
+void refuseLaterStreams(const std::shared_ptr<h2_session> &session)
+{
+    session->lastAcceptedStream =
+        std::min(session->lastAcceptedStream, nghttp2_session_get_last_proc_stream_id(session->session));
+    nghttp2_submit_goaway(session->session, NGHTTP2_FLAG_NONE, session->lastAcceptedStream, NGHTTP2_NO_ERROR, nullptr,
+                          0);
+    flush(session);
+}
+
 void closeSession(const std::shared_ptr<h2_session> &session)
 {
     if (session->transportClosed) {
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -9,6 +9,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <nghttp2/nghttp2.h>
 #include <unordered_map>
@@ -57,6 +58,8 @@
     bool writing = false; ///< Whether a write loop is running.
     bool transportClosed = false; ///< Whether the connection has failed or been closed.
     bool goawayReceived = false; ///< Whether GOAWAY was received: the peer accepts no new streams.
+    std::int32_t lastAcceptedStream =
+        std::numeric_limits<std::int32_t>::max(); ///< At the server: requests on later streams are ignored.
     std::int32_t goawayLastStream = 0; ///< Last stream that the peer accepted, as its GOAWAY says.
     steady_time lastReceived{}; ///< When bytes were last received.
     steady_time pingSentAt{}; ///< When the last keepalive ping was sent.
@@ -94,6 +97,13 @@
  */
 void flush(const std::shared_ptr<h2_session> &session);
 
+/**
+ * Accepts no streams later than the present ones and sends a GOAWAY that says so. The GOAWAY may have to wait for bytes
+ * queued before it; streams that arrive meanwhile are already ignored, since the client takes them for not processed.
+ * @param session Session of a server.
+ */
+void refuseLaterStreams(const std::shared_ptr<h2_session> &session);
+
 /**
  * Closes the connection and all streams.
  * @param session Session.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -101,9 +101,7 @@
     error_code ignored;
     server.acceptor.close(ignored);
     for (const auto &session : server.sessions) {
-        const auto last = nghttp2_session_get_last_proc_stream_id(session->session);
-        nghttp2_submit_goaway(session->session, NGHTTP2_FLAG_NONE, last, NGHTTP2_NO_ERROR, nullptr, 0);
-        flush(session);
+        refuseLaterStreams(session);
         ++drained.sessions;
         drained.openStreams += session->streams.size();
     }
