Fix: a connection whose accept completes as the daemon closes its listeners gets a GOAWAY too

What callers saw: nothing yet; requests on such a connection were taken until the process ended and could be cut with it, and their sender never learnt that the daemon was leaving. Cause: the drain tells the sessions that exist; an accept that had completed, but whose coroutine had not run, made one afterwards. Ruled out: connections still in the backlog (closing the listener resets them). Change: a session that starts after the listener was closed refuses all streams and says so. Figures: goaway.aConnectionThatIsAcceptedDuringADrainGetsAGoaway failed before (no GOAWAY within 5 s) and passes. Conclusion: every session of a drained server has an announced last stream.

--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -80,6 +80,9 @@
         session->bulk = server->bulk;
         startSession(session, true);
         server->sessions.insert(session);
+        if (!server->acceptor.is_open()) {
+            refuseLaterStreams(session); // The connection was accepted just before the server was drained.
+        }
         asio::co_spawn(server->acceptor.get_executor(), serveSession(server, session), asio::detached);
     }
 }
