--- a/packages/peer/tests/goaway_test.cpp
+++ b/packages/peer/tests/goaway_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <limits>
+#include <map>
 #include <random>
 #include <set>
 
@@ -26,11 +27,16 @@
     endpoint at; ///< Address of the server.
     std::multiset<std::string> handled; ///< Paths of the requests that were handled.
     std::string responseBody; ///< Body of each response.
+    bool holdsResponses = false; ///< Whether requests stay in progress until respondToHeld.
+    std::vector<std::shared_ptr<peer_responder>> held; ///< Requests in progress.
 
-    recording_server()
+    explicit recording_server(std::optional<int> sendBuffer = std::nullopt)
     {
         last_reason why;
         auto acceptor = listenOn(context, {"127.0.0.1", 0}, why);
+        if (sendBuffer) {
+            acceptor->set_option(asio::socket_base::send_buffer_size(*sendBuffer)); // Connections inherit it.
+        }
         at = {"127.0.0.1", acceptor->local_endpoint().port()};
         server = startPeerServer(std::move(*acceptor),
                                  [this](peer_request request, std::shared_ptr<peer_responder> responder) {
@@ -41,11 +47,28 @@
     asio::awaitable<void> respond(peer_request request, std::shared_ptr<peer_responder> responder)
     {
         handled.insert(request.path);
+        if (holdsResponses) {
+            held.push_back(std::move(responder));
+            co_return;
+        }
+        co_await writeResponse(std::move(responder));
+    }
+
+    asio::awaitable<void> writeResponse(std::shared_ptr<peer_responder> responder)
+    {
         sendResponseHead(*responder, 200, {});
         co_await sendBodyChunk(responder, responseBody);
         endResponse(*responder);
     }
 
+    void respondToHeld()
+    {
+        for (auto &responder : held) {
+            asio::co_spawn(context, writeResponse(std::move(responder)), asio::detached);
+        }
+        held.clear();
+    }
+
     /** Processes whatever is ready until nothing has been ready for a while. */
     void pollUntilIdle()
     {
@@ -68,18 +91,27 @@
     nghttp2_session *session = nullptr; ///< Session.
     std::int32_t goawayLastStream = std::numeric_limits<std::int32_t>::max(); ///< Lowest last stream of all GOAWAYs.
     bool goawayReceived = false; ///< Whether a GOAWAY was received.
+    std::vector<std::int32_t> announced; ///< Last streams of all GOAWAYs, in order.
+    std::map<std::int32_t, std::uint32_t> closed; ///< Error codes of closed streams.
+    std::map<std::int32_t, std::size_t> bodyBytes; ///< Bytes of the response bodies.
+    std::string requestBody; ///< Body of a request that is sent in two parts.
+    bool requestBodyReady = false; ///< Whether it may be sent.
 
-    explicit manual_client(const endpoint &to)
+    explicit manual_client(const endpoint &to, std::int32_t windowBytes = largeWindow)
     {
         socket.open(tcp::v4());
         socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
         socket.connect(toAsioEndpoint<tcp>(to));
+        socket.set_option(tcp::no_delay(true));
         nghttp2_session_callbacks *callbacks = nullptr;
         nghttp2_session_callbacks_new(&callbacks);
         nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, onFrame);
+        nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onClose);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onData);
         nghttp2_session_client_new(&session, callbacks, this);
         nghttp2_session_callbacks_del(callbacks);
-        const nghttp2_settings_entry window{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, largeWindow};
+        const nghttp2_settings_entry window{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+                                            static_cast<std::uint32_t>(windowBytes)};
         nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, &window, 1);
         nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, largeWindow);
     }
@@ -97,18 +129,70 @@
         auto &client = *static_cast<manual_client *>(user);
         if (frame->hd.type == NGHTTP2_GOAWAY) {
             client.goawayReceived = true;
+            client.announced.push_back(frame->goaway.last_stream_id);
             client.goawayLastStream = std::min(client.goawayLastStream, frame->goaway.last_stream_id);
         }
         return 0;
     }
 
+    static int onClose(nghttp2_session * /*session*/, std::int32_t id, std::uint32_t errorCode, void *user)
+    {
+        static_cast<manual_client *>(user)->closed[id] = errorCode;
+        return 0;
+    }
+
+    static int onData(nghttp2_session * /*session*/, std::uint8_t /*flags*/, std::int32_t id,
+                      const std::uint8_t * /*data*/, std::size_t length, void *user)
+    {
+        static_cast<manual_client *>(user)->bodyBytes[id] += length;
+        return 0;
+    }
+
+    static ssize_t readBody(nghttp2_session * /*session*/, std::int32_t /*id*/, std::uint8_t *buffer,
+                            std::size_t length, std::uint32_t *flags, nghttp2_data_source *source, void * /*user*/)
+    {
+        auto &client = *static_cast<manual_client *>(source->ptr);
+        if (!client.requestBodyReady) {
+            return NGHTTP2_ERR_DEFERRED;
+        }
+        const auto count = std::min(length, client.requestBody.size());
+        std::copy_n(client.requestBody.begin(), count, buffer);
+        client.requestBody.erase(0, count);
+        *flags |= client.requestBody.empty() ? NGHTTP2_DATA_FLAG_EOF : NGHTTP2_DATA_FLAG_NONE;
+        return static_cast<ssize_t>(count);
+    }
+
+    /** Sends the head of a request; its body follows with sendRequestBody. */
+    std::int32_t beginRequest(const std::string &path)
+    {
+        const std::vector<http_header> headers{
+            {":method", "POST"}, {":scheme", "http"}, {":authority", "peer"}, {":path", path}};
+        const auto nameValues = toNameValues(headers);
+        nghttp2_data_provider body{};
+        body.source.ptr = this;
+        body.read_callback = readBody;
+        const auto stream =
+            nghttp2_submit_request(session, nullptr, nameValues.data(), nameValues.size(), &body, nullptr);
+        send();
+        return stream;
+    }
+
+    void sendRequestBody(std::int32_t stream, std::string body)
+    {
+        requestBody = std::move(body);
+        requestBodyReady = true;
+        nghttp2_session_resume_data(session, stream);
+        send();
+    }
+
     /** Sends what the session has pending. */
     void send()
     {
         const std::uint8_t *data = nullptr;
         for (auto length = nghttp2_session_mem_send(session, &data); length > 0;
              length = nghttp2_session_mem_send(session, &data)) {
-            asio::write(socket, asio::buffer(data, static_cast<std::size_t>(length)));
+            error_code code; // A server that has closed the connection is seen by what it didn't send.
+            asio::write(socket, asio::buffer(data, static_cast<std::size_t>(length)), code);
         }
     }
 
@@ -246,4 +330,87 @@
     EXPECT_TRUE(server.handled.empty());
 }
 
+TEST(goaway, aRequestInProgressAtAStopIsNotReportedAsRefused)
+{
+    recording_server server;
+    server.holdsResponses = true;
+    manual_client client(server.at);
+    const auto first = client.request("/first");
+    const auto last = client.request("/last");
+    server.pollUntilIdle();
+    ASSERT_EQ(server.held.size(), 2U);
+    drainPeerServer(*server.server);
+    client.receiveUntilGoaway(server);
+    EXPECT_EQ(client.goawayLastStream, last);
+    server.respondToHeld();
+    server.pollUntilIdle();
+    client.receive();
+    EXPECT_EQ(client.closed,
+              (std::map<std::int32_t, std::uint32_t>{{first, NGHTTP2_NO_ERROR}, {last, NGHTTP2_NO_ERROR}}));
+}
+
+TEST(goaway, aRequestWhoseBodyArrivesDuringAStopIsHandledAndAnswered)
+{
+    recording_server server;
+    manual_client client(server.at);
+    const auto stream = client.beginRequest("/order");
+    server.pollUntilIdle();
+    drainPeerServer(*server.server);
+    client.receiveUntilGoaway(server);
+    EXPECT_EQ(client.goawayLastStream, stream);
+    client.sendRequestBody(stream, std::string(1000, 'b'));
+    server.pollUntilIdle();
+    client.receive();
+    EXPECT_EQ(server.handled.count("/order"), 1U);
+    EXPECT_EQ(client.closed, (std::map<std::int32_t, std::uint32_t>{{stream, NGHTTP2_NO_ERROR}}));
+}
+
+TEST(goaway, aSecondStopAcceptsNoStreamThatTheFirstOneRefused)
+{
+    recording_server server;
+    server.responseBody = std::string(8000000, 'b');
+    manual_client client(server.at);
+    client.request("/large");
+    server.pollUntilIdle();
+    drainPeerServer(*server.server);
+    client.request("/order");
+    server.pollUntilIdle();
+    drainPeerServer(*server.server);
+    client.request("/later");
+    server.pollUntilIdle();
+    client.receiveUntilGoaway(server);
+    for (int round = 0; round < 20; ++round) {
+        server.context.poll();
+        client.receive();
+    }
+    EXPECT_EQ(client.announced, (std::vector<std::int32_t>{1, 1}));
+    EXPECT_EQ(server.handled, (std::multiset<std::string>{"/large"}));
+}
+
+// The session counts as finished once the last frame was taken from nghttp2, while it is still being written.
+TEST(goaway, aResponseThatIsStillBeingWrittenDuringAStopIsNotCut)
+{
+    constexpr std::int32_t windowBytes = 128 * 1024; // As between daemons.
+    constexpr int sendBufferBytes = 16384; // The kernel's initial size.
+    recording_server server(sendBufferBytes);
+    server.holdsResponses = true;
+    server.responseBody = std::string(120000, 'b');
+    manual_client client(server.at, windowBytes);
+    const auto stream = client.request("/large");
+    server.pollUntilIdle();
+    ASSERT_EQ(server.held.size(), 1U);
+    drainPeerServer(*server.server);
+    client.receiveUntilGoaway(server);
+    server.respondToHeld();
+    server.pollUntilIdle();
+    const auto until = elapsed_clock::now() + seconds(5);
+    while (!client.closed.contains(stream) && elapsed_clock::now() < until && client.socket.is_open()) {
+        server.context.poll();
+        client.receive();
+        client.send();
+    }
+    EXPECT_EQ(client.bodyBytes[stream], server.responseBody.size());
+    EXPECT_TRUE(client.closed.contains(stream));
+}
+
 } // namespace quetzalspool::test
