--- a/packages/peer/tests/goaway_test.cpp
+++ b/packages/peer/tests/goaway_test.cpp
@@ -413,4 +413,37 @@
     EXPECT_TRUE(client.closed.contains(stream));
 }
 
+// A new connection to the leaving daemon takes the place of the old one, whose calls are still in progress.
+TEST(goaway, aCallInProgressAtAStopKeepsItsKeepalive)
+{
+    recording_server server;
+    server.holdsResponses = true;
+    asio::io_context clientContext{1};
+    const auto client = makePeerClient(clientContext.get_executor());
+    const auto runFor = [&](milliseconds duration, bool serverResponds) {
+        const auto until = elapsed_clock::now() + duration;
+        while (elapsed_clock::now() < until) {
+            serverResponds ? server.context.poll() : 0;
+            clientContext.restart();
+            clientContext.run_for(milliseconds(1));
+        }
+    };
+    opened_call inProgress;
+    opened_call later;
+    const auto open = [&](opened_call &call, std::string path) -> asio::awaitable<void> {
+        peer_request request{std::move(path), {}, ""};
+        call = co_await openCall(client, server.at, std::move(request), seconds(1));
+    };
+    asio::co_spawn(clientContext, open(inProgress, "/order"), asio::detached);
+    runFor(milliseconds(100), true);
+    ASSERT_EQ(server.held.size(), 1U);
+    drainPeerServer(*server.server);
+    runFor(milliseconds(100), true);
+    asio::co_spawn(clientContext, open(later, "/later"), asio::detached);
+    runFor(milliseconds(100), true);
+    ASSERT_FALSE(later.call);
+    runFor(seconds(2), false);
+    EXPECT_TRUE(isPeerUnresponsive(*inProgress.call));
+}
+
 } // namespace quetzalspool::test
