Fix: a response that is still being written when a daemon stops is not cut

What callers saw: nothing on record; a response accepted before a planned stop could end in the middle (for an order: 504 although it ran). Change: a connection is closed only when nothing is being written, and a draining server leaves that to the client, which closes once it has all responses; the end of a write looks at it as well, so that a finished client still closes. Conclusion: fixed.

--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -155,6 +155,22 @@
     return static_cast<ssize_t>(count);
 }
 
+bool isDraining(const h2_session &session)
+{
+    return session.lastAcceptedStream != std::numeric_limits<std::int32_t>::max();
+}
+
+/**
+ * Whether this side may close the connection: the session has ended, and its bytes were written, which the library
+ * counts as sent as soon as it hands them out. A draining server leaves it to the client, which closes the connection
+ * once it has received all responses; before that, a reset could destroy some of them.
+ */
+bool mayClose(const h2_session &session)
+{
+    return !session.writing && !isDraining(session) && nghttp2_session_want_read(session.session) == 0
+        && nghttp2_session_want_write(session.session) == 0;
+}
+
 asio::awaitable<void> writeLoop(std::shared_ptr<h2_session> session)
 {
     std::string batch;
@@ -176,6 +192,9 @@
         }
     }
     session->writing = false;
+    if (mayClose(*session)) {
+        closeSession(session);
+    }
 }
 
 nghttp2_session_callbacks *sharedCallbacks()
@@ -240,9 +259,7 @@
         const auto taken =
             nghttp2_session_mem_recv(session->session, reinterpret_cast<const std::uint8_t *>(buffer.data()), length);
         flush(session);
-        if (taken < 0
-            || (nghttp2_session_want_read(session->session) == 0
-                && nghttp2_session_want_write(session->session) == 0)) {
+        if (taken < 0 || mayClose(*session)) {
             break;
         }
     }
