Fix: calls in progress on a connection that was replaced after a GOAWAY keep their keepalive

What callers saw: nothing on record; a lookup in progress at a stopping daemon that then fell silent waited for its deadline, since nobody noticed the silence. Ruled out: the old session itself (it stays open until its calls end). Change: the client keeps its open sessions; pings and byte counts go over these.

--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -6,6 +6,7 @@
 #include "tcp_keepalive.h"
 
 #include <map>
+#include <set>
 
 namespace quetzalspool {
 
@@ -40,6 +41,7 @@
 {
     asio::any_io_executor executor; ///< Executor of the client.
     std::map<endpoint, std::shared_ptr<peer_connection>> connections; ///< Connections by peer port of the daemon.
+    std::set<std::shared_ptr<h2_session>> sessions; ///< Open sessions, also those that were replaced after a GOAWAY.
     std::uint64_t closedBytes = 0; ///< Bytes sent and received by closed sessions.
     steady_time nextIdleCheck{}; ///< Time of the next check for idle sessions.
     bool keepaliveRunning = false; ///< Whether the keepalive loop is running.
@@ -61,7 +63,9 @@
 /** Runs the read loop of a session and adds its traffic to the total at the end. */
 asio::awaitable<void> runSession(std::shared_ptr<peer_client> client, std::shared_ptr<h2_session> session)
 {
+    client->sessions.insert(session);
     co_await readLoop(session);
+    client->sessions.erase(session);
     client->closedBytes += session->bytesReceived + session->bytesSent;
 }
 
@@ -114,9 +118,9 @@
     }
 }
 
-bool needsKeepalive(const peer_connection &connection)
+bool needsKeepalive(const h2_session &session)
 {
-    return connection.session && !connection.session->transportClosed && !connection.session->streams.empty();
+    return !session.transportClosed && !session.streams.empty();
 }
 
 /** Sends keepalive pings on sessions with open calls that receive nothing, while there are open calls. */
@@ -126,16 +130,15 @@
         co_await sleepFor(keepaliveInterval);
         const auto now = elapsed_clock::now();
         any = false;
-        for (const auto &[to, connection] : client->connections) {
-            if (!needsKeepalive(*connection)) {
+        for (const auto &session : client->sessions) {
+            if (!needsKeepalive(*session)) {
                 continue;
             }
             any = true;
-            auto &session = *connection->session;
-            if (now - session.lastReceived > pingIdleTime && session.pingSentAt <= session.lastReceived) {
-                session.pingSentAt = now;
-                nghttp2_submit_ping(session.session, NGHTTP2_FLAG_NONE, nullptr);
-                flush(connection->session);
+            if (now - session->lastReceived > pingIdleTime && session->pingSentAt <= session->lastReceived) {
+                session->pingSentAt = now;
+                nghttp2_submit_ping(session->session, NGHTTP2_FLAG_NONE, nullptr);
+                flush(session);
             }
         }
     }
@@ -324,10 +327,8 @@
 std::uint64_t transferredBytes(const peer_client &client)
 {
     auto bytes = client.closedBytes;
-    for (const auto &[to, connection] : client.connections) {
-        bytes += connection->session && !connection->session->transportClosed
-            ? connection->session->bytesReceived + connection->session->bytesSent
-            : 0;
+    for (const auto &session : client.sessions) {
+        bytes += session->bytesReceived + session->bytesSent;
     }
     return bytes;
 }
