Fix: the stream numbers of a refusal go to the log only, not to the caller

Ruled out: metrics (they carry the word of the reason only). Change: an outcome has a detail for the log. Conclusion: callers see what they saw before.

--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -44,6 +44,7 @@
     bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
     std::uint64_t responseBytes = 0; ///< Bytes of the response body received from another daemon.
     bool complete = false; ///< Whether the complete response was forwarded.
+    std::string logDetail; ///< Details for the log only; empty if the reason says all.
 };
 
 /** Where a response is written to. Used by one thread only. */
--- a/packages/daemon/src/request_log.cpp
+++ b/packages/daemon/src/request_log.cpp
@@ -66,7 +66,7 @@
               {"took_ms", formatMs(attempt.duration)},
               {"outcome", nameOf(attempt.outcome.result)},
               {"reason", reasonWord(attempt.outcome.reasonText)},
-              {"detail", attempt.outcome.reasonText}});
+              {"detail", attempt.outcome.logDetail.empty() ? attempt.outcome.reasonText : attempt.outcome.logDetail}});
 }
 
 } // namespace
--- a/packages/daemon/src/request_router.cpp
+++ b/packages/daemon/src/request_router.cpp
@@ -197,8 +197,8 @@
     const loss_context context{clock::now() >= request->deadline, sink->isCancelled(), ownerChanged(thread, *request)};
     request_outcome outcome{attempt_result::unknown, refusal::none, lossReason(context, "daemon-lost")};
     if (classifyFailure(*opened.call) == peer_failure::not_processed) {
-        const auto reason = "daemon-leaving: " + describeRefusal(*opened.call);
-        outcome = {attempt_result::not_run, refusal::leaving, reason, milliseconds(100)};
+        outcome = {attempt_result::not_run, refusal::leaving, "daemon-leaving", milliseconds(100)};
+        outcome.logDetail = describeRefusal(*opened.call);
         co_return outcome;
     }
     cancelCall(*opened.call);
