Fix: a target's refusal that names no request is no proof that the present one did not run

What callers saw: nothing on record; possible was 503 ("not run") for an order that the target ran. Ruled out: a copy of a refusal itself (a connection is closed after one); a refusal that names another request (was rejected before). Change: where targets echo ids, a refusal counts if it names the request or is the first response on its connection; else the response is lost and the outcome unknown. Targets that echo no ids are trusted to respond in order, as before.

--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -38,6 +38,7 @@
     beast::flat_buffer buffer{readAheadLimit}; ///< Received bytes that are not parsed yet.
     std::optional<http::response_parser<http::buffer_body>> parser; ///< Parser of the current response.
     bool headOnly = false; ///< Whether the response has no body because of the request's method.
+    bool reused = false; ///< Whether the connection has carried an earlier request.
     bool complete = false; ///< Whether the response was read completely.
     steady_time idleSince{}; ///< When the connection became idle.
 };
@@ -81,6 +82,16 @@
     return nullptr;
 }
 
+/**
+ * Whether a response certainly belongs to the current request: it names the request's id, or the connection has carried
+ * no other request whose late response it could be. Targets that echo no ids are trusted to respond in order.
+ */
+bool certainlyBelongs(const target_exchange &exchange, const std::string &echoed)
+{
+    const bool named = !exchange.requestId.empty() && echoed == exchange.requestId;
+    return named || !exchange.reused || exchange.rules.requestId.empty();
+}
+
 } // namespace
 
 std::shared_ptr<target_client> makeTargetClient(target_rules rules)
@@ -97,6 +108,7 @@
     auto exchange = takeIdleConnection(*client, address, maxIdleTime);
     if (exchange) {
         exchange->complete = false;
+        exchange->reused = true;
         co_return exchange;
     }
     exchange = std::make_shared<target_exchange>(co_await asio::this_coro::executor);
@@ -161,8 +173,9 @@
                          "neither Content-Length nor chunked encoding, so truncation could not be detected");
     }
     const auto &message = parser.get();
-    const auto echoed = exchange->requestId.empty() ? "" : std::string(message[exchange->rules.requestId]);
-    if (echoed != exchange->requestId && !echoed.empty()) {
+    const auto &idHeader = exchange->rules.requestId;
+    const auto echoed = idHeader.empty() ? "" : std::string(message[idHeader]);
+    if (!exchange->requestId.empty() && !echoed.empty() && echoed != exchange->requestId) {
         co_return failed(why, "read the target's response", toString(exchange->address),
                          "it is the answer to another request");
     }
@@ -174,6 +187,10 @@
     if (head.status == misdirectedRequest && head.notRun.empty()) {
         head.notRun = "stale-grant";
     }
+    if (!head.notRun.empty() && !certainlyBelongs(*exchange, echoed)) {
+        co_return failed(why, "read the target's response", toString(exchange->address),
+                         "it refuses a request that it does not name");
+    }
     co_return head;
 }
 
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -66,7 +66,8 @@
 
 /**
  * Reads the head of the response. Fails if the response echoes the id of another request: it answers an earlier
- * request, and the connection must not be used any more.
+ * request, and the connection must not be used any more. Fails also if the response states that a request did not run,
+ * and does not certainly mean this one.
  * @param exchange Exchange.
  * @param deadline When to give up reading.
  * @param why Receives the reason for a failure.
--- /dev/null
+++ b/packages/target/tests/refusal_test.cpp
@@ -0,0 +1,124 @@
+/** @file refusal_test.cpp Which responses of a target prove that the current request did not run. */
+#include "elapsed_clock.h"
+#include "http_server.h"
+#include "target_func.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+using std::chrono::seconds;
+
+const target_rules echoing{"X-Not-Run", "X-Id", false};
+
+/** Serves one connection: sends one of the responses after each request. */
+asio::awaitable<void> respondInOrder(std::shared_ptr<tcp::acceptor> acceptor, std::vector<std::string> responses)
+{
+    error_code code;
+    auto socket = co_await acceptor->async_accept(redirectError(code));
+    std::string received;
+    for (const auto &response : responses) {
+        const auto length =
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", redirectError(code));
+        received.erase(0, length);
+        co_await asio::async_write(socket, asio::buffer(response), redirectError(code));
+    }
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", redirectError(code));
+}
+
+/** Sends requests with these ids, on one connection as far as it is kept; returns the head that the last one got. */
+std::optional<target_head> lastHead(const target_rules &rules, std::vector<std::string> ids,
+                                    std::vector<std::string> responses)
+{
+    asio::io_context context{1};
+    last_reason why;
+    std::optional<target_head> head;
+    auto acceptor = std::make_shared<tcp::acceptor>(*listenOn(context, {"127.0.0.1", 0}, why));
+    const endpoint at{"127.0.0.1", acceptor->local_endpoint().port()};
+    asio::co_spawn(context, respondInOrder(acceptor, std::move(responses)), asio::detached);
+    const auto work = [&]() -> asio::awaitable<void> {
+        const auto client = makeTargetClient(rules);
+        for (const auto &id : ids) {
+            const auto exchange = co_await openTarget(client, at, seconds(3), seconds(1), why);
+            http_request request{"POST", "/", {}, ""};
+            if (!id.empty()) {
+                request.headers.emplace_back("X-Id", id);
+            }
+            const auto deadline = elapsed_clock::now() + seconds(1);
+            co_await sendToTarget(exchange, request, deadline, why);
+            head = co_await readTargetHead(exchange, deadline, why);
+            if (head) {
+                co_await readTargetPart(exchange, deadline, why);
+            }
+            closeTarget(*client, exchange);
+        }
+        context.stop();
+    };
+    asio::co_spawn(context, work, asio::detached);
+    context.run_for(seconds(5));
+    return head;
+}
+
+std::string response(const std::string &status, const std::string &headers)
+{
+    return "HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: 0\r\n\r\n";
+}
+
+const std::string firstAnswer = response("200", "X-Id: one\r\n");
+
+} // namespace
+
+TEST(refusal, oneThatNamesTheRequestIsBelievedOnAReusedConnection)
+{
+    const auto head =
+        lastHead(echoing, {"one", "two"}, {firstAnswer, response("503", "X-Id: two\r\nX-Not-Run: 1\r\n")});
+    ASSERT_TRUE(head.has_value());
+    EXPECT_EQ(head->notRun, "1");
+}
+
+TEST(refusal, oneThatNamesAnotherRequestProvesNothing)
+{
+    for (const std::string status : {"503", "421"}) {
+        const auto late = response(status, "X-Id: one\r\nX-Not-Run: 1\r\n");
+        EXPECT_FALSE(lastHead(echoing, {"one", "two"}, {firstAnswer, late}).has_value()) << status;
+        EXPECT_FALSE(lastHead(echoing, {"two"}, {late}).has_value()) << status << " on a new connection";
+    }
+}
+
+TEST(refusal, oneThatNamesNoRequestProvesNothingOnAReusedConnection)
+{
+    EXPECT_FALSE(lastHead(echoing, {"one", "two"}, {firstAnswer, response("503", "X-Not-Run: 1\r\n")}).has_value());
+    EXPECT_FALSE(lastHead(echoing, {"one", "two"}, {firstAnswer, response("421", "")}).has_value());
+    const auto first = lastHead(echoing, {"one"}, {response("421", "")});
+    ASSERT_TRUE(first.has_value()) << "no other request was sent on this connection";
+    EXPECT_FALSE(first->notRun.empty());
+}
+
+TEST(refusal, oneThatNamesARequestProvesNothingForARequestWithoutAnId)
+{
+    const auto late = response("503", "X-Id: one\r\nX-Not-Run: 1\r\n");
+    EXPECT_FALSE(lastHead(echoing, {"one", ""}, {firstAnswer, late}).has_value());
+}
+
+TEST(refusal, targetsWithoutIdsAreTrustedToRespondInOrder)
+{
+    const target_rules plain{"X-Not-Run", "", false};
+    const auto head = lastHead(plain, {"", ""}, {response("200", ""), response("503", "X-Not-Run: 1\r\n")});
+    ASSERT_TRUE(head.has_value());
+    EXPECT_EQ(head->notRun, "1");
+}
+
+TEST(refusal, aStatusAloneIsNoRefusalExceptMisdirected)
+{
+    for (const std::string status : {"408", "429", "503", "504"}) {
+        const auto head = lastHead(echoing, {"one"}, {response(status, "X-Id: one\r\n")});
+        ASSERT_TRUE(head.has_value());
+        EXPECT_TRUE(head->notRun.empty()) << status;
+    }
+}
+
+} // namespace quetzalspool::test
