Fix: a request that is registered again is remembered for the whole retention

What callers saw: nothing on record; possible were 503 ("not run") for an order that runs, and a second run. An order refused at first and registered again late in that time (the caller repeats its id) was forgotten while it ran: a cancellation was then confirmed, and the next attempt accepted. Ruled out: cancelled attempts (their tokens are kept from the cancellation on). Change: each registration starts the retention anew; an expiry that comes too early is put off. Expiries are in a multimap, since they no longer arise in order.

--- a/packages/decisions/src/dedup_base.h
+++ b/packages/decisions/src/dedup_base.h
@@ -4,7 +4,7 @@
 
 #include "base_type.h"
 
-#include <deque>
+#include <map>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -24,7 +24,7 @@
 {
     dedup_stage stage = dedup_stage::registered; ///< Progress.
     std::string attempt; ///< Token of the attempt that registered it last.
-    steady_time expiresAt{}; ///< End of its retention, counted from the first registration.
+    steady_time expiresAt{}; ///< End of its retention, counted from the last registration.
 };
 
 /** Deduplication table: known requests, and cancelled attempts. */
@@ -34,7 +34,7 @@
     std::size_t capacity = 65536; ///< Maximum of requests and cancelled attempts; orders are refused beyond it.
     std::unordered_map<std::string, dedup_entry> entries; ///< By request id.
     std::unordered_set<std::string> cancelled; ///< Tokens of cancelled attempts, which must not run.
-    std::deque<std::pair<steady_time, std::string>> expiries; ///< Ids and tokens by end of retention.
+    std::multimap<steady_time, std::string> expiries; ///< Ids and tokens by end of retention, or by an earlier end.
 };
 
 } // namespace quetzalspool
--- a/packages/decisions/src/dedup_cmd.cpp
+++ b/packages/decisions/src/dedup_cmd.cpp
@@ -7,10 +7,16 @@
 
 void removeExpired(dedup_state &state, steady_time now)
 {
-    while (!state.expiries.empty() && state.expiries.front().first <= now) {
-        state.entries.erase(state.expiries.front().second);
-        state.cancelled.erase(state.expiries.front().second);
-        state.expiries.pop_front();
+    while (!state.expiries.empty() && state.expiries.begin()->first <= now) {
+        auto expiry = state.expiries.extract(state.expiries.begin());
+        const auto known = state.entries.find(expiry.mapped());
+        if (known != state.entries.end() && known->second.expiresAt > now) {
+            expiry.key() = known->second.expiresAt; // Registered again since.
+            state.expiries.insert(std::move(expiry));
+            continue;
+        }
+        state.entries.erase(expiry.mapped());
+        state.cancelled.erase(expiry.mapped());
     }
 }
 
@@ -27,21 +33,20 @@
     if (state.cancelled.contains(attempt)) {
         return dedup_result::cancelled;
     }
+    const auto expiresAt = now + state.retention;
     const auto known = state.entries.find(id);
     if (known != state.entries.end()) {
         if (known->second.stage != dedup_stage::refused) {
             return dedup_result::duplicate;
         }
-        known->second.stage = dedup_stage::registered;
-        known->second.attempt = attempt;
+        known->second = {dedup_stage::registered, attempt, expiresAt};
         return dedup_result::accepted;
     }
     if (isFull(state)) {
         return dedup_result::full;
     }
-    const auto expiresAt = now + state.retention;
     state.entries[id] = {dedup_stage::registered, attempt, expiresAt};
-    state.expiries.emplace_back(expiresAt, id);
+    state.expiries.emplace(expiresAt, id);
     return dedup_result::accepted;
 }
 
@@ -69,7 +74,7 @@
         return false;
     }
     if (state.cancelled.insert(attempt).second) {
-        state.expiries.emplace_back(now + state.retention, attempt);
+        state.expiries.emplace(now + state.retention, attempt);
     }
     return true;
 }
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -271,6 +271,19 @@
     EXPECT_FALSE(cancelAttempt(dedup, "id", "one", now));
 }
 
+TEST(dedup, aRequestRegisteredAgainIsKeptForTheWholeRetention)
+{
+    dedup_state dedup;
+    registerAttempt(dedup, "id", "one", now);
+    EXPECT_TRUE(advanceAttempt(dedup, "id", "one", dedup_stage::refused));
+    const auto again = now + dedup.retention - milliseconds(1);
+    EXPECT_EQ(registerAttempt(dedup, "id", "two", again), dedup_result::accepted);
+    EXPECT_TRUE(advanceAttempt(dedup, "id", "two", dedup_stage::handed_over));
+    EXPECT_FALSE(cancelAttempt(dedup, "id", "two", again + milliseconds(2))) << "it is running";
+    EXPECT_EQ(registerAttempt(dedup, "id", "three", again + milliseconds(2)), dedup_result::duplicate);
+    EXPECT_EQ(registerAttempt(dedup, "id", "three", again + dedup.retention), dedup_result::accepted);
+}
+
 TEST(dedup, refusesWhenFullInsteadOfEvicting)
 {
     dedup_state dedup;
