Fix: an order is remembered until its retention after its deadline, not after its registration

What callers saw: nothing on record; possible was 503 ("not run") for an order that runs. Ruled out: cancelled tokens (a message that arrives late ends with its connection, after 2.5 s without acknowledgement). Change: the retention begins at the deadline. The tests of the table give the deadline `now`, by which they check the same times as before. Conclusion: fixed at the daemon beside the target.

--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -48,7 +48,8 @@
 std::optional<request_outcome> registerOrder(daemon_shared &shared, const routed_request &request)
 {
     const std::lock_guard lock(shared.admissionControl.mutex);
-    switch (registerAttempt(shared.admissionControl.dedup, request.id, request.attempt, clock::now())) {
+    switch (
+        registerAttempt(shared.admissionControl.dedup, request.id, request.attempt, clock::now(), request.deadline)) {
     case dedup_result::accepted:
         return std::nullopt;
     case dedup_result::cancelled:
--- a/packages/decisions/src/dedup_base.h
+++ b/packages/decisions/src/dedup_base.h
@@ -10,6 +10,9 @@
 
 namespace quetzalspool {
 
+/** Time for which a request is kept after its deadline, and a cancelled attempt after its cancellation. */
+constexpr milliseconds dedupRetention{120000};
+
 /** Progress of a request in the table. */
 enum class dedup_stage
 {
@@ -24,13 +27,13 @@
 {
     dedup_stage stage = dedup_stage::registered; ///< Progress.
     std::string attempt; ///< Token of the attempt that registered it last.
-    steady_time expiresAt{}; ///< End of its retention, counted from the last registration.
+    steady_time expiresAt{}; ///< End of its retention, counted from the deadline.
 };
 
 /** Deduplication table: known requests, and cancelled attempts. */
 struct dedup_state
 {
-    milliseconds retention{120000}; ///< Time for which requests and cancelled attempts are kept.
+    milliseconds retention = dedupRetention; ///< Time for which requests and cancelled attempts are kept.
     std::size_t capacity = 65536; ///< Maximum of requests and cancelled attempts; orders are refused beyond it.
     std::unordered_map<std::string, dedup_entry> entries; ///< By request id.
     std::unordered_set<std::string> cancelled; ///< Tokens of cancelled attempts, which must not run.
--- a/packages/decisions/src/dedup_cmd.cpp
+++ b/packages/decisions/src/dedup_cmd.cpp
@@ -1,6 +1,8 @@
 /** @file dedup_cmd.cpp Deduplication of requests that must not run twice. */
 #include "dedup_func.h"
 
+#include <algorithm>
+
 namespace quetzalspool {
 
 namespace {
@@ -27,13 +29,14 @@
 
 } // namespace
 
-dedup_result registerAttempt(dedup_state &state, const std::string &id, const std::string &attempt, steady_time now)
+dedup_result registerAttempt(dedup_state &state, const std::string &id, const std::string &attempt, steady_time now,
+                             steady_time deadline)
 {
     removeExpired(state, now);
     if (state.cancelled.contains(attempt)) {
         return dedup_result::cancelled;
     }
-    const auto expiresAt = now + state.retention;
+    const auto expiresAt = std::max(now, deadline) + state.retention;
     const auto known = state.entries.find(id);
     if (known != state.entries.end()) {
         if (known->second.stage != dedup_stage::refused) {
--- a/packages/decisions/src/dedup_func.h
+++ b/packages/decisions/src/dedup_func.h
@@ -21,9 +21,11 @@
  * @param id Request id, the same for all attempts.
  * @param attempt Token of this attempt, unique.
  * @param now Present time.
+ * @param deadline When the request ends at the latest; its retention begins then.
  * @return Whether the attempt may proceed.
  */
-dedup_result registerAttempt(dedup_state &state, const std::string &id, const std::string &attempt, steady_time now);
+dedup_result registerAttempt(dedup_state &state, const std::string &id, const std::string &attempt, steady_time now,
+                             steady_time deadline);
 
 /**
  * Updates the progress of a registered attempt.
@@ -37,7 +39,8 @@
 
 /**
  * Cancels an attempt unless it was handed over. An attempt that hasn't arrived yet is recorded as cancelled, so that a
- * delayed message can't start it.
+ * delayed message can't start it. Later than the retention after its deadline, an attempt that was handed over is no
+ * longer known, and the result proves nothing.
  * @param state Deduplication table.
  * @param id Request id.
  * @param attempt Token of the attempt.
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -232,10 +232,10 @@
 TEST(dedup, aDuplicateDoesNotRun)
 {
     dedup_state dedup;
-    EXPECT_EQ(registerAttempt(dedup, "id", "one", now), dedup_result::accepted);
-    EXPECT_EQ(registerAttempt(dedup, "id", "two", now), dedup_result::duplicate);
+    EXPECT_EQ(registerAttempt(dedup, "id", "one", now, now), dedup_result::accepted);
+    EXPECT_EQ(registerAttempt(dedup, "id", "two", now, now), dedup_result::duplicate);
     EXPECT_TRUE(advanceAttempt(dedup, "id", "one", dedup_stage::refused));
-    EXPECT_EQ(registerAttempt(dedup, "id", "three", now), dedup_result::accepted)
+    EXPECT_EQ(registerAttempt(dedup, "id", "three", now, now), dedup_result::accepted)
         << "the first attempt certainly did not run";
 }
 
@@ -243,8 +243,8 @@
 {
     dedup_state dedup;
     EXPECT_TRUE(cancelAttempt(dedup, "late", "one", now));
-    EXPECT_EQ(registerAttempt(dedup, "late", "one", now), dedup_result::cancelled);
-    EXPECT_EQ(registerAttempt(dedup, "late", "two", now), dedup_result::accepted);
+    EXPECT_EQ(registerAttempt(dedup, "late", "one", now, now), dedup_result::cancelled);
+    EXPECT_EQ(registerAttempt(dedup, "late", "two", now, now), dedup_result::accepted);
     EXPECT_TRUE(cancelAttempt(dedup, "late", "two", now));
     EXPECT_FALSE(advanceAttempt(dedup, "late", "two", dedup_stage::handed_over));
 }
@@ -266,7 +266,7 @@
 TEST(dedup, anAttemptHandedOverCanNotBeCancelled)
 {
     dedup_state dedup;
-    registerAttempt(dedup, "id", "one", now);
+    registerAttempt(dedup, "id", "one", now, now);
     EXPECT_TRUE(advanceAttempt(dedup, "id", "one", dedup_stage::handed_over));
     EXPECT_FALSE(cancelAttempt(dedup, "id", "one", now));
 }
@@ -274,23 +274,37 @@
 TEST(dedup, aRequestRegisteredAgainIsKeptForTheWholeRetention)
 {
     dedup_state dedup;
-    registerAttempt(dedup, "id", "one", now);
+    registerAttempt(dedup, "id", "one", now, now);
     EXPECT_TRUE(advanceAttempt(dedup, "id", "one", dedup_stage::refused));
     const auto again = now + dedup.retention - milliseconds(1);
-    EXPECT_EQ(registerAttempt(dedup, "id", "two", again), dedup_result::accepted);
+    EXPECT_EQ(registerAttempt(dedup, "id", "two", again, now), dedup_result::accepted);
     EXPECT_TRUE(advanceAttempt(dedup, "id", "two", dedup_stage::handed_over));
     EXPECT_FALSE(cancelAttempt(dedup, "id", "two", again + milliseconds(2))) << "it is running";
-    EXPECT_EQ(registerAttempt(dedup, "id", "three", again + milliseconds(2)), dedup_result::duplicate);
-    EXPECT_EQ(registerAttempt(dedup, "id", "three", again + dedup.retention), dedup_result::accepted);
+    EXPECT_EQ(registerAttempt(dedup, "id", "three", again + milliseconds(2), now), dedup_result::duplicate);
+    EXPECT_EQ(registerAttempt(dedup, "id", "three", again + dedup.retention, now), dedup_result::accepted);
+}
+
+TEST(dedup, anOrderIsRememberedAsLongAsItMayRun)
+{
+    dedup_state dedup;
+    const auto deadline = now + dedup.retention * 3;
+    registerAttempt(dedup, "id", "one", now, deadline);
+    registerAttempt(dedup, "short", "one of it", now, now);
+    EXPECT_TRUE(advanceAttempt(dedup, "id", "one", dedup_stage::handed_over));
+    EXPECT_FALSE(cancelAttempt(dedup, "id", "one", deadline)) << "it may be running";
+    EXPECT_EQ(registerAttempt(dedup, "id", "two", deadline, deadline), dedup_result::duplicate);
+    EXPECT_FALSE(cancelAttempt(dedup, "id", "one", deadline + dedup.retention - milliseconds(1)));
+    EXPECT_EQ(registerAttempt(dedup, "short", "two of it", deadline, deadline), dedup_result::accepted)
+        << "one with a shorter deadline is forgotten before";
 }
 
 TEST(dedup, refusesWhenFullInsteadOfEvicting)
 {
     dedup_state dedup;
     dedup.capacity = 1;
-    EXPECT_EQ(registerAttempt(dedup, "a", "1", now), dedup_result::accepted);
-    EXPECT_EQ(registerAttempt(dedup, "b", "2", now), dedup_result::full);
-    EXPECT_EQ(registerAttempt(dedup, "b", "2", now + dedup.retention), dedup_result::accepted);
+    EXPECT_EQ(registerAttempt(dedup, "a", "1", now, now), dedup_result::accepted);
+    EXPECT_EQ(registerAttempt(dedup, "b", "2", now, now), dedup_result::full);
+    EXPECT_EQ(registerAttempt(dedup, "b", "2", now + dedup.retention, now), dedup_result::accepted);
 }
 
 TEST(retry, ordersOfUnknownOutcomeAreNeverRepeated)
