Fix: a confirmed cancellation proves nothing once the order's daemon may have forgotten it

What callers saw: nothing on record; possible was 503 ("not run") for an order that ran, by a daemon that was suspended for over two minutes after sending it. Ruled out: a restarted daemon (it denies for any other incarnation). Change: the sender takes the confirmation as proof only until the retention after the order's deadline, which ends before that at the other daemon. Conclusion: fixed; needs a suspended daemon, so it doesn't explain the incident.

--- a/packages/daemon/src/request_router.cpp
+++ b/packages/daemon/src/request_router.cpp
@@ -2,6 +2,7 @@
 #include "request_router.h"
 
 #include "balance_func.h"
+#include "dedup_base.h"
 #include "elapsed_clock.h"
 #include "local_attempt.h"
 #include "peer_wire.h"
@@ -204,7 +205,8 @@
     cancelCall(*opened.call);
     if (!request->idempotent) {
         const bool cancelled = co_await confirmCancelled(thread, member, request);
-        if (cancelled) {
+        // The other daemon forgets an order when its retention after the deadline is over.
+        if (cancelled && clock::now() < request->deadline + dedupRetention) {
             outcome = {attempt_result::not_run, refusal::leaving, "cancelled-before-hand-over", milliseconds(100)};
         }
     }
--- a/packages/daemon/tests/not_run_test.cpp
+++ b/packages/daemon/tests/not_run_test.cpp
@@ -267,6 +267,17 @@
     EXPECT_EQ(daemon.route(*makeOrder("order")).result, attempt_result::unknown);
 }
 
+TEST(notRun, aConfirmationThatComesAfterTheOrderWasForgottenProvesNothing)
+{
+    for (const bool late : {false, true}) {
+        routing_daemon daemon;
+        daemon.add("other", loseAndRespond(200, {{"qs-cancelled", "1"}}));
+        auto order = *makeOrder("order");
+        order.deadline = clock::now() - (late ? dedupRetention : milliseconds(100));
+        EXPECT_EQ(daemon.route(order).result, late ? attempt_result::unknown : attempt_result::not_run);
+    }
+}
+
 TEST(notRun, aResponseOfADaemonThatStatesNoOutcomeIsUnknown)
 {
     for (const std::vector<http_header> &headers :
