Fix: a target's 408, 421, 429 or 503 that proves nothing is not passed on as a promise for an order

What callers saw: nothing on record; possible was a target's own 503 for an order that it ran. Ruled out: refusals with the header (outcome "not run", as before). Change: the header profile says whether statuses alone promise; if so, such a response to an order is an unknown outcome (504), with the status in the detail of the line `run`. Lookups and the project's own deployments, whose callers read the outcome header, get the target's answer as before. The platform's servers are said to send these statuses with the header only, so it doesn't explain the incident.

--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -225,6 +225,12 @@
     decideQueued(shared.admissionControl, clock::now());
 }
 
+/** Whether callers take a status alone as a promise that their request did not run. */
+bool isPromise(const header_profile &names, unsigned status)
+{
+    return names.refusalStatusesPromise && (status == 408 || status == 421 || status == 429 || status == 503);
+}
+
 /** Hands a request over to the target and forwards the response. */
 asio::awaitable<request_outcome>
 exchangeWithTarget(daemon_shared &shared, std::shared_ptr<const routed_request> request,
@@ -257,6 +263,12 @@
         refusedOutcome.handedOver = true;
         co_return refusedOutcome;
     }
+    if (!request->idempotent && isPromise(shared.names, head->status)) {
+        trace.detail = "status " + std::to_string(head->status) + " without a statement that it did not run";
+        request_outcome unprovenOutcome{attempt_result::unknown, refusal::none, "target-lost"};
+        unprovenOutcome.handedOver = true;
+        co_return unprovenOutcome;
+    }
     if (head->length) {
         recordResponseStart(shared, admissionRequest, handedOverAt);
     }
--- a/packages/daemon/tests/not_run_test.cpp
+++ b/packages/daemon/tests/not_run_test.cpp
@@ -410,6 +410,30 @@
     EXPECT_EQ(target.count("order"), 1U);
 }
 
+TEST(notRun, aStatusThatPromisesItIsNotPassedOnForAnOrderThatMayHaveRun)
+{
+    for (const std::string status : {"408", "421", "429", "503", "500"}) {
+        for (const bool idempotent : {false, true}) {
+            fake_target target("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n");
+            local_daemon daemon(target);
+            daemon.shared.names.refusalStatusesPromise = true;
+            const auto order = makeOrder("order");
+            order->idempotent = idempotent;
+            const auto expected = status == "421" ? attempt_result::not_run
+                : idempotent || status == "500"   ? attempt_result::answered
+                                                  : attempt_result::unknown;
+            EXPECT_EQ(daemon.run(order).result, expected) << status << " " << idempotent;
+        }
+    }
+}
+
+TEST(notRun, inDeploymentsWithOutcomeHeadersAnyStatusIsTheTargetsAnswer)
+{
+    fake_target target("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    local_daemon daemon(target);
+    EXPECT_EQ(daemon.run(makeOrder("order")).result, attempt_result::answered);
+}
+
 TEST(notRun, noRequestFollowsARefusalOnTheSameConnection)
 {
     fake_target target("HTTP/1.1 503 X\r\nQuetzalspool-Not-Run: shed\r\nContent-Length: 0\r\n\r\n");
--- a/packages/http/src/header_profile.h
+++ b/packages/http/src/header_profile.h
@@ -25,6 +25,7 @@
     std::string expectedTarget; ///< To the target: the expected incarnation; any other one refuses the request.
     bool composeRequestIds = true; ///< Whether targets get a composed request id instead of the caller's.
     bool acceptUnframedResponses = false; ///< Whether responses of targets may end by closing the connection.
+    bool refusalStatusesPromise = false; ///< Whether callers take 408, 421, 429 and 503 alone as "not run".
     bool fractionalRetryAfter = false; ///< Whether callers accept fractions of a second in Retry-After.
 };
 
