Fix: an attempt that was refused or cancelled is never handed over, however long it waits

What callers saw: nothing on record; possible was 503 ("not run") for an order that ran later. An order whose deadline is minutes away and that still waits then was handed over although its entry said "refused". Ruled out: an attempt that arrives after its cancellation (its connection ends after 2.5 s without acknowledgement). Change: only an attempt that is still registered is handed over. A random history of the table is checked against a model.

--- a/packages/decisions/src/dedup_cmd.cpp
+++ b/packages/decisions/src/dedup_cmd.cpp
@@ -59,6 +59,9 @@
     if (state.cancelled.contains(attempt) || known == state.entries.end() || known->second.attempt != attempt) {
         return false;
     }
+    if (stage == dedup_stage::handed_over && known->second.stage != dedup_stage::registered) {
+        return false;
+    }
     known->second.stage = stage;
     return true;
 }
--- a/packages/decisions/src/dedup_func.h
+++ b/packages/decisions/src/dedup_func.h
@@ -33,7 +33,8 @@
  * @param id Request id.
  * @param attempt Token of the attempt.
  * @param stage New stage.
- * @return False if the attempt was cancelled, superseded or removed from the table, so that it must not be handed over.
+ * @return False if the attempt was cancelled, refused, superseded or removed from the table, so that it must not be
+ *         handed over.
  */
 bool advanceAttempt(dedup_state &state, const std::string &id, const std::string &attempt, dedup_stage stage);
 
