Add: tests of "not run" after a restart, a lost target, an early cancellation and a closed port

Change: tests only: a restarted daemon does not vouch for an attempt of its run before, over the wire; an order whose target is replaced before the hand-over is not sent; one that arrives after its cancellation is not handed over and its next attempt runs once; one whose daemon can't be reached is not sent later. Ruled out by them: that these paths report "not run" wrongly.

--- a/packages/daemon/tests/not_run_test.cpp
+++ b/packages/daemon/tests/not_run_test.cpp
@@ -267,6 +267,76 @@
     EXPECT_EQ(daemon.route(*makeOrder("order")).result, attempt_result::unknown);
 }
 
+TEST(notRun, aRestartedDaemonDoesNotVouchForAnAttemptOfItsPreviousRun)
+{
+    for (const std::uint64_t incarnation : {7U, 8U}) {
+        daemon_shared otherShared;
+        traffic_thread other;
+        otherShared.incarnation = {incarnation};
+        other.shared = &otherShared;
+        routing_daemon daemon;
+        daemon.add("other",
+                   [&](peer_request request, std::shared_ptr<peer_responder> responder) -> asio::awaitable<void> {
+                       if (request.path == attemptPath) {
+                           abortResponse(*responder);
+                           co_return;
+                       }
+                       co_await handlePeerRequest(other, std::move(request), responder);
+                   });
+        const bool same = incarnation == daemon.cell->members.front().incarnation.value;
+        EXPECT_EQ(daemon.route(*makeOrder("order")).result, same ? attempt_result::not_run : attempt_result::unknown);
+    }
+}
+
+TEST(notRun, anOrderThatLosesItsTargetBeforeTheHandOverIsNeverSent)
+{
+    fake_target target(okResponse);
+    local_daemon daemon(target);
+    request_outcome outcome;
+    const auto order = makeOrder("order");
+    daemon.start(order, [&](const request_outcome &ended) { outcome = ended; });
+    daemon.context.run_one(); // Admitted, and connecting.
+    {
+        const std::lock_guard lock(daemon.shared.admissionControl.mutex);
+        EXPECT_EQ(daemon.shared.admissionControl.admission.inFlight, 1U);
+        daemon.shared.admissionControl.admission.pool.value = "ledger";
+    }
+    daemon.context.run();
+    EXPECT_EQ(outcome.result, attempt_result::not_run);
+    EXPECT_EQ(outcome.reason, refusal::no_target);
+    EXPECT_EQ(target.count("order"), 0U);
+}
+
+TEST(notRun, anOrderCancelledBeforeItArrivesNeverReachesTheTarget)
+{
+    fake_target target(okResponse);
+    local_daemon daemon(target);
+    EXPECT_TRUE(cancelLocalAttempt(daemon.shared, {7}, "order", "first"));
+    EXPECT_EQ(daemon.run(makeOrder("order", "first")).result, attempt_result::not_run);
+    EXPECT_EQ(target.count("order"), 0U);
+    EXPECT_EQ(daemon.run(makeOrder("order", "second")).result, attempt_result::answered);
+    EXPECT_FALSE(cancelLocalAttempt(daemon.shared, {7}, "order", "second"));
+    EXPECT_EQ(daemon.run(makeOrder("order", "third")).reasonText, "duplicate");
+    EXPECT_EQ(target.count("order"), 1U);
+}
+
+TEST(notRun, anOrderWhoseDaemonCanNotBeReachedIsNotSentLater)
+{
+    routing_daemon daemon;
+    int received = 0;
+    daemon.add("other", [&](peer_request, std::shared_ptr<peer_responder>) -> asio::awaitable<void> {
+        ++received;
+        co_return;
+    });
+    drainPeerServer(*daemon.servers.front());
+    const auto outcome = daemon.route(*makeOrder("order"));
+    EXPECT_EQ(outcome.result, attempt_result::not_run);
+    EXPECT_EQ(outcome.reasonText, "daemon-unreachable");
+    daemon.thread.context.restart();
+    daemon.thread.context.run_for(milliseconds(200));
+    EXPECT_EQ(received, 0);
+}
+
 TEST(notRun, aConfirmationThatComesAfterTheOrderWasForgottenProvesNothing)
 {
     for (const bool late : {false, true}) {
