Codechange: a caller's connection, and the responses made for callers, in files of their own

Ruled out: nothing. Change: caller_connection (transport, what is written to it, closing) and caller_response (refusals and failures) move out; the end of a chunked body is written by writeLastChunk under the same conditions; no behaviour changes.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -1,7 +1,9 @@
 /** @file caller_server.cpp HTTP server for callers. */
 #include "caller_server.h"
 
+#include "caller_connection.h"
 #include "caller_request.h"
+#include "caller_response.h"
 #include "caller_retry_func.h"
 #include "elapsed_clock.h"
 #include "http_convert.h"
@@ -9,10 +11,8 @@
 #include "request_router.h"
 #include "routing_func.h"
 
-#include <boost/asio/write.hpp>
-#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 #include <limits>
-#include <nlohmann/json.hpp>
 
 namespace quetzalspool {
 
@@ -23,176 +23,8 @@
 
 using clock = elapsed_clock;
 
-constexpr unsigned serviceUnavailable = 503; ///< Status of requests that were not run and may be retried.
-constexpr milliseconds refusalRetryAfter{300}; ///< Suggested retry time of requests refused before routing.
 constexpr std::size_t readAhead = 4096; ///< Size of the first read, in bytes; most requests fit.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum bytes buffered beyond the longest head.
-constexpr std::chrono::seconds transferTimeout{30}; ///< Time limit for receiving a body or writing a response.
-
-/** Connection of a caller. */
-struct caller_connection
-{
-    explicit caller_connection(tcp::socket socket)
-        : stream(std::move(socket))
-    { }
-
-    beast::tcp_stream stream; ///< Transport.
-    const header_profile *names = nullptr; ///< Header names.
-    beast::flat_buffer buffer; ///< Bytes read ahead.
-    std::string address; ///< IP address of the caller.
-    bool keepAlive = true; ///< Whether another request may follow.
-    bool chunked = false; ///< Whether the current response is chunked.
-    bool broken = false; ///< Whether a response was aborted or could not be written.
-    bool headOnly = false; ///< Whether the current response has no body because of the request's method.
-};
-
-/** Whether the caller has closed its connection. Peeks without consuming bytes. */
-bool isDisconnected(caller_connection &connection)
-{
-    error_code code;
-    char byte = 0;
-    auto &socket = connection.stream.socket();
-    socket.non_blocking(true, code);
-    const auto length = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-    return connection.broken || (length == 0 && code != asio::error::would_block);
-}
-
-asio::awaitable<bool> writeResponseHead(std::shared_ptr<caller_connection> connection, unsigned status,
-                                        std::vector<http_header> headers, std::optional<std::uint64_t> length,
-                                        steady_time deadline)
-{
-    http::response<http::empty_body> message;
-    message.result(status);
-    message.version(11);
-    message.keep_alive(connection->keepAlive);
-    for (const auto &[name, value] : headers) {
-        message.insert(name, value);
-    }
-    if (!connection->names->outcome.empty()) {
-        message.set(connection->names->outcome, "answered");
-    }
-    const bool bodiless = status == 204 || status == 304 || status < 200;
-    connection->chunked = !length && !bodiless;
-    if (length) {
-        message.content_length(*length);
-    } else if (!bodiless) {
-        message.chunked(true);
-    }
-    connection->stream.expires_at(elapsed_clock::forTimers(deadline));
-    error_code code;
-    http::response_serializer<http::empty_body> serializer{message};
-    co_await http::async_write_header(connection->stream, serializer, redirectError(code));
-    connection->broken = connection->broken || code;
-    co_return !code;
-}
-
-asio::awaitable<bool> writeBodyChunk(std::shared_ptr<caller_connection> connection, std::string chunk,
-                                     steady_time deadline)
-{
-    if (connection->headOnly) {
-        co_return true;
-    }
-    error_code code;
-    connection->stream.expires_at(elapsed_clock::forTimers(deadline));
-    if (connection->chunked) {
-        co_await asio::async_write(connection->stream, http::make_chunk(asio::buffer(chunk)), redirectError(code));
-    } else {
-        co_await asio::async_write(connection->stream, asio::buffer(chunk), redirectError(code));
-    }
-    connection->broken = connection->broken || code;
-    co_return !code;
-}
-
-std::shared_ptr<response_sink> makeCallerSink(const std::shared_ptr<caller_connection> &connection,
-                                              steady_time deadline)
-{
-    auto sink = std::make_shared<response_sink>();
-    sink->writeHead = [connection, deadline](unsigned status, std::vector<http_header> headers,
-                                             std::optional<std::uint64_t> length) {
-        return writeResponseHead(connection, status, std::move(headers), length, deadline);
-    };
-    sink->writeChunk = [connection, deadline](std::string chunk) {
-        return writeBodyChunk(connection, std::move(chunk), deadline);
-    };
-    sink->finish = [connection](bool complete) { connection->broken = connection->broken || !complete; };
-    sink->isCancelled = [connection] { return isDisconnected(*connection); };
-    return sink;
-}
-
-asio::awaitable<void> writeResponse(std::shared_ptr<caller_connection> connection, http_response response)
-{
-    http::response<http::string_body> message;
-    message.result(response.status);
-    message.version(11);
-    message.keep_alive(connection->keepAlive);
-    for (const auto &[name, value] : response.headers) {
-        message.insert(name, value);
-    }
-    message.body() = std::move(response.body);
-    message.prepare_payload();
-    if (connection->headOnly) {
-        message.body().clear();
-    }
-    connection->stream.expires_after(transferTimeout);
-    error_code code;
-    co_await http::async_write(connection->stream, message, redirectError(code));
-    connection->broken = connection->broken || code;
-}
-
-unsigned statusOf(const request_outcome &outcome)
-{
-    if (outcome.result == attempt_result::not_run) {
-        return serviceUnavailable;
-    }
-    return outcome.reasonText == "duplicate" ? 409 : 504;
-}
-
-void addHeader(http_response &response, const std::string &name, std::string value)
-{
-    if (!name.empty()) {
-        response.headers.emplace_back(name, std::move(value));
-    }
-}
-
-/** Value of Retry-After in seconds: fractional if the callers accept that, else rounded up. */
-std::string formatRetryAfter(const header_profile &names, milliseconds wait)
-{
-    wait = std::max(wait, milliseconds(1));
-    if (!names.fractionalRetryAfter) {
-        return std::to_string(std::chrono::ceil<std::chrono::seconds>(wait).count());
-    }
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(wait).count());
-    return text;
-}
-
-/** Response to a request that got none from a target. */
-http_response failureResponse(const header_profile &names, const request_outcome &outcome)
-{
-    const nlohmann::json body{{"outcome", nameOf(outcome.result)},
-                              {"reason", outcome.reasonText},
-                              {"retry_after_ms", outcome.retryAfter.count()}};
-    auto response = jsonResponse(statusOf(outcome), body.dump() + "\n");
-    addHeader(response, names.outcome, nameOf(outcome.result));
-    addHeader(response, names.reason, outcome.reasonText);
-    if (outcome.result == attempt_result::not_run) {
-        response.headers.emplace_back("Retry-After", formatRetryAfter(names, outcome.retryAfter));
-        addHeader(response, names.retryAfterMs, std::to_string(outcome.retryAfter.count()));
-    }
-    return response;
-}
-
-http_response refusalResponse(const header_profile &names, const caller_refusal &rejection)
-{
-    const nlohmann::json body{{"outcome", "not-run"}, {"reason", rejection.reason}};
-    auto response = jsonResponse(rejection.status, body.dump() + "\n");
-    addHeader(response, names.outcome, "not-run");
-    addHeader(response, names.reason, rejection.reason);
-    if (rejection.status == serviceUnavailable) {
-        response.headers.emplace_back("Retry-After", formatRetryAfter(names, refusalRetryAfter));
-    }
-    return response;
-}
 
 using caller_parser = http::request_parser<http::string_body>;
 
@@ -317,28 +149,12 @@
     if (outcome.result != attempt_result::answered && !connection->broken) {
         auto response = failureResponse(thread.shared->names, outcome);
         co_await writeResponse(connection, std::move(response));
-    } else if (outcome.result == attempt_result::answered && outcome.complete && connection->chunked
-               && !connection->headOnly && !connection->broken) {
-        error_code code;
-        co_await asio::async_write(connection->stream, http::make_chunk_last(), redirectError(code));
-        connection->broken = connection->broken || code;
+    } else if (outcome.result == attempt_result::answered && outcome.complete) {
+        co_await writeLastChunk(connection);
     }
     recordRequestEnd(thread, trace, outcome);
 }
 
-/** Closes a connection. After an aborted response it is reset, so that the response is not taken for a complete one. */
-void closeConnection(caller_connection &connection)
-{
-    error_code ignored;
-    auto &socket = connection.stream.socket();
-    if (connection.broken) {
-        socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    } else {
-        socket.shutdown(tcp::socket::shutdown_send, ignored);
-    }
-    socket.close(ignored);
-}
-
 asio::awaitable<void> refuseMalformed(std::shared_ptr<caller_connection> connection, error_code code)
 {
     connection->keepAlive = false;
@@ -399,7 +215,7 @@
             co_await refuseMalformed(connection, code);
             break;
         }
-        connection->stream.expires_after(transferTimeout);
+        connection->stream.expires_after(callerTransferTimeout);
         connection->keepAlive = parser->get().keep_alive() && !thread.shared->stopping;
         connection->headOnly = parser->get().method() == http::verb::head;
         ++thread.shared->requestsInFlight;
