Codechange: both kinds of daemon end a planned stop through drainTraffic

Cause: closing the listeners, waiting for requests in flight and the line "stopped" were written twice. Ruled out: nothing. Change: drainTraffic does it for both; limits as before.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -50,9 +50,7 @@
         co_await sleepFor(stopPollInterval);
     }
     logEvent(log_level::info, "left-cell");
-    parts.shared.stopping = true;
-    closeListeners(parts.traffic);
-    co_await awaitIdle(parts.shared, limit);
+    co_await drainTraffic(parts.shared, parts.traffic, limit);
     parts.control.context.stop();
 }
 
--- a/packages/daemon/src/roster_daemon.cpp
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -25,15 +25,12 @@
         control; ///< Control thread; destroyed first, since its pending responses refer to the traffic threads.
 };
 
-/** Waits for the stop notice, closes the listeners, and stops once no request is in flight or the drain limit passed.
- */
+/** Waits for the stop notice, then completes the requests in flight. */
 asio::awaitable<void> finishStop(roster_process &process)
 {
     const auto limit = clock::now() + process.shared.settings.drainLimit + responseWriteTime;
     co_await sleepFor(process.shared.settings.roster->stopNotice);
-    process.shared.stopping = true;
-    closeListeners(process.traffic);
-    co_await awaitIdle(process.shared, limit);
+    co_await drainTraffic(process.shared, process.traffic, limit);
     process.control.context.stop();
 }
 
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -39,6 +39,34 @@
     thread.budget.tokens = rosterRetryBudget;
 }
 
+/** Closes the listening sockets, each on its own thread. Requests in progress continue. */
+void closeListeners(traffic_threads &traffic)
+{
+    for (auto &state : traffic.states) {
+        asio::post(state->context, [&at = *state] {
+            error_code ignored;
+            at.callerAcceptor->close(ignored);
+            const auto drained = drainPeerServer(*at.peerServer);
+            logEvent(log_level::info, "listeners-closed",
+                     {{"sessions", std::to_string(drained.sessions)},
+                      {"open_streams", std::to_string(drained.openStreams)}});
+        });
+    }
+}
+
+/** Waits until no request has been in progress for a short time, at most until the limit. */
+asio::awaitable<void> awaitIdle(daemon_shared &shared, steady_time limit)
+{
+    using clock = elapsed_clock;
+    auto idleSince = clock::now();
+    while (clock::now() - idleSince < idleTime && clock::now() < limit) {
+        if (shared.requestsInFlight > 0) {
+            idleSince = clock::now();
+        }
+        co_await sleepFor(stopPollInterval);
+    }
+}
+
 } // namespace
 
 bool prepareTraffic(daemon_shared &shared, traffic_threads &traffic, last_reason &why)
@@ -82,20 +110,6 @@
     }
 }
 
-void closeListeners(traffic_threads &traffic)
-{
-    for (auto &state : traffic.states) {
-        asio::post(state->context, [&at = *state] {
-            error_code ignored;
-            at.callerAcceptor->close(ignored);
-            const auto drained = drainPeerServer(*at.peerServer);
-            logEvent(log_level::info, "listeners-closed",
-                     {{"sessions", std::to_string(drained.sessions)},
-                      {"open_streams", std::to_string(drained.openStreams)}});
-        });
-    }
-}
-
 void initSharedState(daemon_shared &shared)
 {
     std::random_device device;
@@ -116,16 +130,11 @@
     return self;
 }
 
-asio::awaitable<void> awaitIdle(daemon_shared &shared, steady_time limit)
+asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic, steady_time limit)
 {
-    using clock = elapsed_clock;
-    auto idleSince = clock::now();
-    while (clock::now() - idleSince < idleTime && clock::now() < limit) {
-        if (shared.requestsInFlight > 0) {
-            idleSince = clock::now();
-        }
-        co_await sleepFor(stopPollInterval);
-    }
+    shared.stopping = true;
+    closeListeners(traffic);
+    co_await awaitIdle(shared, limit);
     logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(shared.requestsInFlight.load())}});
 }
 
--- a/packages/daemon/src/traffic_start.h
+++ b/packages/daemon/src/traffic_start.h
@@ -30,12 +30,6 @@
  */
 void runTraffic(traffic_threads &traffic);
 
-/**
- * Closes the listening sockets, each on its own thread. Requests in progress continue.
- * @param traffic Threads.
- */
-void closeListeners(traffic_threads &traffic);
-
 /**
  * Generates the incarnation id of this process and sets empty views.
  * @param shared Shared state with its settings set.
@@ -50,12 +44,14 @@
 cell_member describeSelf(const daemon_shared &shared);
 
 /**
- * Waits until no request has been in progress for a short time, then logs the end.
+ * The last phase of a planned stop: closes the listening sockets and waits until no request has been in progress for a
+ * short time.
  * @param shared Shared state.
+ * @param traffic Threads.
  * @param limit When to stop waiting.
- * @return An awaitable.
+ * @return An awaitable that completes when the threads may be stopped.
  */
-asio::awaitable<void> awaitIdle(daemon_shared &shared, steady_time limit);
+asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic, steady_time limit);
 
 /**
  * Stops and joins the threads.
