Fix: a planned stop ends only after callers can send nothing more and all that was taken is answered

Cause: drainTraffic decided "no request for 300 ms" at its last check and ended up to 20 ms later, without another look, while the callers' persistent connections were still read. What arrives in between is taken, forwarded and cut when the threads stop. Change: when no request has come for 300 ms, or at the latest deadline of the stop, each traffic thread closes the callers' connections on which no byte of a request has arrived, and reads nothing on the others after their response. Only when no connection of a caller and no request is left do the threads stop, within the stop's limit as before. A request counts as in flight from its first byte. A read that has completed is served, not closed, since idle reads are cancelled and the connection looks at what it got. Each thread runs until it is stopped, so that it can be asked. A stop with idle connections takes one check (20 ms) longer. Conclusion: "I take nothing more" now comes before the last look at what was taken.

--- a/packages/daemon/src/caller_connection.h
+++ b/packages/daemon/src/caller_connection.h
@@ -28,6 +28,7 @@
     bool keepAlive = true; ///< Whether another request may follow.
     bool chunked = false; ///< Whether the current response is chunked.
     bool broken = false; ///< Whether a response was aborted or could not be written.
+    bool awaitingRequest = false; ///< Whether it waits for the first byte of a request.
     bool headOnly = false; ///< Whether the current response has no body because of the request's method.
 };
 
--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -171,58 +171,81 @@
     return view->table ? view->table->rows.limits : caller_limits{};
 }
 
-/** Reads the head of a request: the idle timeout holds until its first byte, then the shorter header timeout. */
-asio::awaitable<error_code> readRequestHead(std::shared_ptr<caller_connection> connection,
-                                            std::shared_ptr<caller_parser> parser, caller_limits limits)
+/**
+ * Waits for the first byte of a request. Returns false if the connection has ended or is to be closed. A request whose
+ * bytes have arrived when idle connections are closed is still read.
+ */
+asio::awaitable<bool> awaitRequest(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                                   milliseconds idleTime)
 {
+    auto &stream = connection->stream;
     error_code code;
-    if (connection->buffer.size() == 0) {
-        connection->stream.expires_after(limits.idleTime);
-        const auto length =
-            co_await connection->stream.async_read_some(connection->buffer.prepare(readAhead), redirectError(code));
+    while (connection->buffer.size() == 0 && (!thread.callersClosing || stream.socket().available(code) > 0)) {
+        stream.expires_after(idleTime);
+        connection->awaitingRequest = true;
+        const auto length = co_await stream.async_read_some(connection->buffer.prepare(readAhead), redirectError(code));
+        connection->awaitingRequest = false;
         connection->buffer.commit(length);
+        if (code && code != asio::error::operation_aborted) {
+            break;
+        }
     }
-    if (code == asio::error::eof) {
-        co_return http::error::end_of_stream;
+    co_return connection->buffer.size() > 0;
+}
+
+/** Reads one request and serves it. Its head must arrive within the header timeout. */
+asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                                   caller_limits limits)
+{
+    const auto parser = std::make_shared<caller_parser>();
+    parser->header_limit(limits.headerBytes);
+    parser->body_limit(
+        std::numeric_limits<std::uint64_t>::max()); // The route's limit is applied once the route is known.
+    connection->buffer.max_size(limits.headerBytes + readAheadLimit);
+    connection->stream.expires_after(limits.headerTime);
+    error_code code;
+    co_await http::async_read_header(connection->stream, connection->buffer, *parser, redirectError(code));
+    if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
+        connection->keepAlive = false;
+        co_return;
     }
-    if (!code) {
-        connection->stream.expires_after(limits.headerTime);
-        co_await http::async_read_header(connection->stream, connection->buffer, *parser, redirectError(code));
+    if (code) {
+        co_await refuseMalformed(connection, code);
+        co_return;
     }
-    co_return code;
+    connection->stream.expires_after(callerTransferTimeout);
+    connection->keepAlive = parser->get().keep_alive() && !thread.shared->stopping;
+    connection->headOnly = parser->get().method() == http::verb::head;
+    co_await serveRequest(thread, connection, parser);
 }
 
-asio::awaitable<void> serveCaller(traffic_thread &thread, tcp::socket socket)
+asio::awaitable<void> serveCaller(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
-    auto connection = std::make_shared<caller_connection>(std::move(socket));
-    connection->names = &thread.shared->names;
-    error_code code;
-    connection->stream.socket().set_option(tcp::no_delay(true), code);
-    const auto remote = connection->stream.socket().remote_endpoint(code);
-    connection->address = remote.address().to_string();
     while (connection->keepAlive && !connection->broken) {
-        const auto parser = std::make_shared<caller_parser>();
         const auto limits = currentLimits(*thread.shared);
-        parser->header_limit(limits.headerBytes);
-        connection->buffer.max_size(limits.headerBytes + readAheadLimit);
-        parser->body_limit(
-            std::numeric_limits<std::uint64_t>::max()); // The route's limit is applied once the route is known.
-        code = co_await readRequestHead(connection, parser, limits);
-        if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
+        const bool begun = co_await awaitRequest(thread, connection, limits.idleTime);
+        if (!begun) {
             break;
         }
-        if (code) {
-            co_await refuseMalformed(connection, code);
-            break;
-        }
-        connection->stream.expires_after(callerTransferTimeout);
-        connection->keepAlive = parser->get().keep_alive() && !thread.shared->stopping;
-        connection->headOnly = parser->get().method() == http::verb::head;
         ++thread.shared->requestsInFlight;
-        co_await serveRequest(thread, connection, parser);
+        co_await readAndServe(thread, connection, limits);
         --thread.shared->requestsInFlight;
     }
     closeConnection(*connection);
+    thread.callers.erase(connection);
+}
+
+/** Starts serving a connection that was just accepted. */
+void startCaller(traffic_thread &thread, tcp::socket socket)
+{
+    auto connection = std::make_shared<caller_connection>(std::move(socket));
+    connection->names = &thread.shared->names;
+    error_code code;
+    connection->stream.socket().set_option(tcp::no_delay(true), code);
+    const auto remote = connection->stream.socket().remote_endpoint(code);
+    connection->address = remote.address().to_string();
+    thread.callers.insert(connection);
+    asio::co_spawn(thread.context, serveCaller(thread, connection), asio::detached);
 }
 
 } // namespace
@@ -234,7 +257,7 @@
         error_code code;
         auto socket = co_await acceptor->async_accept(redirectError(code));
         if (!code) {
-            asio::co_spawn(thread.context, serveCaller(thread, std::move(socket)), asio::detached);
+            startCaller(thread, std::move(socket));
         } else if (code == asio::error::operation_aborted) {
             break;
         } else {
@@ -243,4 +266,14 @@
     }
 }
 
+void closeIdleCallers(traffic_thread &thread)
+{
+    thread.callersClosing = true;
+    for (const auto &connection : thread.callers) {
+        if (connection->awaitingRequest) {
+            connection->stream.cancel();
+        }
+    }
+}
+
 } // namespace quetzalspool
--- a/packages/daemon/src/caller_server.h
+++ b/packages/daemon/src/caller_server.h
@@ -13,6 +13,13 @@
  */
 asio::awaitable<void> acceptCallers(traffic_thread &thread);
 
+/**
+ * Closes the connections of callers on which no byte of a request has arrived; the others are closed after their
+ * response. To be called on the thread, in a planned stop.
+ * @param thread Traffic thread.
+ */
+void closeIdleCallers(traffic_thread &thread);
+
 } // namespace quetzalspool
 
 #endif // CALLER_SERVER_H
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -39,7 +39,8 @@
     std::atomic<steady_time> stopDeadline{steady_time::max()}; ///< Latest deadline of a request in a planned stop.
     std::atomic<bool> stopping =
         false; ///< Whether the listeners are being closed, in the last phase of a planned stop.
-    std::atomic<std::uint64_t> requestsInFlight = 0; ///< Requests of callers and peers in progress.
+    std::atomic<std::uint64_t> requestsInFlight =
+        0; ///< Requests of callers, from their first byte on, and of peers in progress.
     std::atomic<std::uint64_t> crossRegionBytes = 0; ///< Bytes of request and response bodies sent between regions.
 };
 
--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -11,16 +11,25 @@
 #include "shared_base.h"
 #include "target_func.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <random>
+#include <set>
 
 namespace quetzalspool {
 
+/** Connection of a caller. */
+struct caller_connection;
+
 /** One traffic thread: its sockets, connections and load-balancing statistics. */
 struct traffic_thread
 {
     daemon_shared *shared = nullptr; ///< Shared state.
     asio::io_context context{1}; ///< Run by this thread only.
+    asio::executor_work_guard<asio::io_context::executor_type> work{
+        context.get_executor()}; ///< Lets the thread run until it is stopped.
     std::shared_ptr<tcp::acceptor> callerAcceptor; ///< Listening socket for callers.
+    std::set<std::shared_ptr<caller_connection>> callers; ///< Open connections of callers.
+    bool callersClosing = false; ///< Whether connections of callers are closed instead of waiting for another request.
     std::shared_ptr<peer_server> peerServer; ///< Serves requests of other daemons.
     std::shared_ptr<peer_client> peerClient; ///< Sends requests to other daemons.
     std::shared_ptr<target_client> targetClient; ///< Connections to the target.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
+using clock = elapsed_clock;
+
 constexpr milliseconds stopPollInterval{20}; ///< Interval of the checks whether a planned stop is complete.
-constexpr milliseconds idleTime{300}; ///< A planned stop ends after this time without requests.
+constexpr milliseconds idleTime{300}; ///< Callers may send requests until there were none for this time.
 constexpr double rosterRetryBudget = 4; ///< Initial and maximum tokens in the retry budget of a traffic
                                         ///< thread; few, since all daemons share one allowance.
 
@@ -57,7 +59,6 @@
 /** Waits until no request has been in progress for a short time, at most until the limit. */
 asio::awaitable<void> awaitIdle(daemon_shared &shared, steady_time limit)
 {
-    using clock = elapsed_clock;
     auto idleSince = clock::now();
     while (clock::now() - idleSince < idleTime && clock::now() < limit) {
         if (shared.requestsInFlight > 0) {
@@ -67,6 +68,37 @@
     }
 }
 
+/** Closes the idle connections of callers, each thread its own. Requests in progress continue. */
+void closeIdleCallers(traffic_threads &traffic)
+{
+    for (auto &state : traffic.states) {
+        asio::post(state->context, [&at = *state] { closeIdleCallers(at); });
+    }
+}
+
+/** Whether a thread has answered every request that it has read from callers. To be called on the thread. */
+asio::awaitable<bool> hasAnsweredCallers(traffic_thread &thread)
+{
+    co_return thread.callers.empty();
+}
+
+/** Waits until all that was taken is answered, at most until the limit. Nothing may be taken any more. */
+asio::awaitable<void> awaitAnswered(daemon_shared &shared, traffic_threads &traffic, steady_time limit)
+{
+    bool answered = false;
+    while (!answered && clock::now() < limit) {
+        answered = shared.requestsInFlight == 0;
+        for (auto &state : traffic.states) {
+            const bool callersAnswered =
+                co_await asio::co_spawn(state->context, hasAnsweredCallers(*state), asio::use_awaitable);
+            answered = answered && callersAnswered;
+        }
+        if (!answered) {
+            co_await sleepFor(stopPollInterval);
+        }
+    }
+}
+
 } // namespace
 
 bool prepareTraffic(daemon_shared &shared, traffic_threads &traffic, last_reason &why)
@@ -134,7 +166,9 @@
 {
     shared.stopping = true;
     closeListeners(traffic);
-    co_await awaitIdle(shared, limit);
+    co_await awaitIdle(shared, std::min(limit, shared.stopDeadline.load()));
+    closeIdleCallers(traffic);
+    co_await awaitAnswered(shared, traffic, limit);
     logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(shared.requestsInFlight.load())}});
 }
 
--- a/packages/daemon/src/traffic_start.h
+++ b/packages/daemon/src/traffic_start.h
@@ -44,8 +44,8 @@
 cell_member describeSelf(const daemon_shared &shared);
 
 /**
- * The last phase of a planned stop: closes the listening sockets and waits until no request has been in progress for a
- * short time.
+ * The last phase of a planned stop: closes the listening sockets, waits until no request has been in progress for a
+ * short time, and closes the connections of callers. Requests that have begun to arrive by then are answered first.
  * @param shared Shared state.
  * @param traffic Threads.
  * @param limit When to stop waiting.
