Fix: a traffic thread runs until it is stopped, without keeping tests that run its context by hand from ending

Cause: the guard that keeps a thread running through a stop was a member of the thread's state, so that route.cancelledRequestsAreNotForwarded, which runs the context itself, never ended. Ruled out: the test (unchanged). Change: the guard lives where the thread runs.

--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -11,7 +11,6 @@
 #include "shared_base.h"
 #include "target_func.h"
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <random>
 #include <set>
 
@@ -25,8 +24,6 @@
 {
     daemon_shared *shared = nullptr; ///< Shared state.
     asio::io_context context{1}; ///< Run by this thread only.
-    asio::executor_work_guard<asio::io_context::executor_type> work{
-        context.get_executor()}; ///< Lets the thread run until it is stopped.
     std::shared_ptr<tcp::acceptor> callerAcceptor; ///< Listening socket for callers.
     std::set<std::shared_ptr<caller_connection>> callers; ///< Open connections of callers.
     bool callersClosing = false; ///< Whether connections of callers are closed instead of waiting for another request.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -138,7 +138,10 @@
 {
     traffic.threads.reserve(traffic.states.size());
     for (auto &state : traffic.states) {
-        traffic.threads.emplace_back([&at = *state] { at.context.run(); });
+        traffic.threads.emplace_back([&at = *state] {
+            const auto untilStopped = asio::make_work_guard(at.context);
+            at.context.run();
+        });
     }
 }
 
