Fix: a planned stop ends only when other daemons' requests have arrived to their end and the responses are written

Cause: requestsInFlight counts a request of another daemon while its handler runs. A body that is still arriving has no handler yet, though the GOAWAY accepts its stream; a handler ends when the last bytes are queued, which wait for flow control, permits of bulk responses or a full socket. The stop could end in both cases, 300 ms after the last handler. Ruled out: responses to callers, whose handlers await the writes; long polls for changes (800 ms), which the sender repeats elsewhere and which don't count. Change: hasOpenRequests of the peer server: an open stream for an attempt, or a write in progress, on any session; the stop waits for none, within its limit. Conclusion: what a GOAWAY accepts is seen through to its last byte.

--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -6,6 +6,7 @@
 #include "http_server.h"
 #include "log_func.h"
 #include "peer_handler.h"
+#include "peer_wire.h"
 
 namespace quetzalspool {
 
@@ -76,10 +77,10 @@
     }
 }
 
-/** Whether a thread has answered every request that it has read from callers. To be called on the thread. */
-asio::awaitable<bool> hasAnsweredCallers(traffic_thread &thread)
+/** Whether a thread has answered every request that it has read. To be called on the thread. */
+asio::awaitable<bool> hasAnswered(traffic_thread &thread)
 {
-    co_return thread.callers.empty();
+    co_return thread.callers.empty() && !hasOpenRequests(*thread.peerServer, attemptPath);
 }
 
 /** Waits until all that was taken is answered, at most until the limit. Nothing may be taken any more. */
@@ -89,9 +90,9 @@
     while (!answered && clock::now() < limit) {
         answered = shared.requestsInFlight == 0;
         for (auto &state : traffic.states) {
-            const bool callersAnswered =
-                co_await asio::co_spawn(state->context, hasAnsweredCallers(*state), asio::use_awaitable);
-            answered = answered && callersAnswered;
+            const bool threadAnswered =
+                co_await asio::co_spawn(state->context, hasAnswered(*state), asio::use_awaitable);
+            answered = answered && threadAnswered;
         }
         if (!answered) {
             co_await sleepFor(stopPollInterval);
--- a/packages/daemon/tests/planned_stop_test.cpp
+++ b/packages/daemon/tests/planned_stop_test.cpp
@@ -2,6 +2,7 @@
 #include "elapsed_clock.h"
 #include "http_client.h"
 #include "http_server.h"
+#include "peer_wire.h"
 #include "traffic_start.h"
 
 #include <algorithm>
@@ -68,6 +69,13 @@
     }
 };
 
+std::uint16_t freePort()
+{
+    asio::io_context context{1};
+    last_reason why;
+    return listenOn(context, {"127.0.0.1", 0}, why)->local_endpoint().port();
+}
+
 /** The traffic part of a daemon with one traffic thread, which routes every request to its own target. */
 struct traffic_daemon
 {
@@ -79,6 +87,7 @@
     {
         shared.settings.instance.value = "n1";
         shared.settings.host = "127.0.0.1";
+        shared.settings.peersPort = freePort();
         initSharedState(shared);
         routing_view view;
         route_row route;
@@ -105,6 +114,11 @@
         return {"127.0.0.1", traffic.states[0]->callerAcceptor->local_endpoint().port()};
     }
 
+    [[nodiscard]] endpoint peers() const
+    {
+        return {"127.0.0.1", shared.settings.peersPort};
+    }
+
     asio::awaitable<void> drain(milliseconds limit)
     {
         shared.stopDeadline = clock::now() + limit;
@@ -223,6 +237,42 @@
     }
 };
 
+/** Another daemon, which sends one request and runs only when the test says so. */
+struct manual_peer
+{
+    asio::io_context context{1}; ///< Context of the client.
+    std::shared_ptr<peer_client> client = makePeerClient(context.get_executor()); ///< Client.
+    std::optional<http_response> response; ///< The whole response, once it was received.
+    bool ended = false; ///< Whether the request has ended, with or without a response.
+
+    void start(const endpoint &to, routed_request request)
+    {
+        auto message = encodeRequest(request, clock::now());
+        asio::co_spawn(context, call(to, std::move(message)), asio::detached);
+    }
+
+    asio::awaitable<void> call(endpoint to, peer_request message)
+    {
+        const auto opened = co_await openCall(client, to, std::move(message), seconds(5));
+        if (opened.call) {
+            response = co_await readResponse(opened.call, clock::now() + seconds(5));
+        }
+        ended = true;
+    }
+};
+
+/** An attempt at the target of the daemon, as another daemon sends it. */
+routed_request peerAttempt(const std::string &path, std::string body)
+{
+    routed_request request;
+    request.http = {"GET", path, {}, std::move(body)};
+    request.id = path;
+    request.attempt = path;
+    request.pool.value = "desk";
+    request.deadline = clock::now() + seconds(2);
+    return request;
+}
+
 } // namespace
 
 TEST(plannedStop, aRequestTakenAfterTheLastCheckForRequestsIsAnswered)
@@ -344,6 +394,54 @@
     EXPECT_TRUE(caller.ended);
 }
 
+TEST(plannedStop, aResponseThatAnotherDaemonHasNotReadYetIsWrittenToItsEnd)
+{
+    manual_stop stop;
+    stop.target.body.assign(80000, 'b'); // More than may be in flight to a daemon that reads nothing.
+    manual_peer peer;
+    peer.start(stop.daemon.peers(), peerAttempt("/large", ""));
+    EXPECT_TRUE(stop.runUntil(true, [&] {
+        if (stop.target.executedCount("/large") == 0) {
+            peer.context.poll();
+        }
+        return stop.target.executedCount("/large") == 1 && stop.daemon.shared.requestsInFlight == 0;
+    }));
+    stop.startDrain();
+    stop.runUntilTime(true, afterIdleEnd + milliseconds(100));
+    EXPECT_FALSE(stop.daemon.drained) << "a part of a response was not written";
+    EXPECT_TRUE(stop.runUntil(true, [&] {
+        peer.context.poll();
+        return stop.daemon.drained;
+    }));
+    peer.context.run_for(seconds(1));
+    ASSERT_TRUE(peer.response.has_value());
+    EXPECT_EQ(peer.response->body, stop.target.body);
+}
+
+TEST(plannedStop, aRequestOfAnotherDaemonWhoseBodyIsStillArrivingIsAnswered)
+{
+    constexpr std::size_t bodyBytes = 4000000; // Many flow-control windows.
+    manual_stop stop;
+    manual_peer peer;
+    peer.start(stop.daemon.peers(), peerAttempt("/body", std::string(bodyBytes, 'b')));
+    for (int turn = 0; turn < 10; ++turn) {
+        peer.context.poll();
+        stop.runAll();
+    }
+    stop.startDrain();
+    stop.runUntilTime(true, afterIdleEnd + milliseconds(100));
+    EXPECT_FALSE(stop.daemon.drained) << "a part of a request was read";
+    EXPECT_EQ(stop.target.executedCount("/body"), 0U);
+    EXPECT_TRUE(stop.runUntil(true, [&] {
+        peer.context.poll();
+        return stop.daemon.drained;
+    }));
+    peer.context.run_for(seconds(1));
+    EXPECT_EQ(stop.target.executedCount("/body"), 1U);
+    ASSERT_TRUE(peer.response.has_value());
+    EXPECT_EQ(peer.response->body, stop.target.body);
+}
+
 namespace {
 
 /** What the callers of the random stops have seen. */
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -6,6 +6,7 @@
 #include "h2_session.h"
 #include "tcp_keepalive.h"
 
+#include <algorithm>
 #include <set>
 
 namespace quetzalspool {
@@ -111,6 +112,15 @@
     return drained;
 }
 
+bool hasOpenRequests(const peer_server &server, const std::string &path)
+{
+    // A stream without a path is one whose headers are still arriving.
+    const auto counts = [&](const auto &entry) { return entry.second->path.empty() || entry.second->path == path; };
+    return std::any_of(server.sessions.begin(), server.sessions.end(), [&](const auto &session) {
+        return session->writing || std::any_of(session->streams.begin(), session->streams.end(), counts);
+    });
+}
+
 void sendResponseHead(peer_responder &responder, unsigned status, std::vector<http_header> headers)
 {
     if (responder.session->transportClosed || responder.stream->closed) {
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -41,6 +41,15 @@
  */
 drained_sessions drainPeerServer(peer_server &server);
 
+/**
+ * Tells whether a session has an open stream for a path or bytes to write. A stream is open from the first header of
+ * its request until the end of its response was passed to the session.
+ * @param server Server.
+ * @param path Path of the requests that count.
+ * @return Whether the end of the server would cut a request or a response.
+ */
+bool hasOpenRequests(const peer_server &server, const std::string &path);
+
 /**
  * Sends the response head.
  * @param responder Responder.
