Fix: a daemon of a cell refuses requests that its planned stop could not finish, and leaves time to write responses

Cause: only the daemon with a roster set the latest deadline of a request in a stop. A daemon of a cell took every request on a persistent connection until its drain limit and was then stopped, with the request at a target; responses that were due at the limit had no time left. Change: finishStop sets the deadline for both, drainTraffic derives both limits from it: callers may send until the deadline at most, responses are written 400 ms longer. Conclusion: one deadline for the stop, set before the daemon begins to leave.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -45,12 +45,13 @@
 /** Completes a planned stop once the cell is left and no request is in flight, or when the drain limit has passed. */
 asio::awaitable<void> finishStop(daemon_parts &parts)
 {
-    const auto limit = clock::now() + parts.shared.settings.drainLimit;
-    while (!hasLeft(parts.control) && clock::now() < limit) {
+    const auto deadline = clock::now() + parts.shared.settings.drainLimit;
+    parts.shared.stopDeadline = deadline;
+    while (!hasLeft(parts.control) && clock::now() < deadline) {
         co_await sleepFor(stopPollInterval);
     }
     logEvent(log_level::info, "left-cell");
-    co_await drainTraffic(parts.shared, parts.traffic, limit);
+    co_await drainTraffic(parts.shared, parts.traffic);
     parts.control.context.stop();
 }
 
--- a/packages/daemon/src/roster_daemon.cpp
+++ b/packages/daemon/src/roster_daemon.cpp
@@ -1,7 +1,6 @@
 /** @file roster_daemon.cpp A whole daemon whose keys are owned by leases of the store: start and planned stop. */
 #include "roster_daemon.h"
 
-#include "elapsed_clock.h"
 #include "log_func.h"
 #include "roster_control.h"
 #include "traffic_start.h"
@@ -12,10 +11,6 @@
 
 namespace {
 
-using clock = elapsed_clock;
-
-constexpr milliseconds responseWriteTime{400}; ///< Time after the last deadline in which responses are still written.
-
 /** Everything that lives as long as the daemon. */
 struct roster_process
 {
@@ -28,9 +23,8 @@
 /** Waits for the stop notice, then completes the requests in flight. */
 asio::awaitable<void> finishStop(roster_process &process)
 {
-    const auto limit = clock::now() + process.shared.settings.drainLimit + responseWriteTime;
     co_await sleepFor(process.shared.settings.roster->stopNotice);
-    co_await drainTraffic(process.shared, process.traffic, limit);
+    co_await drainTraffic(process.shared, process.traffic);
     process.control.context.stop();
 }
 
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -16,6 +16,7 @@
 
 constexpr milliseconds stopPollInterval{20}; ///< Interval of the checks whether a planned stop is complete.
 constexpr milliseconds idleTime{300}; ///< Callers may send requests until there were none for this time.
+constexpr milliseconds responseWriteTime{400}; ///< Time after the last deadline in which responses are still written.
 constexpr double rosterRetryBudget = 4; ///< Initial and maximum tokens in the retry budget of a traffic
                                         ///< thread; few, since all daemons share one allowance.
 
@@ -163,13 +164,14 @@
     return self;
 }
 
-asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic, steady_time limit)
+asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic)
 {
     shared.stopping = true;
     closeListeners(traffic);
-    co_await awaitIdle(shared, std::min(limit, shared.stopDeadline.load()));
+    const auto deadline = shared.stopDeadline.load();
+    co_await awaitIdle(shared, deadline);
     closeIdleCallers(traffic);
-    co_await awaitAnswered(shared, traffic, limit);
+    co_await awaitAnswered(shared, traffic, deadline + responseWriteTime);
     logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(shared.requestsInFlight.load())}});
 }
 
--- a/packages/daemon/src/traffic_start.h
+++ b/packages/daemon/src/traffic_start.h
@@ -46,12 +46,12 @@
 /**
  * The last phase of a planned stop: closes the listening sockets, waits until no request has been in progress for a
  * short time, and closes the connections of callers. Requests that have begun to arrive by then are answered first.
- * @param shared Shared state.
+ * @param shared Shared state, with the latest deadline of a request in this stop; responses are written a little
+ * longer.
  * @param traffic Threads.
- * @param limit When to stop waiting.
  * @return An awaitable that completes when the threads may be stopped.
  */
-asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic, steady_time limit);
+asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic);
 
 /**
  * Stops and joins the threads.
--- a/packages/daemon/tests/planned_stop_test.cpp
+++ b/packages/daemon/tests/planned_stop_test.cpp
@@ -122,7 +122,7 @@
     asio::awaitable<void> drain(milliseconds limit)
     {
         shared.stopDeadline = clock::now() + limit;
-        co_await drainTraffic(shared, traffic, shared.stopDeadline.load() + milliseconds(400));
+        co_await drainTraffic(shared, traffic);
         drained = true;
     }
 };
--- a/standins/fleet/fleet.cpp
+++ b/standins/fleet/fleet.cpp
@@ -129,7 +129,8 @@
                         << "\"\nhost = \"127.0.0.1\"\ncallers_port = " << ports.callers.port
                         << "\npeers_port = " << ports.callers.port + 1 << "\nadmin_port = " << ports.admin.port
                         << "\nstore = \"127.0.0.1:" << configuration.basePort << "\"\nseeds = [\"127.0.0.1:" << seed
-                        << "\", \"127.0.0.1:" << seed + portsPerInstance << "\"]\n";
+                        << "\", \"127.0.0.1:" << seed + portsPerInstance
+                        << "\"]\ndrain_limit_s = " << configuration.drainLimitSeconds << "\n";
     daemons[name] = spawn({configuration.binaries + "/apps/quetzalspoold", "--settings", file}, name + ".log");
 }
 
--- a/standins/fleet/fleet.h
+++ b/standins/fleet/fleet.h
@@ -30,6 +30,7 @@
     std::uint16_t basePort = 20000; ///< Port of the store; the ports of the instances follow it.
     int serviceMs = 5; ///< Service time of a request at a target, in milliseconds.
     int slots = 12; ///< Requests that a target serves concurrently.
+    int drainLimitSeconds = 30; ///< Maximum time that a planned stop of a daemon waits for requests.
     bool checksFences = true; ///< Whether targets refuse requests with older fences.
     std::string binaries; ///< Build folder with the programs.
     std::string workFolder; ///< Folder for settings, logs and histories, removed at the end; temporary if empty.
--- a/standins/tests/system_test.cpp
+++ b/standins/tests/system_test.cpp
@@ -2,6 +2,7 @@
 #include "elapsed_clock.h"
 #include "fleet.h"
 #include "history.h"
+#include "http_client.h"
 #include "load_type.h"
 
 #include <atomic>
@@ -33,9 +34,10 @@
 class system_failures : public testing::Test
 {
 protected:
-    void startFleet(std::size_t keyed, std::size_t others)
+    void startFleet(std::size_t keyed, std::size_t others, int drainLimitSeconds = 30)
     {
         auto plan = twoRegionPlan(keyed, others);
+        plan.drainLimitSeconds = drainLimitSeconds;
         plan.basePort = nextBasePort();
         plan.binaries = BINARIES;
         running = std::make_unique<fleet>(std::move(plan));
@@ -196,6 +198,51 @@
     EXPECT_EQ(result.notRun, 0U);
 }
 
+TEST_F(system_failures, lateInAPlannedStopRequestsThatCouldNotFinishAreRefused)
+{
+    constexpr int drainLimitSeconds = 4;
+    constexpr int serviceMs = 3200;
+    startFleet(3, 2, drainLimitSeconds);
+    const auto stopping = running->portsOf("key-1").callers;
+    asio::io_context context{1};
+    std::map<std::string, std::optional<http_response>> responses;
+    const auto send = [&](std::shared_ptr<http_connection_pool> kept, std::string id) -> asio::awaitable<void> {
+        last_reason why;
+        const http_request request{"POST", "/batches", {{"Quetzalspool-Request-Id", id}}, "batch"};
+        auto response = co_await sendRequest(kept, stopping, request, seconds(8), why);
+        responses[id] = std::move(response);
+    };
+    const std::vector<std::shared_ptr<http_connection_pool>> kept{makeHttpConnectionPool(), makeHttpConnectionPool()};
+    const auto work = [&]() -> asio::awaitable<void> {
+        co_await send(kept[0], "warm-0");
+        co_await send(kept[1], "warm-1");
+        running->injectTargetFaults("any-4", {{"service_ms", serviceMs}});
+        running->injectTargetFaults("any-5", {{"service_ms", serviceMs}});
+        running->signalDaemon("key-1", SIGTERM);
+        asio::co_spawn(context, send(kept[0], "early"), asio::detached);
+        // Once the daemon takes no new connections, less than 3.2 s are left.
+        for (bool listens = true; listens;) {
+            co_await sleepFor(milliseconds(20));
+            tcp::socket probe(context);
+            error_code code;
+            co_await probe.async_connect(toAsioEndpoint<tcp>(stopping), redirectError(code));
+            listens = !code;
+        }
+        co_await send(kept[1], "late");
+    };
+    asio::co_spawn(context, work, asio::detached);
+    context.run();
+    ASSERT_TRUE(responses["warm-0"] && responses["warm-1"]);
+    ASSERT_TRUE(responses["early"].has_value());
+    EXPECT_EQ(responses["early"]->status, 200U);
+    ASSERT_TRUE(responses["late"].has_value()) << "the connection was closed without a response";
+    EXPECT_EQ(responses["late"]->status, 503U) << responses["late"]->body;
+    EXPECT_TRUE(running->awaitDaemon("key-1", seconds(5)).has_value());
+    for (const auto &execution : running->executions()) {
+        EXPECT_EQ(execution.dump().find("late"), std::string::npos) << execution.dump();
+    }
+}
+
 TEST_F(system_failures, aRestartedFleetRecovers)
 {
     startFleet(5, 4);
