--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -6,6 +6,7 @@
 #include "http_server.h"
 #include "log_func.h"
 #include "peer_handler.h"
+#include "peer_wire.h"
 
 namespace quetzalspool {
 
@@ -15,6 +16,7 @@
 
 constexpr milliseconds stopPollInterval{20}; ///< Interval of the checks whether a planned stop is complete.
 constexpr milliseconds idleTime{300}; ///< Callers may send requests until there were none for this time.
+constexpr milliseconds responseWriteTime{400}; ///< Time after the last deadline in which responses are still written.
 constexpr double rosterRetryBudget = 4; ///< Initial and maximum tokens in the retry budget of a traffic
                                         ///< thread; few, since all daemons share one allowance.
 
@@ -76,10 +78,10 @@
     }
 }
 
-/** Whether a thread has answered every request that it has read from callers. To be called on the thread. */
-asio::awaitable<bool> hasAnsweredCallers(traffic_thread &thread)
+/** Whether a thread has answered every request that it has read. To be called on the thread. */
+asio::awaitable<bool> hasAnswered(traffic_thread &thread)
 {
-    co_return thread.callers.empty();
+    co_return thread.callers.empty() && !hasOpenRequests(*thread.peerServer, attemptPath);
 }
 
 /** Waits until all that was taken is answered, at most until the limit. Nothing may be taken any more. */
@@ -89,9 +91,9 @@
     while (!answered && clock::now() < limit) {
         answered = shared.requestsInFlight == 0;
         for (auto &state : traffic.states) {
-            const bool callersAnswered =
-                co_await asio::co_spawn(state->context, hasAnsweredCallers(*state), asio::use_awaitable);
-            answered = answered && callersAnswered;
+            const bool threadAnswered =
+                co_await asio::co_spawn(state->context, hasAnswered(*state), asio::use_awaitable);
+            answered = answered && threadAnswered;
         }
         if (!answered) {
             co_await sleepFor(stopPollInterval);
@@ -165,13 +167,14 @@
     return self;
 }
 
-asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic, steady_time limit)
+asio::awaitable<void> drainTraffic(daemon_shared &shared, traffic_threads &traffic)
 {
     shared.stopping = true;
     closeListeners(traffic);
-    co_await awaitIdle(shared, std::min(limit, shared.stopDeadline.load()));
+    const auto deadline = shared.stopDeadline.load();
+    co_await awaitIdle(shared, deadline);
     closeIdleCallers(traffic);
-    co_await awaitAnswered(shared, traffic, limit);
+    co_await awaitAnswered(shared, traffic, deadline + responseWriteTime);
     logEvent(log_level::info, "stopped", {{"open_requests", std::to_string(shared.requestsInFlight.load())}});
 }
 
