--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -276,6 +276,7 @@
 
 void refuseLaterStreams(const std::shared_ptr<h2_session> &session)
 {
+    // A second call must not accept a stream that the first one refused.
     session->lastAcceptedStream =
         std::min(session->lastAcceptedStream, nghttp2_session_get_last_proc_stream_id(session->session));
     nghttp2_submit_goaway(session->session, NGHTTP2_FLAG_NONE, session->lastAcceptedStream, NGHTTP2_NO_ERROR, nullptr,
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -60,7 +60,7 @@
     bool goawayReceived = false; ///< Whether GOAWAY was received: the peer accepts no new streams.
     std::int32_t lastAcceptedStream =
         std::numeric_limits<std::int32_t>::max(); ///< At the server: requests on later streams are ignored.
-    std::int32_t goawayLastStream = 0; ///< Last stream that the peer accepted, as its GOAWAY says.
+    std::int32_t goawayLastStream = 0; ///< At the client: last stream that the server accepted, as its GOAWAY says.
     steady_time lastReceived{}; ///< When bytes were last received.
     steady_time pingSentAt{}; ///< When the last keepalive ping was sent.
     std::shared_ptr<bulk_sender> bulk; ///< Flow control of bulk responses; null at the client.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -101,7 +101,7 @@
 drained_sessions drainPeerServer(peer_server &server)
 {
     drained_sessions drained;
-    // Closed first, since a session accepted after the GOAWAYs below would get none.
+    // Closed first: a connection whose accept has already completed sees it and refuses all streams.
     error_code ignored;
     server.acceptor.close(ignored);
     for (const auto &session : server.sessions) {
--- a/packages/peer/tests/goaway_test.cpp
+++ b/packages/peer/tests/goaway_test.cpp
@@ -232,8 +232,7 @@
 
 } // namespace
 
-// Without the check an order would run after its caller was told that it had not, if the GOAWAY has to wait for earlier
-// bytes.
+// An order would run after its caller was told that it had not, if the GOAWAY waits for earlier bytes.
 TEST(goaway, aRequestBeyondTheLastStreamOfAGoawayIsNeverHandled)
 {
     recording_server server;
