--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -299,7 +299,7 @@
 
 std::string describeRefusal(const peer_call &call)
 {
-    const auto stream = "stream " + std::to_string(call.stream->id);
+    auto stream = "stream " + std::to_string(call.stream->id);
     if (!call.session->goawayReceived) {
         return stream;
     }
