Add: log lines and metrics of what a target's responses say about it, read and recorded by the daemon beside it

Change: the rate limit and the leaving mark of responses are read (only from responses that certainly belong to the request), kept with the admission state of the incarnation, logged as target-limit and target-says-leaving, shown in the line 'run', and in the metrics target_limit_per_second and hand_overs_total. No decision uses them yet.

--- a/packages/daemon/src/admission_control.h
+++ b/packages/daemon/src/admission_control.h
@@ -25,6 +25,7 @@
     endpoint target; ///< Address of the target.
     std::string targetIncarnation; ///< Id of the target's incarnation; empty in deployments without such ids.
     request_log_budget logBudget; ///< Budget of log lines about attempts at the local target.
+    log_budget noticeLogBudget{1, 5, 5}; ///< Budget of log lines about what the target says about itself.
     bool targetChecksFences = false; ///< Whether the target itself refuses requests with an older fence.
 };
 
--- a/packages/daemon/src/control.cpp
+++ b/packages/daemon/src/control.cpp
@@ -243,8 +243,8 @@
     const std::lock_guard lock(admissionControl.mutex);
     admissionControl.target = announcement.address;
     admissionControl.targetChecksFences = announcement.checksGrants;
+    beginTarget(admissionControl.admission, now);
     admissionControl.admission.hasTarget = !announcement.pool.value.empty();
-    admissionControl.admission.announcedAt = now;
     admissionControl.admission.limits.concurrency =
         std::max<std::uint32_t>(1, std::min(announcement.slots, announcement.connections));
     if (pool != view->pools.end()) {
--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -103,6 +103,7 @@
     trace.inFlight = admission.inFlight;
     trace.queued = admission.queue.size();
     trace.expectedService = milliseconds(std::llround(expectedServiceMs(admission, isUrgent(admissionRequest))));
+    trace.limitPerSecond = admission.rate.perSecond;
     trace.leaseLeft = std::chrono::duration_cast<milliseconds>(grantUntil(admission) - now);
     const auto result = admit(admission, admissionRequest, now);
     if (result.queued) {
@@ -231,6 +232,24 @@
     return names.refusalStatusesPromise && (status == 408 || status == 421 || status == 429 || status == 503);
 }
 
+/** Records what a response says about the target. */
+void recordNotice(daemon_shared &shared, const target_notice &notice, steady_time handedOverAt)
+{
+    const auto now = clock::now();
+    auto &control = shared.admissionControl;
+    notice_effect effect;
+    bool logged = false;
+    {
+        const std::lock_guard lock(control.mutex);
+        effect = applyNotice(control.admission, notice, handedOverAt, now);
+        const bool changed = effect.limit != limit_change::none || effect.beganLeaving;
+        logged = changed && consumeTokens(control.noticeLogBudget, now);
+    }
+    if (logged) {
+        logNotice(notice, effect);
+    }
+}
+
 /** Hands a request over to the target and forwards the response. */
 asio::awaitable<request_outcome>
 exchangeWithTarget(daemon_shared &shared, std::shared_ptr<const routed_request> request,
@@ -239,6 +258,7 @@
 {
     last_reason why;
     trace.handedOver = true;
+    countMetric(*shared.metricsRegistry, "hand_overs_total");
     const auto handedOverAt = clock::now();
     auto granted = addGrantHeaders(*request, shared.names, currentTargetIncarnation(shared));
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
@@ -255,6 +275,7 @@
         co_return lostOutcome;
     }
     responded = true;
+    recordNotice(shared, head->notice, handedOverAt);
     if (!head->notRun.empty()) {
         // A target that does not know the lease yet, or no longer, refuses like a daemon without a lease.
         const auto reason = head->notRun == staleGrantReason ? refusal::no_lease : refusal::none;
--- a/packages/daemon/src/request_log.cpp
+++ b/packages/daemon/src/request_log.cpp
@@ -14,6 +14,11 @@
     return std::to_string(span.count());
 }
 
+std::string formatRate(double perSecond)
+{
+    return std::to_string(perSecond);
+}
+
 milliseconds elapsedMs(steady_time from, steady_time now)
 {
     return std::chrono::duration_cast<milliseconds>(now - from);
@@ -117,6 +122,7 @@
               {"in_flight", std::to_string(trace.inFlight)},
               {"queued", std::to_string(trace.queued)},
               {"service_ms", formatMs(trace.expectedService)},
+              {"limit", trace.limitPerSecond ? formatRate(*trace.limitPerSecond) : ""},
               {"lease_left_ms", formatMs(trace.leaseLeft)},
               {"waited_ms", formatMs(elapsedMs(trace.queuedAt, admitted ? trace.admittedAt : now))},
               {"target_ms", admitted ? formatMs(elapsedMs(trace.admittedAt, now)) : ""},
@@ -128,6 +134,18 @@
               {"lines_dropped", std::to_string(dropped)}});
 }
 
+void logNotice(const target_notice &notice, const notice_effect &effect)
+{
+    if (effect.beganLeaving) {
+        logEvent(log_level::info, "target-says-leaving");
+    }
+    if (effect.limit != limit_change::none) {
+        const bool named = notice.limit == limit_statement::named;
+        logEvent(log_level::info, "target-limit",
+                 {{"change", nameOf(effect.limit)}, {"limit", named ? formatRate(notice.requestsPerSecond) : ""}});
+    }
+}
+
 void countRequest(metrics &registry, const request_trace &trace, const request_outcome &outcome, steady_time now)
 {
     const std::string result = nameOf(outcome.result);
--- a/packages/daemon/src/request_log.h
+++ b/packages/daemon/src/request_log.h
@@ -2,7 +2,7 @@
 #ifndef REQUEST_LOG_H
 #define REQUEST_LOG_H
 
-#include "admission_base.h"
+#include "admission_func.h"
 #include "log_func.h"
 #include "metrics_func.h"
 #include "outcome_type.h"
@@ -51,6 +51,7 @@
     std::uint32_t inFlight = 0; ///< Requests in flight at the target on its arrival.
     std::size_t queued = 0; ///< Requests in the queue on its arrival.
     milliseconds expectedService{0}; ///< Smoothed service time of its class, from which its wait was predicted.
+    std::optional<double> limitPerSecond; ///< Rate limit of the target on its arrival; unset without one.
     milliseconds leaseLeft{0}; ///< Time left until the target's grant or lease ends.
     bool handedOver = false; ///< Whether it was handed to the target.
     std::string detail; ///< Connection error, if the response is missing or incomplete.
@@ -88,6 +89,13 @@
 void logLocalAttempt(const routed_request &request, const local_attempt_trace &trace, const request_outcome &outcome,
                      std::uint64_t dropped, steady_time now);
 
+/**
+ * Logs what the target says about itself: a changed rate limit, or that it is leaving.
+ * @param notice What the response said.
+ * @param effect What that changed.
+ */
+void logNotice(const target_notice &notice, const notice_effect &effect);
+
 /**
  * Updates the metrics: requests by route, outcome and reason, and their duration by outcome.
  * @param registry Metrics.
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -219,8 +219,7 @@
     admissionControl.targetIncarnation = report.incarnation.id;
     admissionControl.targetChecksFences = true;
     admissionControl.admission.pool = report.announcement.pool;
-    admissionControl.admission.hasTarget = true;
-    admissionControl.admission.announcedAt = clock::now();
+    beginTarget(admissionControl.admission, clock::now());
     admissionControl.admission.limits.warmUp = milliseconds(1);
     admissionControl.admission.limits.stallLimit = stallLimit;
     admissionControl.admission.limits.leaveLimit =
--- a/packages/daemon/src/roster_metrics.cpp
+++ b/packages/daemon/src/roster_metrics.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr double unlimited = -1; ///< Value of the gauge while the target names no rate limit.
 constexpr milliseconds gaugeInterval{1000}; ///< Interval between updates of the gauges.
 constexpr milliseconds unresponsiveAfter{
     3000}; ///< A target without a report for this time, three normal report intervals, is unresponsive.
@@ -37,6 +38,12 @@
     return count;
 }
 
+std::optional<double> targetLimit(roster_control &control)
+{
+    const std::lock_guard lock(control.shared->admissionControl.mutex);
+    return control.shared->admissionControl.admission.rate.perSecond;
+}
+
 } // namespace
 
 void countCall(metrics &numbers, const store_call &call)
@@ -56,6 +63,7 @@
     }
     control.nextGauges = now + gaugeInterval;
     const auto left = std::chrono::duration<double>(control.state.lease.validUntil - now).count();
+    setGauge(numbers, "target_limit_per_second", targetLimit(control).value_or(unlimited));
     setGauge(numbers, "slots_granted", static_cast<double>(countSlots(control.publishedRanges)));
     setGauge(numbers, "slots_without_owner", static_cast<double>(countUnservedSlots(control, now)));
     setGauge(numbers, "right_seconds_left", std::max(left, 0.0));
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -123,8 +123,9 @@
         }
         auto &at = *thread;
         thread->callerAcceptor = std::make_shared<tcp::acceptor>(std::move(*callerAcceptor));
-        thread->targetClient = makeTargetClient(
-            {names.notRun, names.composeRequestIds ? "" : names.requestId, names.acceptUnframedResponses});
+        thread->targetClient =
+            makeTargetClient({names.notRun, names.composeRequestIds ? "" : names.requestId,
+                              names.acceptUnframedResponses, names.targetLimit, names.targetLeaving});
         thread->peerClient = makePeerClient(thread->context.get_executor());
         thread->peerServer = startPeerServer(std::move(*peerAcceptor),
                                              [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -4,6 +4,7 @@
 #define ADMISSION_BASE_H
 
 #include "cell_base.h"
+#include "rate_limit_base.h"
 #include "row_type.h"
 
 #include <map>
@@ -105,6 +106,8 @@
     admission_limits limits; ///< Limits.
     pool_id pool; ///< Pool of the target; empty if not checked. A restarted target may belong to another pool.
     bool hasTarget = false; ///< Whether a target has announced itself.
+    rate_limit rate; ///< Rate limit that the target names in its responses.
+    bool saysLeaving = false; ///< Whether a response of the target said that it is leaving.
     bool leaving = false; ///< Whether the target is leaving.
     steady_time leavingSince{}; ///< When it began to leave.
     steady_time leaseUntil{}; ///< End of the instance lease.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -317,6 +317,25 @@
     state.slots = std::move(next);
 }
 
+void beginTarget(admission_state &state, steady_time now)
+{
+    state.hasTarget = true;
+    state.announcedAt = now;
+    state.rate = {};
+    state.saysLeaving = false;
+}
+
+notice_effect applyNotice(admission_state &state, const target_notice &notice, steady_time handedOverAt,
+                          steady_time now)
+{
+    if (handedOverAt < state.announcedAt) {
+        return {};
+    }
+    const bool beganLeaving = notice.leaving && !state.saysLeaving;
+    state.saysLeaving = state.saysLeaving || notice.leaving;
+    return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
+}
+
 void setLeaving(admission_state &state, bool leaving, steady_time now)
 {
     state.leavingSince = leaving && !state.leaving ? now : state.leavingSince;
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -3,6 +3,7 @@
 #define ADMISSION_FUNC_H
 
 #include "admission_base.h"
+#include "rate_limit_func.h"
 
 namespace quetzalspool {
 
@@ -82,6 +83,32 @@
 void setServed(admission_state &state, const served_slots &served, steady_time leaseUntil, milliseconds grace,
                steady_time now);
 
+/**
+ * Forgets what the target before has said: another incarnation has announced itself.
+ * @param state Admission.
+ * @param now Present time.
+ */
+void beginTarget(admission_state &state, steady_time now);
+
+/** What a response of the target changed in what is known about it. */
+struct notice_effect
+{
+    limit_change limit = limit_change::none; ///< Change of the rate limit.
+    bool beganLeaving = false; ///< Whether it is the first response that says that the target is leaving.
+};
+
+/**
+ * Applies what a response says about the target. A response to a request that was handed over before this incarnation
+ * announced itself says nothing.
+ * @param state Admission.
+ * @param notice What the response says.
+ * @param handedOverAt When its request was handed over.
+ * @param now Present time.
+ * @return What changed.
+ */
+notice_effect applyNotice(admission_state &state, const target_notice &notice, steady_time handedOverAt,
+                          steady_time now);
+
 /**
  * Sets whether the target is leaving.
  * @param state Admission.
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -5,6 +5,8 @@
 #include "http_convert.h"
 
 #include <boost/beast/core.hpp>
+#include <charconv>
+#include <cmath>
 #include <limits>
 #include <map>
 
@@ -21,6 +23,7 @@
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum buffered bytes of a head or of chunk framing. A faulty
                                                ///< target may send malformed bytes endlessly.
 constexpr unsigned firstFinalStatus = 200; ///< Lower status codes are interim responses.
+constexpr unsigned firstServerFailure = 500; ///< Status codes from here on are failures of the target.
 constexpr unsigned misdirectedRequest = 421; ///< The wrong target received the request and did not run it.
 
 } // namespace
@@ -92,6 +95,31 @@
     return named || !exchange.reused || exchange.rules.requestId.empty();
 }
 
+/** Parses a rate: a decimal number that is finite and not negative. */
+std::optional<double> parseRate(std::string_view text)
+{
+    double rate = 0;
+    const auto *end = text.data() + text.size();
+    const auto [parsedTo, error] = std::from_chars(text.data(), end, rate);
+    const bool valid = error == std::errc() && parsedTo == end && std::isfinite(rate) && rate >= 0;
+    return valid ? std::optional(rate) : std::nullopt;
+}
+
+/** Reads what the head of a response says about its target. */
+target_notice readNotice(const target_rules &rules, const target_head &head, const http::response_header<> &message)
+{
+    target_notice notice;
+    notice.succeeded = head.notRun.empty() && head.status < firstServerFailure;
+    notice.leaving = !rules.leaving.empty() && findHeader(head.headers, rules.leaving) == "1";
+    if (rules.limit.empty() || message.find(rules.limit) == message.end()) {
+        return notice;
+    }
+    const auto rate = parseRate(findHeader(head.headers, rules.limit));
+    notice.limit = rate ? limit_statement::named : limit_statement::unreadable;
+    notice.requestsPerSecond = rate.value_or(0);
+    return notice;
+}
+
 } // namespace
 
 std::shared_ptr<target_client> makeTargetClient(target_rules rules)
@@ -179,7 +207,7 @@
         co_return failed(why, "read the target's response", toString(exchange->address),
                          "it is the answer to another request");
     }
-    target_head head{message.result_int(), copyEndToEndHeaders(message), std::nullopt, ""};
+    target_head head{message.result_int(), copyEndToEndHeaders(message), std::nullopt, "", {}};
     if (const auto length = parser.content_length()) {
         head.length = *length;
     }
@@ -191,6 +219,9 @@
         co_return failed(why, "read the target's response", toString(exchange->address),
                          "it refuses a request that it does not name");
     }
+    if (certainlyBelongs(*exchange, echoed)) {
+        head.notice = readNotice(exchange->rules, head, message);
+    }
     co_return head;
 }
 
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "http_type.h"
+#include "target_notice.h"
 
 #include <memory>
 
@@ -21,6 +22,8 @@
     std::string notRun; ///< Header by which a target states that it did not run the request.
     std::string requestId; ///< Header that echoes the request's id; empty to skip the check.
     bool unframed = false; ///< Whether a response without a length may end when its connection closes.
+    std::string limit; ///< Header with the requests per second that the target takes; empty if there is none.
+    std::string leaving; ///< Header by which the target says that it is leaving; empty if there is none.
 };
 
 /** Status and headers of a target's response. */
@@ -30,6 +33,7 @@
     std::vector<http_header> headers; ///< Headers, without hop-by-hop headers.
     std::optional<std::uint64_t> length; ///< Bytes of the body, if the target announced them.
     std::string notRun; ///< Why the target did not run the request; empty if it may have run it.
+    target_notice notice; ///< What the response says about the target. Nothing if it may belong to another request.
 };
 
 /**
