Fix: a target gets no more requests than the rate limit that it names in its responses

Cause: the daemon beside it bounded its requests by slots and queue alone and acted on nothing that a response says. The class: something that a target says of itself on one way (responses) is not known where the decision is made.

Change: admission, the only place through which requests reach a target, whoever sends them, takes a token for each; the bucket is filled at the limit named. Orders take tokens before lookups; who can't get one in time is refused at once, a queued one as soon as those before it take the tokens of its time; callers refused together are told to return one by one; a used-up limit counts as a full target, so that other targets of a plain pool are chosen. A daemon started again sends two requests until its target has responded once: it may have a limit.

Ruled out: a copy of the limit in the store (the first response tells it again, before 5 requests), a share for each daemon that forwards (one hands over).

--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -23,7 +23,7 @@
 double currentLoad(daemon_shared &shared)
 {
     const std::lock_guard lock(shared.admissionControl.mutex);
-    return loadPerSlot(shared.admissionControl.admission);
+    return loadPerSlot(shared.admissionControl.admission, clock::now());
 }
 
 /** Makes a sink that sends a response to another daemon. A body of unknown length becomes a bulk response once it
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -107,6 +107,7 @@
     pool_id pool; ///< Pool of the target; empty if not checked. A restarted target may belong to another pool.
     bool hasTarget = false; ///< Whether a target has announced itself.
     rate_limit rate; ///< Rate limit that the target names in its responses.
+    bool heard = true; ///< Whether the target has responded to this run of the daemon, so that its limit is known.
     bool saysLeaving = false; ///< Whether a response of the target said that it is leaving.
     bool leaving = false; ///< Whether the target is leaving.
     steady_time leavingSince{}; ///< When it began to leave.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds movingRetryAfter{50}; ///< Time to retry after, for a slot that is moving.
 constexpr milliseconds ownerRetryAfter{200}; ///< Time to retry after, if another owner must be found.
 constexpr milliseconds minRetryAfter{20}; ///< Shortest time to retry after.
+constexpr double minSustainedConcurrency = 0.1; ///< Lower bound, so that loads of targets with low limits compare.
 constexpr milliseconds maxRetryAfter{5000}; ///< Longest time to retry after.
 
 milliseconds clampRetryAfter(milliseconds wait)
@@ -100,6 +101,7 @@
     if (state.inFlight == 0) {
         state.lastProgress = now;
     }
+    takeToken(state.rate, isUrgent(request), now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
     if (request.slot) {
@@ -163,6 +165,21 @@
     return now + service + transfer <= latestResponse(state, request);
 }
 
+/** Whether the target can get a request now: it has a free slot, and its rate limit allows one. */
+bool hasRoom(const admission_state &state, const admission_request &request, steady_time now)
+{
+    return state.inFlight < concurrencyFor(state, request, now) && hasToken(state.rate, now);
+}
+
+/**
+ * Whether a queued request can no longer be served in time: even without later arrivals, those before it take the
+ * tokens until it is too late.
+ */
+bool isTooLate(const admission_state &state, const admission_request &request, std::size_t before, steady_time now)
+{
+    return !canMeetDeadline(state, request, now + predictedTokenWait(state.rate, before, true, now));
+}
+
 admission_result enqueue(admission_state &state, const admission_request &request, steady_time now)
 {
     const auto at = std::find_if(state.queue.begin(), state.queue.end(),
@@ -177,7 +194,8 @@
     const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
         const auto allWait = predictedWait(state, state.queue.size(), urgent, now);
-        return refuse(state, refusal::overloaded, clampRetryAfter(std::max(allWait, transfer)));
+        const auto returnAfter = planReturn(state.rate, std::max(allWait, transfer), urgent, request.deadline, now);
+        return refuse(state, refusal::overloaded, clampRetryAfter(returnAfter));
     }
     state.queue.insert(at, {request, now});
     if (displaces) {
@@ -199,7 +217,7 @@
     }
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
     const bool first = state.queue.empty() || precedes(request, state.queue.front().request);
-    if (first && state.inFlight < concurrencyFor(state, request, now) && transferMeetsGoal(state, request, now)) {
+    if (first && hasRoom(state, request, now) && transferMeetsGoal(state, request, now)) {
         startRequest(state, request, now);
         return {true};
     }
@@ -274,17 +292,19 @@
         decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
     }
     state.displaced.clear();
+    std::size_t before = 0;
     std::erase_if(state.queue, [&](const queued_request &waiting) {
         auto reason = checkRequest(state, waiting.request, now);
-        if (reason == refusal::none && !canMeetDeadline(state, waiting.request, now)) {
+        if (reason == refusal::none && isTooLate(state, waiting.request, before, now)) {
             reason = refusal::deadline_passed;
         }
+        before += reason == refusal::none ? 1 : 0;
         if (reason != refusal::none) {
             decided.push_back({waiting.request.id, refuse(state, reason, retryAfterFor(state, reason))});
         }
         return reason != refusal::none;
     });
-    while (!state.queue.empty() && state.inFlight < concurrencyFor(state, state.queue.front().request, now)) {
+    while (!state.queue.empty() && hasRoom(state, state.queue.front().request, now)) {
         startRequest(state, state.queue.front().request, now);
         decided.push_back({state.queue.front().request.id, {true}});
         state.queue.erase(state.queue.begin());
@@ -319,6 +339,8 @@
 
 void beginTarget(admission_state &state, steady_time now)
 {
+    // Another run of this daemon, or none, may have heard what the first target of this run has named.
+    state.heard = state.hasTarget;
     state.hasTarget = true;
     state.announcedAt = now;
     state.rate = {};
@@ -331,6 +353,7 @@
     if (handedOverAt < state.announcedAt) {
         return {};
     }
+    state.heard = true;
     const bool beganLeaving = notice.leaving && !state.saysLeaving;
     state.saysLeaving = state.saysLeaving || notice.leaving;
     return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
@@ -342,10 +365,13 @@
     state.leaving = leaving;
 }
 
-double loadPerSlot(const admission_state &state)
+double loadPerSlot(const admission_state &state, steady_time now)
 {
-    return static_cast<double>(state.inFlight + state.queue.size())
-        / std::max<std::uint32_t>(state.limits.concurrency, 1);
+    const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
+    const std::chrono::duration<double, std::milli> service(state.serviceMs);
+    const auto sustained = std::max(sustainedConcurrency(state.rate, service, slots), minSustainedConcurrency);
+    const auto load = static_cast<double>(state.inFlight + state.queue.size()) / sustained;
+    return hasToken(state.rate, now) ? load : std::max(load, 1.0);
 }
 
 void drainSlot(admission_state &state, const fenced_slot &slot)
--- a/packages/decisions/src/admission_estimate.cpp
+++ b/packages/decisions/src/admission_estimate.cpp
@@ -1,6 +1,8 @@
 /** @file admission_estimate.cpp Estimates for admission: concurrency, service time, queueing and transfer time. */
 #include "admission_estimate_func.h"
 
+#include "rate_limit_func.h"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -10,6 +12,8 @@
 namespace {
 
 constexpr double warmUpStart = 0.25; ///< Share of the concurrency that a target gets right after its announcement.
+constexpr std::uint32_t unheardConcurrency = 2; ///< Requests in flight until the first response shows whether the
+                                                ///< target has a rate limit.
 constexpr double serviceSmoothing = 0.1; ///< Weight of the newest service or transfer time in the averages.
 constexpr std::uint32_t urgentReserveDivisor =
     6; ///< One in this many slots of the target is reserved for urgent requests.
@@ -22,7 +26,8 @@
 constexpr double minAheadVariance = 0.1; ///< Below this variance of the number of transfers, no slope can be derived.
 constexpr double minNormalSlots = 0.5; ///< Lower bound of the concurrency assumed for all normal lookups together.
 
-/** Concurrency of the target: reduced while it warms up, 1 while it is probed after a stall. */
+/** Concurrency of the target: reduced while it warms up or has not responded yet, 1 while it is probed after a stall.
+ */
 std::uint32_t currentConcurrency(const admission_state &state, steady_time now)
 {
     if (state.probing) {
@@ -31,7 +36,9 @@
     const auto warm =
         std::chrono::duration<double>(now - state.announcedAt) / std::chrono::duration<double>(state.limits.warmUp);
     const auto share = std::clamp(warmUpStart + (1 - warmUpStart) * warm, warmUpStart, 1.0);
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(state.limits.concurrency * share)));
+    const auto slots =
+        std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(state.limits.concurrency * share)));
+    return state.heard ? slots : std::min(slots, unheardConcurrency);
 }
 
 /** Updates the average number of urgent requests in flight. Must be called before the number changes. */
@@ -115,7 +122,8 @@
     const bool yields = state.enforceGoals && !urgent;
     const auto slots = yields ? std::max(concurrency - state.meanUrgentInFlight, minNormalSlots) : concurrency;
     const auto mean = static_cast<double>(before + 1) / slots * expectedServiceMs(state, urgent);
-    return milliseconds(std::llround(yields ? mean * waitMargin : mean));
+    const milliseconds forSlot(std::llround(yields ? mean * waitMargin : mean));
+    return std::max(forSlot, predictedTokenWait(state.rate, before, !yields, now));
 }
 
 std::uint32_t concurrencyFor(const admission_state &state, const admission_request &request, steady_time now)
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -120,9 +120,11 @@
 /**
  * Returns the load of the target.
  * @param state Admission.
- * @return Requests in flight and queued, divided by the concurrency of the target; can exceed 1.
+ * @param now Present time.
+ * @return Requests in flight and queued, divided by the concurrency that the target or its rate limit sustains; can
+ *         exceed 1. At least 1 while the rate limit allows no request.
  */
-double loadPerSlot(const admission_state &state);
+double loadPerSlot(const admission_state &state, steady_time now);
 
 /**
  * Refuses new requests of a slot from now on.
--- a/packages/decisions/src/rate_limit_base.h
+++ b/packages/decisions/src/rate_limit_base.h
@@ -8,11 +8,16 @@
 
 namespace quetzalspool {
 
-/** Rate limit of the local target. */
+/** Rate limit of the local target: a token bucket. Each request that is handed over takes a token. */
 struct rate_limit
 {
     std::optional<double> perSecond; ///< Requests per second that the target takes; unset while it names no limit.
     steady_time namedAt{}; ///< When a response last named it.
+    double tokens = 0; ///< Tokens at `refilledAt`.
+    steady_time refilledAt{}; ///< Up to when tokens were added.
+    double urgentPerSecond = 0; ///< Smoothed rate of urgent requests, at `urgentUpdatedAt`.
+    steady_time urgentUpdatedAt{}; ///< When that rate was last updated.
+    steady_time returnsPlannedUntil{}; ///< Refused callers have been told to come back at times up to this one.
 };
 
 /** What a response changed. */
--- a/packages/decisions/src/rate_limit_func.h
+++ b/packages/decisions/src/rate_limit_func.h
@@ -19,6 +19,54 @@
 limit_change applyLimitNotice(rate_limit &limit, const target_notice &notice, steady_time handedOverAt,
                               steady_time now);
 
+/**
+ * Returns whether a request may be handed over now.
+ * @param limit Limit.
+ * @param now Present time.
+ * @return True if there is a token, or no limit.
+ */
+bool hasToken(const rate_limit &limit, steady_time now);
+
+/**
+ * Takes the token of a request that is handed over. Does nothing without a limit.
+ * @param limit Limit.
+ * @param urgent Whether the request goes before normal lookups.
+ * @param now Present time.
+ */
+void takeToken(rate_limit &limit, bool urgent, steady_time now);
+
+/**
+ * Predicts how long a request waits for its token. Urgent requests that arrive later overtake a normal one, so only the
+ * tokens that they leave count for it.
+ * @param limit Limit.
+ * @param before Requests that take a token before it.
+ * @param urgent Whether the request goes before normal lookups.
+ * @param now Present time.
+ * @return Time in milliseconds; 0 without a limit.
+ */
+milliseconds predictedTokenWait(const rate_limit &limit, std::size_t before, bool urgent, steady_time now);
+
+/**
+ * Plans when a refused caller returns. The limit admits callers one by one, so callers that are refused together are
+ * told different times. Times that a caller can't use, because its deadline is before them, are not reserved.
+ * @param limit Limit.
+ * @param wait Predicted wait of a request that arrives now.
+ * @param urgent Whether the request goes before normal lookups.
+ * @param deadline Deadline of the caller.
+ * @param now Present time.
+ * @return Time after which the caller should retry; `wait` without a limit.
+ */
+milliseconds planReturn(rate_limit &limit, milliseconds wait, bool urgent, steady_time deadline, steady_time now);
+
+/**
+ * Returns the concurrency that the limit sustains (Little's law).
+ * @param limit Limit.
+ * @param service Mean service time.
+ * @param slots Concurrency of the target without a limit.
+ * @return Concurrency, at most `slots`.
+ */
+double sustainedConcurrency(const rate_limit &limit, std::chrono::duration<double, std::milli> service, double slots);
+
 /**
  * Returns the name of a change, as used in log lines.
  * @param change Change.
