Fix: a target whose responses say that it is leaving gets nothing new, whatever its reports say

Cause: the same class as the rate limit: leaving was taken from reports alone, which come at intervals and can be late, while each response says it.

Change: the first response that says so stops admission as a draining report does (pools without keys at once, keys after three quarters of the leave time), and the control thread then treats the target as leaving: other daemons are told and its keys move. It is not taken back within the incarnation. A daemon that learns it by its first response can't know how long ago others heard it from its run before, and sends nothing more.

--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -116,7 +116,7 @@
     const std::lock_guard lock(admissionControl.mutex);
     auto &admission = admissionControl.admission;
     admission.leaseUntil = target.servesUntil;
-    setLeaving(admission, target.leaving || target.left, now);
+    setLeaving(admission, target.leaving || target.left || admission.saysLeaving, now);
     if (granted != control.publishedRanges) {
         setServed(admission, {expandSlots(granted), {}}, target.servesUntil, milliseconds(0), now);
         control.publishedRanges = std::move(granted);
@@ -134,8 +134,18 @@
     wakeLongPolls(control);
 }
 
+/** Whether a response of the target said that it is leaving; its reports may be late. */
+bool saysLeaving(roster_control &control)
+{
+    const std::lock_guard lock(control.shared->admissionControl.mutex);
+    return control.shared->admissionControl.admission.saysLeaving;
+}
+
 void advance(roster_control &control)
 {
+    if (saysLeaving(control)) {
+        applyLeavingNotice(control.state);
+    }
     for (auto &action : tick(control.state, clock::now())) {
         asio::co_spawn(control.context, performAction(control, std::move(action), [&control] { advance(control); }),
                        asio::detached);
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -353,9 +353,15 @@
     if (handedOverAt < state.announcedAt) {
         return {};
     }
-    state.heard = true;
     const bool beganLeaving = notice.leaving && !state.saysLeaving;
-    state.saysLeaving = state.saysLeaving || notice.leaving;
+    if (beganLeaving) {
+        state.saysLeaving = true;
+        setLeaving(state, true, now);
+        // If this is the first response, callers may know of it from another run of this daemon, for any length of
+        // time.
+        state.leavingSince = state.heard ? state.leavingSince : steady_time{};
+    }
+    state.heard = true;
     return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
 }
 
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -391,6 +391,17 @@
     return grant;
 }
 
+bool applyLeavingNotice(roster_state &state)
+{
+    if (state.target.leaving || state.target.incarnation.id.empty()) {
+        return false;
+    }
+    state.target.leaving = true;
+    state.self.member.leaving = true;
+    state.dirty = true;
+    return true;
+}
+
 bool applyLeave(roster_state &state, const std::string &id, steady_time now)
 {
     if (state.target.incarnation.id != id) {
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -136,6 +136,14 @@
  */
 std::optional<target_grant> applyReport(roster_state &state, const target_report &report, steady_time now);
 
+/**
+ * Records that a response of the current incarnation of the target said that it is leaving. Its reports may still say
+ * otherwise: they are sent at intervals and can be late.
+ * @param state Roster.
+ * @return Whether that was not known.
+ */
+bool applyLeavingNotice(roster_state &state);
+
 /**
  * Records that the target announced its exit.
  * @param state Roster.
--- a/packages/http/src/header_profile.h
+++ b/packages/http/src/header_profile.h
@@ -15,7 +15,7 @@
     std::string deadline = "Quetzalspool-Deadline-Ms"; ///< Time left until the deadline of the sender, in milliseconds.
     std::string notRun = "Quetzalspool-Not-Run"; ///< In a target's response: it did not execute the request.
     std::string targetLimit = "Quetzalspool-Limit"; ///< In a target's response: requests per second that it takes.
-    std::string targetLeaving = "Quetzalspool-Leaving"; ///< In a target's response: 1 if the target is leaving.
+    std::string targetLeaving; ///< In a target's response: 1 if the target is leaving.
     std::string outcome = "Quetzalspool-Outcome"; ///< In a response: outcome of the request.
     std::string reason = "Quetzalspool-Reason"; ///< In a refusal: the reason.
     std::string retryAfterMs = "Quetzalspool-Retry-After-Ms"; ///< In a refusal: delay before a retry, in milliseconds.
