Change: placement knows the rate limit of a target, and moves keys though its runs are small

The speed by which keys are placed came from the service time alone, which a limit does not change. And a rebalance looked for one run of adjacent slots with 0.7 to 1.1 of the load that should move; first owners get blocks of 16 slots in turn, so with a large imbalance no run has as much and nothing moves at all (no write of owners from 6.6 to 25.3). Change: the speed is bounded by the limit; a target with twice its share or more hands over its best runs, one by one.

Test: roster.targetsThatLoseMostOfTheirSpeed... fails without (29.7 of 14.8 requests a second). decisions_test whole: 119 passed.

--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds movingRetryAfter{50}; ///< Time to retry after, for a slot that is moving.
 constexpr milliseconds ownerRetryAfter{200}; ///< Time to retry after, if another owner must be found.
 constexpr milliseconds minRetryAfter{20}; ///< Shortest time to retry after.
+constexpr double minSpeedServiceMs = 1; ///< Lower bound of the service time from which a speed is derived.
 constexpr double minSustainedConcurrency = 0.1; ///< Lower bound, so that loads of targets with low limits compare.
 constexpr milliseconds maxRetryAfter{5000}; ///< Longest time to retry after.
 
@@ -380,6 +381,14 @@
     return hasToken(state.rate, now) ? load : std::max(load, 1.0);
 }
 
+double speedPerSlot(const admission_state &state)
+{
+    const std::chrono::duration<double, std::milli> service(std::max(state.serviceMs, minSpeedServiceMs));
+    const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
+    const auto busy = sustainedConcurrency(state.rate, service, slots);
+    return busy / slots / std::chrono::duration<double>(service).count();
+}
+
 void drainSlot(admission_state &state, const fenced_slot &slot)
 {
     const auto found = state.slots.find({slot.pool, slot.slot});
--- a/packages/decisions/src/admission_estimate.cpp
+++ b/packages/decisions/src/admission_estimate.cpp
@@ -26,8 +26,7 @@
 constexpr double minAheadVariance = 0.1; ///< Below this variance of the number of transfers, no slope can be derived.
 constexpr double minNormalSlots = 0.5; ///< Lower bound of the concurrency assumed for all normal lookups together.
 
-/** Concurrency of the target: reduced while it warms up or has not responded yet, 1 while it is probed after a stall.
- */
+/** Concurrency of the target: reduced while it warms up, 1 while it is probed after a stall. */
 std::uint32_t currentConcurrency(const admission_state &state, steady_time now)
 {
     if (state.probing) {
@@ -36,9 +35,7 @@
     const auto warm =
         std::chrono::duration<double>(now - state.announcedAt) / std::chrono::duration<double>(state.limits.warmUp);
     const auto share = std::clamp(warmUpStart + (1 - warmUpStart) * warm, warmUpStart, 1.0);
-    const auto slots =
-        std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(state.limits.concurrency * share)));
-    return state.heard ? slots : std::min(slots, unheardConcurrency);
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::lround(state.limits.concurrency * share)));
 }
 
 /** Updates the average number of urgent requests in flight. Must be called before the number changes. */
@@ -128,6 +125,9 @@
 
 std::uint32_t concurrencyFor(const admission_state &state, const admission_request &request, steady_time now)
 {
+    if (!state.heard) {
+        return unheardConcurrency;
+    }
     const auto slots = currentConcurrency(state, now);
     if (isUrgent(request)) {
         return slots + state.transferring;
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -126,6 +126,13 @@
  */
 double loadPerSlot(const admission_state &state, steady_time now);
 
+/**
+ * Returns the speed of the target, by which keys are placed.
+ * @param state Admission.
+ * @return Requests per second that one slot of its concurrency completes, as far as its rate limit allows.
+ */
+double speedPerSlot(const admission_state &state);
+
 /**
  * Refuses new requests of a slot from now on.
  * @param state Admission.
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -17,7 +17,9 @@
 constexpr double overloadRatio = 1.2; ///< A target from this ratio of load to fair share may count as overloaded.
 constexpr double minUtilization = 0.6; ///< A target counts as overloaded only from this share of its capacity.
 constexpr double underloadRatio = 0.3; ///< At or below this ratio, a target receives slots even if none is overloaded.
-constexpr double minMoveFraction = 0.7; ///< Minimum share of the wanted load that one move transfers.
+constexpr double minMoveFraction = 0.7; ///< Share of the wanted load from which one move is enough.
+constexpr double minPartFraction = 0.1; ///< Minimum share of the wanted load that one of several moves transfers.
+constexpr double severalMovesRatio = 2; ///< From this ratio of load to fair share, several moves may transfer the load.
 constexpr double maxMoveFraction = 1.1; ///< Maximum share of the wanted load that one move transfers.
 /**
  * Maximum number of adjacent slots that are assigned together. Busy keys are close to each other, and which keys are
@@ -273,26 +275,51 @@
     double load = 0; ///< Their load.
 };
 
-/** Finds the fewest adjacent slots of a range with about the wanted load: moving few keys is cheapest. */
-void searchRange(const slot_range &range, const pool_load *load, double wanted, std::optional<slot_window> &best)
+/** Load that a move should transfer, and the least that makes it worth a move. */
+struct wanted_load
+{
+    double load = 0; ///< Load that should move.
+    double least = 0; ///< A window with less is not moved.
+};
+
+/**
+ * Whether a window is a better move than another one: the fewest slots with about the wanted load, since moving few
+ * keys is cheapest, or else the most load.
+ */
+bool isBetterMove(const slot_window &window, const std::optional<slot_window> &other, double wanted)
+{
+    if (!other) {
+        return true;
+    }
+    const bool enough = window.load >= wanted * minMoveFraction;
+    const bool otherEnough = other->load >= wanted * minMoveFraction;
+    if (enough != otherEnough) {
+        return enough;
+    }
+    return enough ? window.last - window.first < other->last - other->first : window.load > other->load;
+}
+
+/** Finds the best window of a range to move; it has at most about the wanted load. */
+void searchRange(const slot_range &range, const pool_load *load, const wanted_load &wanted,
+                 std::optional<slot_window> &best)
 {
     double sum = 0;
     auto first = range.first;
     for (auto last = range.first; last <= range.last; ++last) {
         sum += loadBetween(load, last, last);
-        while (sum > wanted * maxMoveFraction && first <= last) {
+        while (sum > wanted.load * maxMoveFraction && first <= last) {
             sum -= loadBetween(load, first, first);
             ++first;
         }
-        const bool sufficient = first <= last && sum >= wanted * minMoveFraction;
-        if (sufficient && (!best || last - first < best->last - best->first)) {
-            best = slot_window{first, last, sum};
+        const slot_window window{first, last, sum};
+        if (first <= last && sum >= wanted.least && isBetterMove(window, best, wanted.load)) {
+            best = window;
         }
     }
 }
 
-std::optional<slot_window> smallestWindow(const ownership_record &record, const instance_id &owner,
-                                          const pool_load *load, double wanted)
+std::optional<slot_window> findMove(const ownership_record &record, const instance_id &owner, const pool_load *load,
+                                    const wanted_load &wanted)
 {
     std::optional<slot_window> best;
     for (const auto &range : record.ranges) {
@@ -458,7 +485,8 @@
         }
         const auto wanted =
             std::min(mostLoaded->load - mostLoaded->fairShare, leastLoaded->fairShare - leastLoaded->load);
-        const auto window = smallestWindow(record, mostLoaded->node->member.id, load, wanted);
+        const auto leastFraction = ratio(*mostLoaded) >= severalMovesRatio ? minPartFraction : minMoveFraction;
+        const auto window = findMove(record, mostLoaded->node->member.id, load, {wanted, wanted * leastFraction});
         if (!window) {
             break;
         }
--- a/packages/decisions/tests/roster_record_test.cpp
+++ b/packages/decisions/tests/roster_record_test.cpp
@@ -38,8 +38,8 @@
         }
     }
 
-    /** Requests per second for the busiest owner. */
-    [[nodiscard]] double maxOwnerLoad(const ownership_record &record) const
+    /** Requests per second by owner. */
+    [[nodiscard]] std::map<instance_id, double> ownerLoads(const ownership_record &record) const
     {
         std::map<instance_id, double> rates;
         for (const auto &range : record.ranges) {
@@ -47,8 +47,14 @@
                 rates[range.owner] += load.slots[slot];
             }
         }
+        return rates;
+    }
+
+    /** Requests per second for the busiest owner. */
+    [[nodiscard]] double maxOwnerLoad(const ownership_record &record) const
+    {
         double most = 0;
-        for (const auto &[owner, rate] : rates) {
+        for (const auto &[owner, rate] : ownerLoads(record)) {
             most = std::max(most, rate);
         }
         return most;
@@ -89,6 +95,34 @@
     EXPECT_FALSE(planRebalance(calm, candidates, &load)) << "targets that are not overloaded keep their slots";
 }
 
+// Guards against a large imbalance that stays: no run of adjacent slots of one owner carries all that should move.
+TEST(roster, targetsThatLoseMostOfTheirSpeedHandOverKeysThoughTheirRunsAreSmall)
+{
+    busy_key_range keyRange(1223);
+    ownership_record record{pool_id{"p"}, {{0, numericSlots - 1, {}, {}, {}, "", {}}}};
+    ASSERT_TRUE(assignUnowned(record, keyRange.candidates, nullptr, fence_number{1}));
+    const std::size_t limited = 3;
+    for (std::size_t index = 0; index < limited; ++index) {
+        keyRange.load.speed[keyRange.nodes[index].member.id] = 0.75; // 6.75 requests per second.
+    }
+    for (int round = 0; round < 4; ++round) {
+        planRebalance(record, keyRange.candidates, &keyRange.load);
+        for (auto &range : record.ranges) {
+            range.owner = range.nextOwner.value.empty() ? range.owner : range.nextOwner;
+            range.nextOwner = {};
+        }
+        mergeRanges(record);
+    }
+    const auto rates = keyRange.ownerLoads(record);
+    const double fairShare = 200 * 0.75 / (3 * 0.75 + 3 * 6);
+    for (std::size_t index = 0; index < limited; ++index) {
+        EXPECT_LT(rates.at(keyRange.nodes[index].member.id), fairShare * 2) << index;
+    }
+    const auto settled = record;
+    EXPECT_FALSE(planRebalance(record, keyRange.candidates, &keyRange.load)) << "keys do not move to and fro";
+    EXPECT_EQ(record, settled);
+}
+
 // Guards against overload of a single target: all keys of a busy range start with one owner.
 TEST(roster, aBusyKeyRangeIsSpreadByOneRebalance)
 {
