Fix: a second copy of a refusal is not taken for the response to the same request sent again; a cut response is never complete

Reported by another operator: a faulty server wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that had run, or these ran twice. Here: a refusal that names another request was not believed already, but a request that was refused is sent again under the same id, on the same kept connection, and the late copy names it rightly. Cause: the id tells requests apart, not the sendings of one request. Fix: a request is not sent again on a connection on which it was refused; a connection with 64 refusals is closed, so the ids kept are bounded. Ruled out: taking such a refusal for no proof (a second refusal is common while keys move, and the caller of an order would get 502 for it). refusal.aSecondCopyOfAnEarlierRefusal... fails before (both cases), passes now.

Second report: a server stopped within the head of its response and closed; callers got a 200 framed as whole. Ruled out by target.aResponseThatStopsAnywhereIsNeverComplete: each prefix of a response with a length, with chunks and with neither.

--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <set>
 
 namespace quetzalspool {
 
@@ -19,6 +20,7 @@
 
 constexpr milliseconds idleTimeout{4000}; ///< Connections that are idle for longer are closed.
 constexpr std::size_t maxIdleConnections = 24; ///< Maximum idle connections per target.
+constexpr std::size_t maxRefusedIds = 64; ///< A connection with as many refusals is not reused.
 constexpr std::size_t partSize = 32768; ///< Bytes of a body per read.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum buffered bytes of a head or of chunk framing. A faulty
                                                ///< target may send malformed bytes endlessly.
@@ -40,6 +42,7 @@
     beast::tcp_stream stream; ///< Connection.
     beast::flat_buffer buffer{readAheadLimit}; ///< Received bytes that are not parsed yet.
     std::optional<http::response_parser<http::buffer_body>> parser; ///< Parser of the current response.
+    std::set<std::string> refusedIds; ///< Ids of the requests that were refused on this connection.
     bool headOnly = false; ///< Whether the response has no body because of the request's method.
     bool reused = false; ///< Whether the connection has carried an earlier request.
     bool complete = false; ///< Whether the response was read completely.
@@ -65,19 +68,26 @@
     return code == asio::error::would_block;
 }
 
-/** Takes the most recently used idle connection unless it was idle for too long; closes expired and broken ones. */
+/**
+ * Takes the most recently used idle connection on which the request was not refused, unless it was idle for too long.
+ * Closes expired and broken ones.
+ */
 std::shared_ptr<target_exchange> takeIdleConnection(target_client &client, const endpoint &address,
-                                                    milliseconds maxIdleTime)
+                                                    const std::string &requestId, milliseconds maxIdleTime)
 {
     auto &idleConnections = client.idleConnections[address];
     const auto now = elapsed_clock::now();
     std::erase_if(idleConnections, [&](const auto &exchange) { return now - exchange->idleSince >= idleTimeout; });
-    while (!idleConnections.empty()) {
-        if (now - idleConnections.back()->idleSince >= maxIdleTime) {
+    for (auto at = idleConnections.size(); at > 0; --at) {
+        const auto position = idleConnections.begin() + static_cast<std::ptrdiff_t>(at) - 1;
+        if (now - (*position)->idleSince >= maxIdleTime) {
             return nullptr;
         }
-        auto exchange = std::move(idleConnections.back());
-        idleConnections.pop_back();
+        if ((*position)->refusedIds.contains(requestId)) {
+            continue;
+        }
+        auto exchange = std::move(*position);
+        idleConnections.erase(position);
         if (isStillOpen(*exchange)) {
             return exchange;
         }
@@ -130,10 +140,10 @@
 }
 
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
-                                                             milliseconds maxIdleTime, milliseconds timeout,
-                                                             last_reason &why)
+                                                             std::string requestId, milliseconds maxIdleTime,
+                                                             milliseconds timeout, last_reason &why)
 {
-    auto exchange = takeIdleConnection(*client, address, maxIdleTime);
+    auto exchange = takeIdleConnection(*client, address, requestId, maxIdleTime);
     if (exchange) {
         exchange->complete = false;
         exchange->reused = true;
@@ -219,6 +229,9 @@
         co_return failed(why, "read the target's response", toString(exchange->address),
                          "it refuses a request that it does not name");
     }
+    if (!head.notRun.empty() && !exchange->requestId.empty()) {
+        exchange->refusedIds.insert(exchange->requestId);
+    }
     if (certainlyBelongs(*exchange, echoed)) {
         head.notice = readNotice(exchange->rules, head, message);
     }
@@ -256,7 +269,9 @@
 
 void closeTarget(target_client &client, const std::shared_ptr<target_exchange> &exchange)
 {
-    if (exchange->complete && exchange->parser && exchange->parser->keep_alive() && exchange->buffer.size() == 0) {
+    const bool reusable = exchange->complete && exchange->parser && exchange->parser->keep_alive()
+        && exchange->buffer.size() == 0 && exchange->refusedIds.size() < maxRefusedIds;
+    if (reusable) {
         exchange->idleSince = elapsed_clock::now();
         exchange->stream.expires_never();
         auto &idleConnections = client.idleConnections[exchange->address];
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -44,9 +44,11 @@
 std::shared_ptr<target_client> makeTargetClient(target_rules rules);
 
 /**
- * Reuses an idle connection to a target or opens a new one.
+ * Reuses an idle connection to a target or opens a new one. A connection on which the target has refused the same
+ * request is not reused for it: a second copy of that refusal would name the request too.
  * @param client Client.
  * @param address Target.
+ * @param requestId Id of the request that will be sent; empty if the target does not echo it.
  * @param maxIdleTime Connections that were idle for longer are not reused, because the target may close them while a
  *                    request is on its way. 0 always opens a new one. Milliseconds.
  * @param timeout Time limit for connecting, in milliseconds.
@@ -54,8 +56,8 @@
  * @return The exchange, or null; then nothing was sent.
  */
 asio::awaitable<std::shared_ptr<target_exchange>> openTarget(std::shared_ptr<target_client> client, endpoint address,
-                                                             milliseconds maxIdleTime, milliseconds timeout,
-                                                             last_reason &why);
+                                                             std::string requestId, milliseconds maxIdleTime,
+                                                             milliseconds timeout, last_reason &why);
 
 /**
  * Sends a request. The target may run it from this call on, even if sending fails.
--- a/packages/target/tests/refusal_test.cpp
+++ b/packages/target/tests/refusal_test.cpp
@@ -30,20 +30,23 @@
     co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", redirectError(code));
 }
 
-/** Sends requests with these ids, on one connection as far as it is kept; returns the head that the last one got. */
-std::optional<target_head> lastHead(const target_rules &rules, std::vector<std::string> ids,
-                                    std::vector<std::string> responses)
+/** Sends requests with these ids to a target that serves connections one after the other, each with its responses.
+ * Returns the head that the last one got. */
+std::optional<target_head> lastHeadOf(const target_rules &rules, std::vector<std::string> ids,
+                                      std::vector<std::vector<std::string>> connections)
 {
     asio::io_context context{1};
     last_reason why;
     std::optional<target_head> head;
     auto acceptor = std::make_shared<tcp::acceptor>(*listenOn(context, {"127.0.0.1", 0}, why));
     const endpoint at{"127.0.0.1", acceptor->local_endpoint().port()};
-    asio::co_spawn(context, respondInOrder(acceptor, std::move(responses)), asio::detached);
+    for (auto &responses : connections) {
+        asio::co_spawn(context, respondInOrder(acceptor, std::move(responses)), asio::detached);
+    }
     const auto work = [&]() -> asio::awaitable<void> {
         const auto client = makeTargetClient(rules);
         for (const auto &id : ids) {
-            const auto exchange = co_await openTarget(client, at, seconds(3), seconds(1), why);
+            const auto exchange = co_await openTarget(client, at, id, seconds(3), seconds(1), why);
             http_request request{"POST", "/", {}, ""};
             if (!id.empty()) {
                 request.headers.emplace_back("X-Id", id);
@@ -63,6 +66,13 @@
     return head;
 }
 
+/** The same over one connection, as far as it is kept. */
+std::optional<target_head> lastHead(const target_rules &rules, std::vector<std::string> ids,
+                                    std::vector<std::string> responses)
+{
+    return lastHeadOf(rules, std::move(ids), {std::move(responses)});
+}
+
 std::string response(const std::string &status, const std::string &headers)
 {
     return "HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: 0\r\n\r\n";
@@ -98,6 +108,21 @@
     EXPECT_FALSE(first->notRun.empty());
 }
 
+// A request that was refused is sent again under the same id. A second copy of the first refusal must not be taken for
+// the response to the second sending, which the target may execute.
+TEST(refusal, aSecondCopyOfAnEarlierRefusalProvesNothingForTheSameRequestSentAgain)
+{
+    const auto refusal = response("503", "X-Id: one\r\nX-Not-Run: 1\r\n");
+    const auto answer = response("200", "X-Id: one\r\n");
+    const auto between = response("200", "X-Id: two\r\n");
+    for (const auto &[ids, first] : std::vector<std::pair<std::vector<std::string>, std::vector<std::string>>>{
+             {{"one", "one"}, {refusal, refusal}}, {{"one", "two", "one"}, {refusal, between, refusal}}}) {
+        const auto head = lastHeadOf(echoing, ids, {first, {answer}});
+        ASSERT_TRUE(head.has_value());
+        EXPECT_EQ(head->status, 200U) << "sent on a connection that has not refused it";
+    }
+}
+
 TEST(refusal, oneThatNamesARequestProvesNothingForARequestWithoutAnId)
 {
     const auto late = response("503", "X-Id: one\r\nX-Not-Run: 1\r\n");
--- a/packages/target/tests/target_test.cpp
+++ b/packages/target/tests/target_test.cpp
@@ -47,7 +47,7 @@
     }
 }
 
-exchange_result exchangeWith(const std::string &bytes)
+exchange_result exchangeWith(const std::string &bytes, bool unframed = false)
 {
     asio::io_context context{1};
     exchange_result result;
@@ -55,8 +55,8 @@
     const endpoint at{"127.0.0.1", acceptor->local_endpoint().port()};
     asio::co_spawn(context, respondOnce(acceptor, bytes), asio::detached);
     auto work = [&]() -> asio::awaitable<void> {
-        const auto client = makeTargetClient({"Quetzalspool-Not-Run", "", false});
-        const auto exchange = co_await openTarget(client, at, milliseconds(0), seconds(1), result.why);
+        const auto client = makeTargetClient({"Quetzalspool-Not-Run", "", unframed});
+        const auto exchange = co_await openTarget(client, at, "", milliseconds(0), seconds(1), result.why);
         http_request request{"GET", "/", {}, ""};
         const auto deadline = clock::now() + seconds(1);
         result.sent = co_await sendToTarget(exchange, request, deadline, result.why);
@@ -96,7 +96,7 @@
     asio::co_spawn(context, respondEndlessly(acceptor, first, again, written), asio::detached);
     auto work = [&]() -> asio::awaitable<void> {
         const auto client = makeTargetClient({"Quetzalspool-Not-Run", "", true});
-        const auto exchange = co_await openTarget(client, at, milliseconds(0), seconds(1), why);
+        const auto exchange = co_await openTarget(client, at, "", milliseconds(0), seconds(1), why);
         http_request request{"GET", "/", {}, ""};
         const auto since = clock::now();
         const auto deadline = since + seconds(2);
@@ -178,6 +178,24 @@
     EXPECT_FALSE(exchangeWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nab").complete);
 }
 
+// A target may stop in the middle of its response and close the connection in order. Only a response whose end isn't
+// announced can then be complete, once its head is.
+TEST(target, aResponseThatStopsAnywhereIsNeverComplete)
+{
+    const std::string length = "HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 4\r\nX-A: b\r\n\r\nabcd";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n4\r\nabcd\r\n0\r\n\r\n";
+    const std::string unframed = "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-A: b\r\n\r\nabcd";
+    for (const auto &whole : {length, chunked, unframed}) {
+        const auto headEnd = whole.find("\r\n\r\n") + 4;
+        for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+            const auto result = exchangeWith(whole.substr(0, cut), true);
+            EXPECT_EQ(result.head.has_value(), cut >= headEnd) << whole.substr(0, cut);
+            EXPECT_EQ(result.complete, whole == unframed && cut >= headEnd) << whole.substr(0, cut);
+        }
+        EXPECT_TRUE(exchangeWith(whole, true).complete);
+    }
+}
+
 TEST(target, rejectsAnUnframedResponse)
 {
     EXPECT_FALSE(exchangeWith("HTTP/1.1 200 OK\r\n\r\nabcd").head.has_value());
