--- a/packages/base/src/target_notice.h
+++ b/packages/base/src/target_notice.h
@@ -18,8 +18,8 @@
     limit_statement limit = limit_statement::absent; ///< What it says about the rate limit.
     double requestsPerSecond = 0; ///< The limit, if one is named: requests per second from all callers, not negative.
     bool leaving = false; ///< Whether the target says that it is leaving.
-    bool succeeded = false; ///< Whether the target executed the request without failing. Only such a response shows by
-                            ///< naming no limit that there is none.
+    bool succeeded = false; ///< Whether the response certainly belongs to the current request, which the target
+                            ///< executed without failing. Only such a one shows by naming no limit that there is none.
 };
 
 } // namespace quetzalspool
--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -336,8 +336,8 @@
     request_outcome outcome = notRun(refusal::no_target, unreachableRetryAfter);
     bool responded = false;
     const auto startedAt = clock::now();
-    const auto exchange = co_await openTarget(targets, address, shared.names.composeRequestIds ? "" : request->id,
-                                              maxIdleTime(*request), connectTimeout, why);
+    const std::string echoedId = shared.names.composeRequestIds ? "" : request->id;
+    const auto exchange = co_await openTarget(targets, address, echoedId, maxIdleTime(*request), connectTimeout, why);
     if (exchange) {
         const auto reason = authorizeHandOver(shared, *request, admissionRequest);
         if (reason == refusal::none) {
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -232,9 +232,8 @@
     if (!head.notRun.empty() && !exchange->requestId.empty()) {
         exchange->refusedIds.insert(exchange->requestId);
     }
-    if (certainlyBelongs(*exchange, echoed)) {
-        head.notice = readNotice(exchange->rules, head, message);
-    }
+    head.notice = readNotice(exchange->rules, head, message);
+    head.notice.succeeded = head.notice.succeeded && certainlyBelongs(*exchange, echoed);
     co_return head;
 }
 
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -33,7 +33,7 @@
     std::vector<http_header> headers; ///< Headers, without hop-by-hop headers.
     std::optional<std::uint64_t> length; ///< Bytes of the body, if the target announced them.
     std::string notRun; ///< Why the target did not run the request; empty if it may have run it.
-    target_notice notice; ///< What the response says about the target. Nothing if it may belong to another request.
+    target_notice notice; ///< What the response says about the target, also if it may belong to an earlier request.
 };
 
 /**
--- a/packages/target/tests/refusal_test.cpp
+++ b/packages/target/tests/refusal_test.cpp
@@ -1,4 +1,5 @@
-/** @file refusal_test.cpp Which responses of a target prove that the current request did not run. */
+/** @file refusal_test.cpp Which responses of a target prove that the current request did not run, and what they say
+ * about the target. */
 #include "elapsed_clock.h"
 #include "http_server.h"
 #include "target_func.h"
@@ -6,6 +7,7 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace quetzalspool::test {
 
@@ -137,6 +139,42 @@
     EXPECT_EQ(head->notRun, "1");
 }
 
+TEST(notice, aRateLimitIsADecimalNumberThatIsNotNegative)
+{
+    target_rules rules = echoing;
+    rules.limit = "X-Limit";
+    const auto noticeOf = [&](const std::string &headers) {
+        const auto head = lastHead(rules, {"one"}, {response("200", "X-Id: one\r\n" + headers)});
+        return head ? head->notice : target_notice{};
+    };
+    EXPECT_EQ(noticeOf("").limit, limit_statement::absent);
+    for (const std::string text : {"", "-1", "none", "nan", "inf", "1e999", "12 a second", "0x10", "1,5"}) {
+        EXPECT_EQ(noticeOf("X-Limit: " + text + "\r\n").limit, limit_statement::unreadable) << text;
+    }
+    for (const auto &[text, limit] : std::map<std::string, double>{{"0", 0}, {"14.8", 14.8}, {"1e6", 1e6}, {"3", 3}}) {
+        const auto notice = noticeOf("X-Limit: " + text + "\r\n");
+        EXPECT_EQ(notice.limit, limit_statement::named) << text;
+        EXPECT_EQ(notice.requestsPerSecond, limit) << text;
+    }
+}
+
+TEST(notice, anyResponseThatIsPassedOnCountsButOnlyOneOfThisRequestShowsThatThereIsNoLimit)
+{
+    target_rules rules = echoing;
+    rules.limit = "X-Limit";
+    rules.leaving = "X-Leaving";
+    const auto unnamed =
+        lastHead(rules, {"one", "two"}, {firstAnswer, response("200", "X-Limit: 3\r\nX-Leaving: 1\r\n")});
+    ASSERT_TRUE(unnamed.has_value());
+    EXPECT_EQ(unnamed->notice.limit, limit_statement::named);
+    EXPECT_TRUE(unnamed->notice.leaving);
+    EXPECT_FALSE(unnamed->notice.succeeded) << "it may be a late response to the first request";
+    EXPECT_TRUE(lastHead(rules, {"one"}, {firstAnswer})->notice.succeeded);
+    const auto refused = lastHead(rules, {"one"}, {response("503", "X-Id: one\r\nX-Not-Run: 1\r\nX-Leaving: 0\r\n")});
+    EXPECT_FALSE(refused->notice.succeeded);
+    EXPECT_FALSE(refused->notice.leaving);
+}
+
 TEST(refusal, aStatusAloneIsNoRefusalExceptMisdirected)
 {
     for (const std::string status : {"408", "429", "503", "504"}) {
