Change: a lookup that waits for a token must have the same margin before its goal as one that waits for a slot

Cause: the predicted wait for a slot is doubled for lookups, since orders that come later overtake them; the wait for a token was not, so a quarter of the lookups admitted under a limit were late. The test of requests that can't be served in time has a scene of its own for the queue again: its lookup is refused on arrival now.

--- a/packages/decisions/src/admission_estimate.cpp
+++ b/packages/decisions/src/admission_estimate.cpp
@@ -118,9 +118,10 @@
     const double concurrency = currentConcurrency(state, now);
     const bool yields = state.enforceGoals && !urgent;
     const auto slots = yields ? std::max(concurrency - state.meanUrgentInFlight, minNormalSlots) : concurrency;
-    const auto mean = static_cast<double>(before + 1) / slots * expectedServiceMs(state, urgent);
-    const milliseconds forSlot(std::llround(yields ? mean * waitMargin : mean));
-    return std::max(forSlot, predictedTokenWait(state.rate, before, !yields, now));
+    const auto forSlot = static_cast<double>(before + 1) / slots * expectedServiceMs(state, urgent);
+    const auto forToken = static_cast<double>(predictedTokenWait(state.rate, before, !yields, now).count());
+    const auto mean = std::max(forSlot, forToken);
+    return milliseconds(std::llround(yields ? mean * waitMargin : mean));
 }
 
 std::uint32_t concurrencyFor(const admission_state &state, const admission_request &request, steady_time now)
--- a/packages/decisions/tests/load_test.cpp
+++ b/packages/decisions/tests/load_test.cpp
@@ -49,6 +49,12 @@
         admission.announcedAt = now - seconds(60);
     }
 
+    /** Makes the target name a rate limit in its responses from now on. */
+    void setRateLimit(double perSecond)
+    {
+        applyNotice(admission, {limit_statement::named, perSecond, false, true}, now, now);
+    }
+
     /** Runs a load for the given time and returns the results by rank. */
     std::map<std::uint32_t, load_result> run(const std::vector<load_kind> &kinds, seconds span)
     {
@@ -296,4 +302,30 @@
     }
 }
 
+// A target names a limit of half of what it is asked for, and its callers retry. Orders go first, lookups get the rest,
+// and those that the limit can't serve must be refused at once.
+TEST(load, aRateLimitIsUsedAndTheRestIsRefusedAtOnce)
+{
+    for (const double limit : {4.0, 15.0, 40.0}) {
+        load_simulation simulation(9);
+        simulation.setRateLimit(limit);
+        load_kind lookup{request_class::lookup, 2, limit * 1.5, milliseconds(160), milliseconds(500),
+                         milliseconds(1200)};
+        load_kind order{request_class::order, 1, limit * 0.5, milliseconds(210), milliseconds(600), milliseconds(1500)};
+        lookup.retries = true;
+        order.retries = true;
+        const auto results = simulation.run({lookup, order}, seconds(60));
+        std::cout << "figure limit " << limit << " a second:\n";
+        print(results);
+        const auto &lookups = results.at(2);
+        const auto &orders = results.at(1);
+        const auto served = lookups.withinGoal + lookups.late + orders.withinGoal + orders.late;
+        EXPECT_LE(served, limit * 60 + limit + 10);
+        EXPECT_GT(served, limit * 60 * 0.85) << "the limit is used";
+        EXPECT_GT(orders.withinGoal + orders.late, orders.requests * 9 / 10) << "orders go first";
+        EXPECT_LT(lookups.refusedAfterWait, lookups.requests / 10) << "few are refused only after waiting";
+        EXPECT_LT(lookups.late, (lookups.late + lookups.withinGoal) / 4);
+    }
+}
+
 } // namespace quetzalspool::test
--- a/packages/decisions/tests/rate_limit_test.cpp
+++ b/packages/decisions/tests/rate_limit_test.cpp
@@ -138,15 +138,16 @@
     applyNotice(admission, named(1), start, start);
     const auto refused = admit(admission, requestUntil(start + milliseconds(800)), start);
     EXPECT_EQ(refused.refused, refusal::overloaded);
-    auto waiting = requestUntil(start + milliseconds(1500));
+    auto waiting = requestUntil(start + milliseconds(2500));
     waiting.id = 1;
     ASSERT_TRUE(admit(admission, waiting, start).queued);
-    auto order = requestUntil(start + milliseconds(1600), request_class::order);
-    order.id = 2;
-    ASSERT_TRUE(admit(admission, order, start).queued);
+    auto order = requestUntil(start + milliseconds(3000), request_class::order);
+    for (order.id = 2; order.id <= 3; ++order.id) {
+        ASSERT_TRUE(admit(admission, order, start).queued);
+    }
     const auto decided = advanceQueue(admission, start + milliseconds(10));
     ASSERT_EQ(decided.size(), 1U);
-    EXPECT_EQ(decided.front().id, 1U) << "the order takes the only token before its deadline";
+    EXPECT_EQ(decided.front().id, 1U) << "the orders take the two tokens before its deadline";
     EXPECT_EQ(decided.front().result.refused, refusal::deadline_passed);
 }
 
