Codechange: loads, rebalancing and assignment of owners in files of their own; one unit for speeds in load messages

The factor of the speed in load messages stood twice under one name with two meanings; it is a constant of the message now. No decision changes: roster*, load*, rateLimit* and targetNotice* pass, 46 tests.

--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -26,7 +26,6 @@
 
 constexpr milliseconds tickInterval{50}; ///< Interval at which due actions are checked.
 constexpr milliseconds loadReportInterval{500}; ///< Interval between load reports.
-constexpr double speedUnit = 1000; ///< Speeds are sent in requests per this many seconds.
 constexpr double initialServiceMs = 200; ///< Service time in milliseconds, assumed until one is measured.
 constexpr milliseconds defaultLeaveTime{2000}; ///< Default time that a target serves after its leave was acknowledged.
 constexpr int leaveAdmissionPercent = 75; ///< Percentage of the leave time in which new requests are admitted; the rest
@@ -163,7 +162,7 @@
         message.slots.emplace_back(slot.value, count);
     }
     if (!admissionControl.admission.demand.empty()) {
-        message.speed = static_cast<std::uint64_t>(speedPerSlot(admissionControl.admission) * speedUnit);
+        message.speed = static_cast<std::uint64_t>(speedPerSlot(admissionControl.admission) * speedUnitSeconds);
     }
     admissionControl.admission.demand.clear();
     return message;
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -340,7 +340,7 @@
 
 void beginTarget(admission_state &state, steady_time now)
 {
-    // Another run of this daemon, or none, may have heard what the first target of this run has named.
+    // The first target of this run may have named a limit to the previous run of this daemon.
     state.heard = state.hasTarget;
     state.hasTarget = true;
     state.announcedAt = now;
@@ -358,8 +358,7 @@
     if (beganLeaving) {
         state.saysLeaving = true;
         setLeaving(state, true, now);
-        // If this is the first response, callers may know of it from another run of this daemon, for any length of
-        // time.
+        // Before the first response, the previous run of this daemon may have passed on others that said so long ago.
         state.leavingSince = state.heard ? state.leavingSince : steady_time{};
     }
     state.heard = true;
--- a/packages/decisions/src/message_type.h
+++ b/packages/decisions/src/message_type.h
@@ -104,12 +104,15 @@
     bool reply = false; ///< Whether this responds to a digest that differed. Such a message gets no response.
 };
 
+/** Unit of the speeds in load messages: requests per this many seconds. */
+constexpr double speedUnitSeconds = 1000;
+
 /** Request rates of one daemon's slots and the capacity of its target. */
 struct load_message
 {
     instance_id sender; ///< Daemon that reports.
     pool_id pool; ///< Pool of its target.
-    std::uint64_t speed = 0; ///< Requests that one slot of its target completes in 1000 seconds; 0 if unknown.
+    std::uint64_t speed = 0; ///< Requests that one slot of its target completes in `speedUnitSeconds`; 0 if unknown.
     std::vector<std::pair<std::uint32_t, std::uint64_t>> slots; ///< Slots, each with requests since the last message.
 };
 
--- /dev/null
+++ b/packages/decisions/src/roster_load.cpp
@@ -0,0 +1,107 @@
+/** @file roster_load.cpp Loads of the owners of a pool, and their shares by capacity. */
+#include "roster_load_func.h"
+
+#include "roster_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr double minSpeed = 0.02; ///< Minimum assumed speed of a target, in requests per second and concurrency slot.
+constexpr double baselineLoad =
+    2.0 / numericSlots; ///< Assumed load of a slot without requests: 2 per second for all slots.
+constexpr milliseconds decayInterval{1000}; ///< Between two decay steps.
+constexpr double decayFactor = 0.7; ///< Remaining fraction of a load after one step: a time constant of about 3 s.
+
+double capacityOf(const roster_node &node, const pool_load *load)
+{
+    const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
+    if (load == nullptr || load->speed.empty()) {
+        return slots;
+    }
+    const auto known = load->speed.find(node.member.id);
+    if (known != load->speed.end()) {
+        return slots * std::max(known->second, minSpeed);
+    }
+    double sum = 0;
+    for (const auto &entry : load->speed) {
+        sum += entry.second;
+    }
+    return slots * std::max(sum / static_cast<double>(load->speed.size()), minSpeed);
+}
+
+} // namespace
+
+double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
+{
+    double sum = (last - first + 1) * baselineLoad;
+    if (load == nullptr || load->slots.empty()) {
+        return sum;
+    }
+    double observed = 0;
+    for (auto slot = first; slot <= last; ++slot) {
+        observed += load->slots[slot];
+    }
+    return sum + observed / std::max(load->weight, 1 - decayFactor);
+}
+
+std::vector<candidate_load> candidateLoads(const ownership_record &record,
+                                           const std::vector<const roster_node *> &candidates, const pool_load *load)
+{
+    std::vector<candidate_load> loads;
+    double totalCapacity = 0;
+    for (const auto *node : candidates) {
+        loads.push_back({node, 0, capacityOf(*node, load)});
+        totalCapacity += loads.back().fairShare;
+    }
+    double total = 0;
+    for (const auto &range : record.ranges) {
+        const auto rangeLoad = loadBetween(load, range.first, range.last);
+        total += rangeLoad;
+        const auto &holder = range.nextOwner.value.empty() ? range.owner : range.nextOwner;
+        for (auto &entry : loads) {
+            entry.load += entry.node->member.id == holder ? rangeLoad : 0;
+        }
+    }
+    for (auto &entry : loads) {
+        entry.fairShare = total * entry.fairShare / totalCapacity;
+    }
+    return loads;
+}
+
+double utilizationOf(const candidate_load &entry, const pool_load *load)
+{
+    if (load == nullptr || load->speed.empty()) {
+        return 1;
+    }
+    return entry.load / capacityOf(*entry.node, load);
+}
+
+void applyLoad(roster_state &state, const load_message &message, steady_time now)
+{
+    auto &load = state.loads[message.pool];
+    if (load.slots.empty()) {
+        load.slots.assign(numericSlots, 0);
+        load.decayedAt = now;
+    }
+    // Counts are added with the weight that a step removes, so the load of a slot is a rate per second.
+    while (now - load.decayedAt >= decayInterval) {
+        load.decayedAt += decayInterval;
+        for (auto &slot : load.slots) {
+            slot *= decayFactor;
+        }
+        load.weight = load.weight * decayFactor + 1 - decayFactor;
+    }
+    for (const auto &[slot, count] : message.slots) {
+        if (slot < numericSlots) {
+            load.slots[slot] += (1 - decayFactor) * static_cast<double>(count);
+        }
+    }
+    if (message.speed > 0) {
+        load.speed[message.sender] = static_cast<double>(message.speed) / speedUnitSeconds;
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -1,5 +1,6 @@
 /** @file roster_plan.cpp Plans the next owners of a pool. Each step checks its conditions, then changes a draft. */
 #include "roster_func.h"
+#include "roster_load_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -11,25 +12,11 @@
 namespace {
 
 constexpr milliseconds balanceInterval{500}; ///< Between two checks for a rebalance.
-constexpr double minSpeed = 0.02; ///< Minimum assumed speed of a target, in requests per second and concurrency slot.
-constexpr double baselineLoad =
-    2.0 / numericSlots; ///< Assumed load of a slot without requests: 2 per second for all slots.
-constexpr double overloadRatio = 1.2; ///< A target from this ratio of load to fair share may count as overloaded.
-constexpr double minUtilization = 0.6; ///< A target counts as overloaded only from this share of its capacity.
-constexpr double underloadRatio = 0.3; ///< At or below this ratio, a target receives slots even if none is overloaded.
-constexpr double minMoveFraction = 0.7; ///< Share of the wanted load from which one move is enough.
-constexpr double minPartFraction = 0.1; ///< Minimum share of the wanted load that one of several moves transfers.
-constexpr double severalMovesRatio = 2; ///< From this ratio of load to fair share, several moves may transfer the load.
-constexpr double maxMoveFraction = 1.1; ///< Maximum share of the wanted load that one move transfers.
 /**
  * Maximum number of adjacent slots that are assigned together. Busy keys are close to each other, and which keys are
  * busy is unknown before the first requests: small blocks distribute them over several owners from the start.
  */
 constexpr std::uint32_t blockSlots = 16;
-constexpr std::size_t maxMovesPerWrite = 8; ///< Maximum slot windows that one write marks to be moved.
-constexpr milliseconds decayInterval{1000}; ///< Between two decay steps.
-constexpr double decayFactor = 0.7; ///< Remaining fraction of a load after one step: a time constant of about 3 s.
-constexpr double speedUnit = 1000; ///< Speeds are sent as thousandths of requests per second.
 
 /** Draft of the next owners of a pool. */
 struct ownership_draft
@@ -170,84 +157,12 @@
     }
 }
 
-/** Load of consecutive slots. Each slot has a baseline load, so that slots without requests are distributed too. */
-double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
-{
-    double sum = (last - first + 1) * baselineLoad;
-    if (load == nullptr || load->slots.empty()) {
-        return sum;
-    }
-    double observed = 0;
-    for (auto slot = first; slot <= last; ++slot) {
-        observed += load->slots[slot];
-    }
-    return sum + observed / std::max(load->weight, 1 - decayFactor);
-}
-
-double capacityOf(const roster_node &node, const pool_load *load)
-{
-    const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
-    if (load == nullptr || load->speed.empty()) {
-        return slots;
-    }
-    const auto known = load->speed.find(node.member.id);
-    if (known != load->speed.end()) {
-        return slots * std::max(known->second, minSpeed);
-    }
-    double sum = 0;
-    for (const auto &entry : load->speed) {
-        sum += entry.second;
-    }
-    return slots * std::max(sum / static_cast<double>(load->speed.size()), minSpeed);
-}
-
-/** Load of one candidate's ranges and its fair share. */
-struct candidate_load
-{
-    const roster_node *node = nullptr; ///< Candidate.
-    double load = 0; ///< Load of its ranges.
-    double fairShare = 0; ///< Load in proportion to its capacity.
-};
-
-std::vector<candidate_load> candidateLoads(const ownership_record &record,
-                                           const std::vector<const roster_node *> &candidates, const pool_load *load)
-{
-    std::vector<candidate_load> loads;
-    double totalCapacity = 0;
-    for (const auto *node : candidates) {
-        loads.push_back({node, 0, capacityOf(*node, load)});
-        totalCapacity += loads.back().fairShare;
-    }
-    double total = 0;
-    for (const auto &range : record.ranges) {
-        const auto rangeLoad = loadBetween(load, range.first, range.last);
-        total += rangeLoad;
-        const auto &holder = range.nextOwner.value.empty() ? range.owner : range.nextOwner;
-        for (auto &entry : loads) {
-            entry.load += entry.node->member.id == holder ? rangeLoad : 0;
-        }
-    }
-    for (auto &entry : loads) {
-        entry.fairShare = total * entry.fairShare / totalCapacity;
-    }
-    return loads;
-}
-
 candidate_load *largestDeficit(std::vector<candidate_load> &loads)
 {
     return &*std::max_element(loads.begin(), loads.end(),
                               [](const auto &a, const auto &b) { return a.fairShare - a.load < b.fairShare - b.load; });
 }
 
-/** Share of a target's capacity that its load uses; 1 if its speed is not known. */
-double utilizationOf(const candidate_load &entry, const pool_load *load)
-{
-    if (load == nullptr || load->speed.empty()) {
-        return 1;
-    }
-    return entry.load / capacityOf(*entry.node, load);
-}
-
 /** Last slot of the shortest prefix of a range whose load covers a deficit; the whole range if none does. */
 std::uint32_t lastSlotForLoad(const slot_range &range, const pool_load *load, double deficit)
 {
@@ -267,97 +182,6 @@
     return (slot / blockSlots + 1) * blockSlots - 1;
 }
 
-/** Adjacent slots of one owner. */
-struct slot_window
-{
-    std::uint32_t first = 0; ///< First slot.
-    std::uint32_t last = 0; ///< Last slot, inclusive.
-    double load = 0; ///< Their load.
-};
-
-/** Load that a move should transfer, and the least that makes it worth a move. */
-struct wanted_load
-{
-    double load = 0; ///< Load that should move.
-    double least = 0; ///< A window with less is not moved.
-};
-
-/**
- * Whether a window is a better move than another one: the fewest slots with about the wanted load, since moving few
- * keys is cheapest, or else the most load.
- */
-bool isBetterMove(const slot_window &window, const std::optional<slot_window> &other, double wanted)
-{
-    if (!other) {
-        return true;
-    }
-    const bool enough = window.load >= wanted * minMoveFraction;
-    const bool otherEnough = other->load >= wanted * minMoveFraction;
-    if (enough != otherEnough) {
-        return enough;
-    }
-    return enough ? window.last - window.first < other->last - other->first : window.load > other->load;
-}
-
-/** Finds the best window of a range to move; it has at most about the wanted load. */
-void searchRange(const slot_range &range, const pool_load *load, const wanted_load &wanted,
-                 std::optional<slot_window> &best)
-{
-    double sum = 0;
-    auto first = range.first;
-    for (auto last = range.first; last <= range.last; ++last) {
-        sum += loadBetween(load, last, last);
-        while (sum > wanted.load * maxMoveFraction && first <= last) {
-            sum -= loadBetween(load, first, first);
-            ++first;
-        }
-        const slot_window window{first, last, sum};
-        if (first <= last && sum >= wanted.least && isBetterMove(window, best, wanted.load)) {
-            best = window;
-        }
-    }
-}
-
-std::optional<slot_window> findMove(const ownership_record &record, const instance_id &owner, const pool_load *load,
-                                    const wanted_load &wanted)
-{
-    std::optional<slot_window> best;
-    for (const auto &range : record.ranges) {
-        if (range.owner == owner && range.nextOwner.value.empty()) {
-            searchRange(range, load, wanted, best);
-        }
-    }
-    return best;
-}
-
-/** Splits a window off its range and sets the window's next owner. */
-void markForMove(ownership_record &record, const slot_window &window, const instance_id &next)
-{
-    std::vector<slot_range> ranges;
-    for (const auto &range : record.ranges) {
-        if (window.first < range.first || window.first > range.last) {
-            ranges.push_back(range);
-            continue;
-        }
-        auto part = range;
-        if (range.first < window.first) {
-            part.last = window.first - 1;
-            ranges.push_back(part);
-        }
-        part = range;
-        part.first = window.first;
-        part.last = window.last;
-        part.nextOwner = next;
-        ranges.push_back(part);
-        if (window.last < range.last) {
-            part = range;
-            part.first = window.last + 1;
-            ranges.push_back(part);
-        }
-    }
-    record.ranges = std::move(ranges);
-}
-
 /** Whether the first owners of a pool may be chosen: the set of nodes has not changed for the settle time. */
 bool isSettled(const roster_state &state, steady_time now)
 {
@@ -467,60 +291,4 @@
                                std::move(draft.absent)};
 }
 
-bool planRebalance(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
-{
-    bool changed = false;
-    if (candidates.size() < 2) {
-        return false;
-    }
-    auto loads = candidateLoads(record, candidates, load);
-    for (std::size_t move = 0; move < maxMovesPerWrite; ++move) {
-        const auto ratio = [](const candidate_load &entry) { return entry.load / entry.fairShare; };
-        const auto [leastLoaded, mostLoaded] = std::minmax_element(
-            loads.begin(), loads.end(), [&](const auto &a, const auto &b) { return ratio(a) < ratio(b); });
-        const bool overloaded =
-            ratio(*mostLoaded) >= overloadRatio && utilizationOf(*mostLoaded, load) >= minUtilization;
-        if (!overloaded && ratio(*leastLoaded) > underloadRatio) {
-            break;
-        }
-        const auto wanted =
-            std::min(mostLoaded->load - mostLoaded->fairShare, leastLoaded->fairShare - leastLoaded->load);
-        const auto leastFraction = ratio(*mostLoaded) >= severalMovesRatio ? minPartFraction : minMoveFraction;
-        const auto window = findMove(record, mostLoaded->node->member.id, load, {wanted, wanted * leastFraction});
-        if (!window) {
-            break;
-        }
-        markForMove(record, *window, leastLoaded->node->member.id);
-        mostLoaded->load -= window->load;
-        leastLoaded->load += window->load;
-        changed = true;
-    }
-    return changed;
-}
-
-void applyLoad(roster_state &state, const load_message &message, steady_time now)
-{
-    auto &load = state.loads[message.pool];
-    if (load.slots.empty()) {
-        load.slots.assign(numericSlots, 0);
-        load.decayedAt = now;
-    }
-    // Counts are added with the weight that a step removes, so the load of a slot is a rate per second.
-    while (now - load.decayedAt >= decayInterval) {
-        load.decayedAt += decayInterval;
-        for (auto &slot : load.slots) {
-            slot *= decayFactor;
-        }
-        load.weight = load.weight * decayFactor + 1 - decayFactor;
-    }
-    for (const auto &[slot, count] : message.slots) {
-        if (slot < numericSlots) {
-            load.slots[slot] += (1 - decayFactor) * static_cast<double>(count);
-        }
-    }
-    if (message.speed > 0) {
-        load.speed[message.sender] = static_cast<double>(message.speed) / speedUnit;
-    }
-}
-
 } // namespace quetzalspool
