--- a/packages/decisions/tests/load_test.cpp
+++ b/packages/decisions/tests/load_test.cpp
@@ -302,8 +302,7 @@
     }
 }
 
-// A target names a limit of half of what it is asked for, and its callers retry. Orders go first, lookups get the rest,
-// and those that the limit can't serve must be refused at once.
+// A target is asked for twice the rate that it names, by callers that retry.
 TEST(load, aRateLimitIsUsedAndTheRestIsRefusedAtOnce)
 {
     for (const double limit : {4.0, 15.0, 40.0}) {
--- a/packages/target/tests/refusal_test.cpp
+++ b/packages/target/tests/refusal_test.cpp
@@ -110,8 +110,7 @@
     EXPECT_FALSE(first->notRun.empty());
 }
 
-// A request that was refused is sent again under the same id. A second copy of the first refusal must not be taken for
-// the response to the second sending, which the target may execute.
+// A refused request is sent again under the same id, and the target may execute it then.
 TEST(refusal, aSecondCopyOfAnEarlierRefusalProvesNothingForTheSameRequestSentAgain)
 {
     const auto refusal = response("503", "X-Id: one\r\nX-Not-Run: 1\r\n");
--- a/packages/target/tests/target_test.cpp
+++ b/packages/target/tests/target_test.cpp
@@ -178,8 +178,7 @@
     EXPECT_FALSE(exchangeWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nab").complete);
 }
 
-// A target may stop in the middle of its response and close the connection in order. Only a response whose end isn't
-// announced can then be complete, once its head is.
+// Only a response that announces no end can be complete when its connection closes, once its head is.
 TEST(target, aResponseThatStopsAnywhereIsNeverComplete)
 {
     const std::string length = "HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 4\r\nX-A: b\r\n\r\nabcd";
