Fix: a daemon started again beside a leaving target sends it nothing, as other daemons remember it

Cause: that a target is leaving was known to the run of the daemon that heard it; the next run begins with a report that may be late and says ready, and learns better only from its first response. The class: knowledge of a past run that others have is not used.

Change: a daemon whose target is leaving says so, with incarnation and age, in the heads of its responses to other daemons; these remember the last leaving target beside each instance and name it with each request to it; a daemon that has not heard it in this run believes it of the same incarnation, from the time at which it was first known. Ruled out: leaving it to the entry in the store (not read in an outage, and the new run writes its own at once), refusing at the forwarding daemon (a member in the routing view has no incarnation of its target, so a new one could be taken for the one that left).

--- a/packages/daemon/src/admission_control.cpp
+++ b/packages/daemon/src/admission_control.cpp
@@ -23,4 +23,20 @@
     }
 }
 
+std::optional<leaving_target> currentLeavingTarget(admission_control &control)
+{
+    const std::lock_guard lock(control.mutex);
+    if (!control.admission.leaving || control.targetIncarnation.id.empty()) {
+        return std::nullopt;
+    }
+    return leaving_target{control.targetIncarnation, control.admission.leavingSince};
+}
+
+bool applyLeavingReminder(admission_control &control, const leaving_target &target, steady_time now)
+{
+    const std::lock_guard lock(control.mutex);
+    return control.targetIncarnation == target.incarnation
+        && applyLeavingReminder(control.admission, target.since, now);
+}
+
 } // namespace quetzalspool
--- a/packages/daemon/src/admission_control.h
+++ b/packages/daemon/src/admission_control.h
@@ -5,6 +5,7 @@
 
 #include "admission_base.h"
 #include "dedup_base.h"
+#include "leaving_target_base.h"
 #include "request_log.h"
 
 #include <functional>
@@ -23,7 +24,7 @@
         waiters; ///< Callbacks of queued requests by id, called once the request is admitted or refused.
     std::uint64_t nextId = 1; ///< Id of the next request.
     endpoint target; ///< Address of the target.
-    std::string targetIncarnation; ///< Id of the target's incarnation; empty in deployments without such ids.
+    target_incarnation targetIncarnation; ///< Incarnation of the target; its id is empty in deployments without ids.
     request_log_budget logBudget; ///< Budget of log lines about attempts at the local target.
     log_budget noticeLogBudget{1, 5, 5}; ///< Budget of log lines about what the target says about itself.
     bool targetChecksFences = false; ///< Whether the target itself refuses requests with an older fence.
@@ -36,6 +37,23 @@
  */
 void decideQueued(admission_control &control, steady_time now);
 
+/**
+ * Returns the target if it is leaving.
+ * @param control Admission control.
+ * @return The target, or nothing if it is not leaving or has no id.
+ */
+std::optional<leaving_target> currentLeavingTarget(admission_control &control);
+
+/**
+ * Applies that another daemon remembers a target as leaving. Does nothing if it is another incarnation than the present
+ * target.
+ * @param control Admission control.
+ * @param target Leaving target.
+ * @param now Present time.
+ * @return Whether this daemon had not heard it in this run.
+ */
+bool applyLeavingReminder(admission_control &control, const leaving_target &target, steady_time now);
+
 } // namespace quetzalspool
 
 #endif // ADMISSION_CONTROL_H
--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -159,11 +159,11 @@
     return out;
 }
 
-/** Incarnation of the target that the request is meant for; empty in deployments without such ids. */
-std::string currentTargetIncarnation(daemon_shared &shared)
+/** Id of the target that the request is meant for; empty in deployments without such ids. */
+std::string currentTargetId(daemon_shared &shared)
 {
     const std::lock_guard lock(shared.admissionControl.mutex);
-    return shared.admissionControl.targetIncarnation;
+    return shared.admissionControl.targetIncarnation.id;
 }
 
 /** Maximum idle time of a connection that is reused for this request. */
@@ -260,7 +260,7 @@
     trace.handedOver = true;
     countMetric(*shared.metricsRegistry, "hand_overs_total");
     const auto handedOverAt = clock::now();
-    auto granted = addGrantHeaders(*request, shared.names, currentTargetIncarnation(shared));
+    auto granted = addGrantHeaders(*request, shared.names, currentTargetId(shared));
     const bool sent = co_await sendToTarget(exchange, std::move(granted), request->deadline, why);
     std::optional<target_head> head;
     if (sent) {
--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -26,6 +26,14 @@
     return loadPerSlot(shared.admissionControl.admission, clock::now());
 }
 
+/** Adds the header that tells that the local target is leaving, if it is. */
+void addLeavingHeader(daemon_shared &shared, std::vector<http_header> &headers)
+{
+    if (const auto leaving = currentLeavingTarget(shared.admissionControl)) {
+        headers.emplace_back(leavingHeader, encodeLeavingTarget(*leaving, clock::now()));
+    }
+}
+
 /** Makes a sink that sends a response to another daemon. A body of unknown length becomes a bulk response once it
  * exceeds the threshold.
  */
@@ -38,7 +46,9 @@
         if (length.value_or(0) > bulkThreshold) {
             sendAsBulk(*responder);
         }
-        sendResponseHead(*responder, status, encodeResponseHeaders(headers, length, currentLoad(shared)));
+        auto encoded = encodeResponseHeaders(headers, length, currentLoad(shared));
+        addLeavingHeader(shared, encoded);
+        sendResponseHead(*responder, status, std::move(encoded));
         co_return !isCancelled(*responder);
     };
     sink->writeChunk = [responder, bytes](std::string chunk) {
@@ -68,10 +78,21 @@
     }
 }
 
+/** Applies what the sender remembers of this daemon's target: the run before may have told it. */
+void applyReminder(daemon_shared &shared, const peer_request &message)
+{
+    const auto now = clock::now();
+    const auto leaving = decodeLeavingTarget(findHeader(message.headers, leavingHeader), now);
+    if (leaving && applyLeavingReminder(shared.admissionControl, *leaving, now)) {
+        logReminder(*leaving, now);
+    }
+}
+
 asio::awaitable<void> handleAttempt(traffic_thread &thread, peer_request message,
                                     std::shared_ptr<peer_responder> responder)
 {
     recordSender(*thread.shared, message);
+    applyReminder(*thread.shared, message);
     auto request = decodeRequest(std::move(message), clock::now());
     request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
     if (request) {
@@ -81,7 +102,9 @@
     }
     if (outcome.result != attempt_result::answered) {
         outcome.loadPerSlot = currentLoad(*thread.shared);
-        sendResponseHead(*responder, 200, encodeOutcome(outcome));
+        auto encoded = encodeOutcome(outcome);
+        addLeavingHeader(*thread.shared, encoded);
+        sendResponseHead(*responder, 200, std::move(encoded));
         endResponse(*responder);
     }
 }
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 
 namespace quetzalspool {
 
@@ -14,6 +15,8 @@
 constexpr const char *callerPrefix =
     "qs-h-"; ///< Prefix added to a caller's headers, so that none is taken for a protocol header.
 
+constexpr milliseconds maxAge{60000}; ///< Longest time sent since which a target is leaving; its leave time is shorter.
+
 std::string toLower(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
@@ -98,6 +101,26 @@
     return decoded;
 }
 
+std::string encodeLeavingTarget(const leaving_target &target, steady_time now)
+{
+    const auto age = std::clamp(std::chrono::duration_cast<milliseconds>(now - target.since), milliseconds(0), maxAge);
+    return std::to_string(target.incarnation.startedUnixMs) + " " + std::to_string(age.count()) + " "
+        + target.incarnation.id;
+}
+
+std::optional<leaving_target> decodeLeavingTarget(const std::string &value, steady_time now)
+{
+    std::istringstream fields(value);
+    leaving_target target;
+    std::int64_t age = 0;
+    fields >> target.incarnation.startedUnixMs >> age >> target.incarnation.id;
+    if (!fields || age < 0 || age > maxAge.count()) {
+        return std::nullopt;
+    }
+    target.since = now - milliseconds(age);
+    return target;
+}
+
 std::vector<http_header> encodeOutcome(const request_outcome &outcome)
 {
     std::vector<http_header> headers{{"qs-outcome", nameOf(outcome.result)},
--- a/packages/daemon/src/peer_wire.h
+++ b/packages/daemon/src/peer_wire.h
@@ -2,12 +2,15 @@
 #ifndef PEER_WIRE_H
 #define PEER_WIRE_H
 
+#include "leaving_target_base.h"
 #include "outcome_type.h"
 #include "peer_type.h"
 
 namespace quetzalspool {
 
 constexpr const char *senderHeader = "qs-sender"; ///< Peer address of the daemon that forwards a request.
+constexpr const char *leavingHeader = "qs-leaving"; ///< Receiver's target, in a request, or sender's target, in a
+                                                    ///< response, if it is known to be leaving.
 constexpr const char *attemptPath = "/run"; ///< Makes an attempt at the receiver's target.
 constexpr const char *cancelPath = "/cancel"; ///< Cancels an attempt unless it was handed over.
 constexpr const char *comparePath = "/documents/compare"; ///< Compares documents; the response lists those that differ.
@@ -31,6 +34,22 @@
  */
 std::optional<routed_request> decodeRequest(peer_request request, steady_time now);
 
+/**
+ * Encodes a leaving target as the value of a header.
+ * @param target Leaving target.
+ * @param now Current time; the time since which it is leaving is sent as a span.
+ * @return Value of the header.
+ */
+std::string encodeLeavingTarget(const leaving_target &target, steady_time now);
+
+/**
+ * Decodes a leaving target.
+ * @param value Value of the header; empty if there is none.
+ * @param now Current time.
+ * @return The target, or nothing if the value is empty or malformed.
+ */
+std::optional<leaving_target> decodeLeavingTarget(const std::string &value, steady_time now);
+
 /**
  * Encodes the outcome of an attempt without a response.
  * @param outcome Outcome.
--- a/packages/daemon/src/request_log.cpp
+++ b/packages/daemon/src/request_log.cpp
@@ -146,6 +146,12 @@
     }
 }
 
+void logReminder(const leaving_target &target, steady_time now)
+{
+    logEvent(log_level::info, "target-remembered-leaving",
+             {{"target", target.incarnation.id}, {"since_ms", formatMs(elapsedMs(target.since, now))}});
+}
+
 void countRequest(metrics &registry, const request_trace &trace, const request_outcome &outcome, steady_time now)
 {
     const std::string result = nameOf(outcome.result);
--- a/packages/daemon/src/request_log.h
+++ b/packages/daemon/src/request_log.h
@@ -3,6 +3,7 @@
 #define REQUEST_LOG_H
 
 #include "admission_func.h"
+#include "leaving_target_base.h"
 #include "log_func.h"
 #include "metrics_func.h"
 #include "outcome_type.h"
@@ -96,6 +97,13 @@
  */
 void logNotice(const target_notice &notice, const notice_effect &effect);
 
+/**
+ * Logs that another daemon remembers the local target as leaving.
+ * @param target Target.
+ * @param now Present time.
+ */
+void logReminder(const leaving_target &target, steady_time now);
+
 /**
  * Updates the metrics: requests by route, outcome and reason, and their duration by outcome.
  * @param registry Metrics.
--- a/packages/daemon/src/request_router.cpp
+++ b/packages/daemon/src/request_router.cpp
@@ -4,6 +4,7 @@
 #include "balance_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
+#include "leaving_target_func.h"
 #include "local_attempt.h"
 #include "peer_wire.h"
 #include "routing_func.h"
@@ -173,6 +174,25 @@
     co_return outcome;
 }
 
+/** Tells the other daemon if its target is known to be leaving: a daemon that was started again may not know it. */
+void addLeavingHeader(daemon_shared &shared, const cell_member &member, std::vector<http_header> &headers)
+{
+    const std::lock_guard lock(shared.leavingTargetsMutex);
+    if (const auto leaving = findLeavingTarget(shared.leavingTargets, member.id)) {
+        headers.emplace_back(leavingHeader, encodeLeavingTarget(*leaving, clock::now()));
+    }
+}
+
+/** Records that the response of another daemon says that its target is leaving. */
+void recordLeaving(daemon_shared &shared, const cell_member &member, const std::vector<http_header> &headers)
+{
+    const auto now = clock::now();
+    if (const auto leaving = decodeLeavingTarget(findHeader(headers, leavingHeader), now)) {
+        const std::lock_guard lock(shared.leavingTargetsMutex);
+        recordLeavingTarget(shared.leavingTargets, member.id, *leaving, now);
+    }
+}
+
 /** Makes one attempt through another daemon. */
 asio::awaitable<request_outcome> attemptRemote(traffic_thread &thread, std::shared_ptr<const cell_member> member,
                                                std::shared_ptr<const routed_request> request,
@@ -181,6 +201,7 @@
     auto message = encodeRequest(*request, clock::now());
     const auto &settings = thread.shared->settings;
     message.headers.emplace_back(senderHeader, toString({settings.host, settings.peersPort}));
+    addLeavingHeader(*thread.shared, *member, message.headers);
     const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout);
     if (!opened.call) {
         request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetryAfter};
@@ -189,6 +210,7 @@
     }
     auto head = co_await awaitResponseHead(thread, opened.call, request, sink);
     if (head) {
+        recordLeaving(*thread.shared, *member, head->headers);
         auto outcome = decodeOutcome(head->headers);
         if (outcome.result == attempt_result::answered) {
             co_return co_await forwardResponse(opened.call, std::move(*head), request, sink);
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -225,7 +225,7 @@
     auto &admissionControl = control.shared->admissionControl;
     const std::lock_guard lock(admissionControl.mutex);
     admissionControl.target = report.announcement.address;
-    admissionControl.targetIncarnation = report.incarnation.id;
+    admissionControl.targetIncarnation = report.incarnation;
     admissionControl.targetChecksFences = true;
     admissionControl.admission.pool = report.announcement.pool;
     beginTarget(admissionControl.admission, clock::now());
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -28,6 +28,9 @@
     std::atomic<std::shared_ptr<const routing_view>> routing; ///< Current routing view.
     std::atomic<catalog_snapshot> catalog; ///< Current documents.
     admission_control admissionControl; ///< Admission control of the local target.
+    std::mutex leavingTargetsMutex; ///< Guards `leavingTargets`.
+    leaving_targets
+        leavingTargets; ///< Targets of other instances of which this daemon has heard that they are leaving.
     std::shared_ptr<metrics> metricsRegistry = makeMetrics(); ///< Metrics.
     std::atomic<bool> storeReachable = true; ///< Whether the store answered this daemon's last call.
     std::atomic<std::shared_ptr<const endpoint>>
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -108,7 +108,8 @@
     bool hasTarget = false; ///< Whether a target has announced itself.
     rate_limit rate; ///< Rate limit that the target names in its responses.
     bool heard = true; ///< Whether the target has responded to this run of the daemon, so that its limit is known.
-    bool saysLeaving = false; ///< Whether a response of the target said that it is leaving.
+    bool saysLeaving = false; ///< Whether a response of the target said that it is leaving, to this run of the daemon
+                              ///< or, as other daemons remember, to the run before.
     bool leaving = false; ///< Whether the target is leaving.
     steady_time leavingSince{}; ///< When it began to leave.
     steady_time leaseUntil{}; ///< End of the instance lease.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -365,6 +365,15 @@
     return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
 }
 
+bool applyLeavingReminder(admission_state &state, steady_time since, steady_time now)
+{
+    const bool isNews = !state.saysLeaving;
+    state.saysLeaving = true;
+    setLeaving(state, true, now);
+    state.leavingSince = std::min(state.leavingSince, since);
+    return isNews;
+}
+
 void setLeaving(admission_state &state, bool leaving, steady_time now)
 {
     state.leavingSince = leaving && !state.leaving ? now : state.leavingSince;
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -109,6 +109,15 @@
 notice_effect applyNotice(admission_state &state, const target_notice &notice, steady_time handedOverAt,
                           steady_time now);
 
+/**
+ * Applies that another daemon remembers that the current incarnation of the target is leaving.
+ * @param state Admission.
+ * @param since When the target was first known to be leaving.
+ * @param now Present time.
+ * @return Whether no response had said so yet.
+ */
+bool applyLeavingReminder(admission_state &state, steady_time since, steady_time now);
+
 /**
  * Sets whether the target is leaving.
  * @param state Admission.
--- a/packages/decisions/tests/target_notice_test.cpp
+++ b/packages/decisions/tests/target_notice_test.cpp
@@ -1,5 +1,6 @@
 /** @file target_notice_test.cpp A target whose responses say that it is leaving, before or without its reports. */
 #include "admission_func.h"
+#include "leaving_target_func.h"
 #include "roster_simulation.h"
 
 #include <gtest/gtest.h>
@@ -56,6 +57,39 @@
     EXPECT_EQ(admit(admission, makeRequest(true), start).refused, refusal::leaving);
 }
 
+TEST(targetNotice, aDaemonStartedAgainThatIsRemindedOfItsLeavingTargetSendsNothingMore)
+{
+    auto admission = servingTarget();
+    EXPECT_TRUE(applyLeavingReminder(admission, start - milliseconds(1500), start));
+    EXPECT_FALSE(applyLeavingReminder(admission, start - milliseconds(100), start)) << "no news";
+    EXPECT_EQ(admit(admission, makeRequest(true), start).refused, refusal::leaving);
+    EXPECT_EQ(admit(admission, makeRequest(false), start).refused, refusal::leaving);
+}
+
+TEST(targetNotice, aReminderWithinTheLeaveTimeStillAdmitsItsKeysUntilItsEnd)
+{
+    auto admission = servingTarget();
+    applyLeavingReminder(admission, start - milliseconds(1000), start);
+    EXPECT_TRUE(admit(admission, makeRequest(true), start + milliseconds(400)).admitted) << "no other owns its key yet";
+    EXPECT_EQ(admit(admission, makeRequest(true), start + milliseconds(500)).refused, refusal::leaving);
+}
+
+TEST(targetNotice, aLeavingTargetIsRememberedSinceItsFirstNoticeUntilItsNextIncarnation)
+{
+    leaving_targets known;
+    const leaving_target first{{"i-1", 5}, start};
+    const leaving_target later{{"i-1", 5}, start + seconds(1)};
+    const leaving_target next{{"i-1", 6}, start + seconds(9)};
+    recordLeavingTarget(known, {"n1"}, first, start);
+    recordLeavingTarget(known, {"n1"}, later, start + seconds(1));
+    EXPECT_EQ(findLeavingTarget(known, {"n1"}), first);
+    EXPECT_EQ(findLeavingTarget(known, {"n2"}), std::nullopt);
+    recordLeavingTarget(known, {"n1"}, next, start + seconds(9));
+    EXPECT_EQ(findLeavingTarget(known, {"n1"}), next);
+    recordLeavingTarget(known, {"n2"}, {{"i-2", 7}, start + std::chrono::hours(1)}, start + std::chrono::hours(1));
+    EXPECT_EQ(known.size(), 1U) << "the first has ended long ago";
+}
+
 TEST(targetNotice, aNewIncarnationIsNotLeaving)
 {
     auto admission = servingTarget();
