Fix: a large value is passed between daemons as the difference from the value before

Followers gave up after 1.15 s (130 lines upstream-silent after the first version), watched the store themselves, and 46 copies filled the link between the regions: leases and watches timed out (store-lost on all daemons of one region), which made more of them read all again.

Change: a value of 1 kB or more is sent as a zstd frame that refers to the value that the follower has (by revision); four earlier values are kept, made frames are kept for the other followers. A follower with another value applies nothing and asks for all values whole. Daemons of the build before don't ask for it (qs-packed). zstd from Debian does the differences. Ruled out: compression alone (a seventh of the bytes, still too many at 19,000 nodes), choosing strong machines as upstreams (nobody knows which are), more time for followers (the storm fills the links for good).

Lines mirror-diverged, metric changes_received_bytes_total.

--- a/packages/daemon/src/roster_exchange.cpp
+++ b/packages/daemon/src/roster_exchange.cpp
@@ -36,6 +36,13 @@
     for (std::size_t index = 0; index < response.updates.size(); ++index) {
         const auto &mirrored = control.mirroredPrefixes[index];
         changed = applyUpstreamUpdate(control, *mirrored, response.updates[index]) || changed;
+        if (mirrored->mirror.diverged) {
+            logEvent(log_level::info, "mirror-diverged",
+                     {{"prefix", mirrored->mirror.prefix},
+                      {"seen", std::to_string(mirrored->mirror.revision.value)},
+                      {"revision", std::to_string(response.updates[index].revision.value)},
+                      {"changes", std::to_string(response.updates[index].changes.size())}});
+        }
         mirrorsMatch = mirrorsMatch && mirrorDigest(mirrored->mirror) == response.updates[index].digest;
     }
     applyVerification(control.exchange.state, control.state, response, mirrorsMatch, requestedAt, clock::now());
@@ -48,7 +55,8 @@
     for (const auto &mirrored : control.mirroredPrefixes) {
         revisions += (revisions.empty() ? "" : ",") + std::to_string(resumeRevision(mirrored->mirror).value);
     }
-    return {changesPath, {{"qs-node", control.state.self.member.id.value}, {"qs-seen", revisions}}, ""};
+    return {
+        changesPath, {{"qs-node", control.state.self.member.id.value}, {"qs-seen", revisions}, {"qs-packed", "1"}}, ""};
 }
 
 /** Result of polling an upstream daemon. */
@@ -77,6 +85,7 @@
     if (response->status != statusOk) {
         co_return poll_result::refused;
     }
+    countMetric(*control.shared->metricsRegistry, "changes_received_bytes_total", response->body.size());
     last_reason why;
     const auto changes = decodeChanges(response->body, why);
     if (!changes || changes->updates.size() != control.mirroredPrefixes.size()) {
@@ -170,7 +179,11 @@
     }
     changes_response response;
     for (std::size_t index = 0; index < request.revisions.size(); ++index) {
-        response.updates.push_back(changesAfter(control.mirroredPrefixes[index]->mirror, request.revisions[index]));
+        auto &mirror = control.mirroredPrefixes[index]->mirror;
+        response.updates.push_back(changesAfter(mirror, request.revisions[index]));
+        if (request.restoresPacked) {
+            packUpdate(mirror, response.updates.back(), request.revisions[index]);
+        }
     }
     response.verifiedOffset = verifiedOffset(exchange, control.state.timing, arrivedAt);
     const auto *entry = findExisting(findMirrored(control, rootPrefix)->mirror, entryKey(request.node));
--- a/packages/decisions/src/mirror_cmd.cpp
+++ b/packages/decisions/src/mirror_cmd.cpp
@@ -50,6 +50,7 @@
         return false;
     }
     auto &value = keys.values[change.key];
+    recordEarlierValue(keys, value, change);
     keys.tombstones += change.value.removed ? 1 : 0;
     keys.tombstones -= value.removed ? 1 : 0;
     value = change.value;
@@ -128,8 +129,12 @@
     return keys.diverged ? revision_number{} : keys.revision;
 }
 
-std::vector<key_change> applyUpdate(mirrored_keys &keys, const mirror_update &update)
+std::vector<key_change> applyUpdate(mirrored_keys &keys, mirror_update update)
 {
+    if (!restoreTexts(keys, update)) {
+        keys.diverged = true;
+        return {};
+    }
     const bool isCurrent = update.revision >= keys.revision;
     std::vector<key_change> applied;
     if (update.snapshot) {
--- a/packages/decisions/src/mirror_codec.cpp
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -9,11 +9,18 @@
 
 using json = nlohmann::json;
 
+constexpr std::size_t plainFields = 4; ///< Fields of a change; a packed value adds its base and its bytes.
+
 json formatUpdate(const mirror_update &update)
 {
     json changes = json::array();
     for (const auto &change : update.changes) {
-        changes.push_back({change.key, change.value.text, change.value.revision.value, change.value.removed});
+        json row{change.key, change.value.text, change.value.revision.value, change.value.removed};
+        if (change.packed) {
+            row.push_back(change.packed->base.value);
+            row.push_back(json::binary({change.packed->bytes.begin(), change.packed->bytes.end()}));
+        }
+        changes.push_back(std::move(row));
     }
     return {update.snapshot, update.revision.value, update.digest, std::move(changes)};
 }
@@ -28,6 +35,10 @@
         update.changes.push_back(
             {change.at(0).get<std::string>(),
              {change.at(1).get<std::string>(), {change.at(2).get<std::int64_t>()}, change.at(3).get<bool>()}});
+        if (change.size() > plainFields) {
+            const auto &bytes = change.at(plainFields + 1).get_binary();
+            update.changes.back().packed = {{change.at(plainFields).get<std::int64_t>()}, {bytes.begin(), bytes.end()}};
+        }
     }
     return update;
 }
--- a/packages/decisions/src/mirror_func.h
+++ b/packages/decisions/src/mirror_func.h
@@ -9,6 +9,9 @@
 
 namespace quetzalspool {
 
+/** Values with fewer bytes are sent as they are. */
+constexpr std::size_t minPackedBytes = 1024;
+
 /**
  * Applies a change. Changes may arrive in any order.
  * @param keys Mirror.
@@ -70,10 +73,36 @@
  * Applies an update from another daemon. A watch may have missed a change older than this mirror's revision, which is
  * then not part of the update either; the digest reveals it.
  * @param keys Mirror; marked as diverged if the digest differs and the update is no older.
- * @param update Changes since this mirror's revision.
+ * @param update Changes since this mirror's revision. If a packed value can't be restored, nothing is applied and the
+ *               mirror is marked as diverged, so that the next request gets all values whole.
  * @return Changes that were applied, oldest first.
  */
-std::vector<key_change> applyUpdate(mirrored_keys &keys, const mirror_update &update);
+std::vector<key_change> applyUpdate(mirrored_keys &keys, mirror_update update);
+
+/**
+ * Keeps a large value that is about to be replaced, and forgets earlier ones of a key that is deleted.
+ * @param keys Mirror.
+ * @param earlier Value before the change.
+ * @param change Change.
+ */
+void recordEarlierValue(mirrored_keys &keys, const mirrored_value &earlier, const key_change &change);
+
+/**
+ * Packs the large values of an update: with a slow link, a document of some hundred kilobytes would reach the daemons
+ * that follow this one later than its next version is written.
+ * @param keys Mirror from which the update was collected.
+ * @param update Update.
+ * @param after Revision that the requester knows.
+ */
+void packUpdate(mirrored_keys &keys, mirror_update &update, revision_number after);
+
+/**
+ * Restores the packed values of an update.
+ * @param keys Mirror of the receiver.
+ * @param update Update.
+ * @return False if a value can't be restored, because this daemon has another earlier value, or the bytes are damaged.
+ */
+bool restoreTexts(const mirrored_keys &keys, mirror_update &update);
 
 /**
  * Encodes a response as MessagePack.
--- a/packages/decisions/src/mirror_type.h
+++ b/packages/decisions/src/mirror_type.h
@@ -5,6 +5,7 @@
 #include "base_type.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,11 +21,29 @@
     bool operator==(const mirrored_value &) const = default;
 };
 
+/** A value in compressed form: the difference from an earlier value of the key, or by itself. */
+struct packed_value
+{
+    revision_number base; ///< Revision of the earlier value; 0 if it is compressed by itself.
+    std::string bytes; ///< Compressed value.
+
+    bool operator==(const packed_value &) const = default;
+};
+
+/** Earlier values of a large value, from which the differences for other daemons are made. */
+struct value_history
+{
+    std::vector<mirrored_value> earlier; ///< Earlier values, oldest first.
+    std::vector<packed_value> packed; ///< Forms in which the present value was sent, by base.
+};
+
 /** A change of one key. */
 struct key_change
 {
     std::string key; ///< Key.
     mirrored_value value; ///< State after the change.
+    std::optional<packed_value> packed = std::nullopt; ///< Compressed text on its way between daemons; the text of the
+                                                       ///< value is empty then.
 
     bool operator==(const key_change &) const = default;
 };
@@ -36,6 +55,7 @@
     revision_number revision; ///< All changes up to this revision are known.
     revision_number compactedRevision; ///< Tombstones up to this revision may have been dropped.
     std::map<std::string, mirrored_value> values; ///< Existing keys and tombstones.
+    std::map<std::string, value_history> histories; ///< Histories of large values.
     std::size_t tombstones = 0; ///< Number of tombstones among the values.
     bool diverged = false; ///< Whether the digest of an update at least as new as this mirror differed; the next
                            ///< request then asks for a snapshot.
@@ -57,6 +77,7 @@
 {
     instance_id node; ///< The requesting daemon.
     std::vector<revision_number> revisions; ///< Known revision for each followed prefix.
+    bool restoresPacked = false; ///< Whether the requesting daemon restores packed values.
 };
 
 /** Response to a request for changes. Times are offsets from the arrival of the request, negative if before it. */
--- a/packages/decisions/tests/roster_simulation_exchange.cpp
+++ b/packages/decisions/tests/roster_simulation_exchange.cpp
@@ -72,6 +72,7 @@
     }
     changes_response response;
     response.updates = {changesAfter(node.mirror, seen)};
+    packUpdate(node.mirror, response.updates.front(), seen);
     response.verifiedOffset = verifiedOffset(node.exchange, node.roster.timing, simulation.now);
     const auto *entry = findExisting(node.mirror, keyOf("nodes", id));
     response.entryRevision = entry == nullptr ? revision_number{} : entry->revision;
