--- a/packages/daemon/src/roster_mirror.cpp
+++ b/packages/daemon/src/roster_mirror.cpp
@@ -150,7 +150,8 @@
 {
     const auto applied = applyUpdate(mirrored.mirror, update);
     dispatchChanges(control, mirrored, applied);
-    if (update.snapshot && mirrored.onListed) {
+    const bool restored = mirrored.mirror.revision >= update.revision; // Otherwise nothing of the update was applied.
+    if (update.snapshot && restored && mirrored.onListed) {
         mirrored.onListed();
     }
     return !applied.empty();
--- a/packages/decisions/src/mirror_pack.cpp
+++ b/packages/decisions/src/mirror_pack.cpp
@@ -80,7 +80,8 @@
 void packUpdate(mirrored_keys &keys, mirror_update &update, revision_number after)
 {
     for (auto &change : update.changes) {
-        if (change.value.text.size() < minPackedBytes) {
+        const auto size = change.value.text.size();
+        if (size < minPackedBytes || size > maxPackedBytes) {
             continue;
         }
         auto &history = keys.histories[change.key];
--- a/packages/decisions/src/value_delta.cpp
+++ b/packages/decisions/src/value_delta.cpp
@@ -12,7 +12,6 @@
 
 constexpr int compressionLevel = 3; ///< Level of zstd.
 constexpr int minWindowLog = 17; ///< Binary logarithm of the least window in bytes.
-constexpr std::size_t maxValueBytes = 4U << 20U; ///< Larger values are not restored; the store takes less.
 
 /** Window that reaches from the end of the value to the start of the base. */
 int windowLogFor(std::string_view value, std::string_view base)
@@ -40,7 +39,7 @@
 {
     // The size of an unknown or malformed frame is given as a very large number.
     const auto size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
-    if (size > maxValueBytes) {
+    if (size > maxPackedBytes) {
         return std::nullopt;
     }
     const std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)> context(ZSTD_createDCtx(), &ZSTD_freeDCtx);
--- a/packages/decisions/src/value_delta_func.h
+++ b/packages/decisions/src/value_delta_func.h
@@ -8,6 +8,8 @@
 
 namespace quetzalspool {
 
+constexpr std::size_t maxPackedBytes = 4U << 20U; ///< Larger values are not restored, since the bytes may be malformed.
+
 /**
  * Compresses a value. Parts that it shares with the base take next to no bytes.
  * @param value Value.
--- a/packages/decisions/tests/mirror_pack_test.cpp
+++ b/packages/decisions/tests/mirror_pack_test.cpp
@@ -3,6 +3,7 @@
 #include "mirror_func.h"
 #include "roster_func.h"
 #include "upstream_func.h"
+#include "value_delta_func.h"
 
 #include <functional>
 #include <gtest/gtest.h>
@@ -236,6 +237,17 @@
     }
 }
 
+TEST(mirrorPack, aValueThatReceiversWouldNotRestoreIsSentAsItIs)
+{
+    auto from = mirrorOf(300, 2);
+    const std::string huge(maxPackedBytes + 1, 'x');
+    applyChange(from, {documentKey, {huge, {120}, false}});
+    auto to = mirrorOf(300, 2);
+    std::size_t bytes = 0;
+    EXPECT_FALSE(applyUpdate(to, passOn(from, {102}, bytes)).empty());
+    EXPECT_EQ(findExisting(to, documentKey)->text, huge);
+}
+
 TEST(mirrorPack, aSmallOrDeletedValueIsSentAsItIs)
 {
     auto from = mirrorOf(300, 2);
