Add: a line and a reason for a target that ends under its requests, and what it was running

By the lines before, a target that crashed under a request looked like any lost connection (target-lost), and nothing told that the same request came again. Now the daemon beside a target keeps the hash of each request that the target is running (method, host, path, key, calling pool and body; not the request id). If a connection ends without a complete response, it tries one connection to the target: if that is refused the target has ended. So it has when another run of it reports. The line target-crashed has what was running; the runs end with the reason target-crashed.

--- /dev/null
+++ b/packages/daemon/src/crash_registry.cpp
@@ -0,0 +1,81 @@
+/** @file crash_registry.cpp Crash suspects and the runs of the local target. */
+#include "crash_registry.h"
+
+#include "crash_suspect_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::size_t maxLogged = 8; ///< Suspects named in the log line of a crash, those with most crashes first.
+
+std::string describeSuspects(std::vector<crash_suspect> suspects)
+{
+    std::stable_sort(suspects.begin(), suspects.end(),
+                     [](const auto &a, const auto &b) { return a.crashes > b.crashes; });
+    suspects.resize(std::min(suspects.size(), maxLogged));
+    std::string text;
+    for (const auto &suspect : suspects) {
+        text += (text.empty() ? "" : " ") + toString(suspect.fingerprint) + ":" + std::to_string(suspect.crashes);
+    }
+    return text;
+}
+
+void logCrash(const target_crash &crash)
+{
+    logEvent(log_level::warn, "target-crashed",
+             {{"running", std::to_string(crash.suspects.size())}, {"suspects", describeSuspects(crash.suspects)}});
+}
+
+} // namespace
+
+request_fingerprint fingerprintOf(const routed_request &request, const header_profile &names)
+{
+    const auto host = findHeader(request.http.headers, "Host");
+    const auto callerPool = names.callerPool.empty() ? "" : findHeader(request.http.headers, names.callerPool);
+    return makeFingerprint({request.http.method, host, request.http.path, request.key, callerPool, request.http.body});
+}
+
+void clearSuspect(crash_registry &registry, const request_fingerprint &fingerprint)
+{
+    const std::lock_guard lock(registry.mutex);
+    clearSuspect(registry.suspects, fingerprint);
+}
+
+void beginRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint, steady_time now)
+{
+    const std::lock_guard lock(registry.mutex);
+    beginRun(registry.runs, id, {fingerprint, crashesOf(registry.suspects, fingerprint, now)});
+}
+
+void endRun(crash_registry &registry, std::uint64_t id)
+{
+    const std::lock_guard lock(registry.mutex);
+    endRun(registry.runs, id);
+}
+
+void loseRun(crash_registry &registry, std::uint64_t id, steady_time now)
+{
+    const std::lock_guard lock(registry.mutex);
+    loseRun(registry.runs, id, now);
+}
+
+void recordTargetCrash(crash_registry &registry, steady_time now)
+{
+    target_crash crash;
+    {
+        const std::lock_guard lock(registry.mutex);
+        crash.suspects = takeCrashedRuns(registry.runs, now);
+        if (crash.suspects.empty()) {
+            return;
+        }
+        for (const auto &suspect : crash.suspects) {
+            recordSuspect(registry.suspects, suspect, now);
+        }
+    }
+    logCrash(crash);
+}
+
+} // namespace quetzalspool
--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds cancelCheckInterval{150}; ///< Interval of the checks whether the caller has cancelled.
 constexpr std::string_view staleGrantReason =
     "stale-grant"; ///< Reason by which a target refuses an invalid grant, as in its contract.
+constexpr const char *targetCrashedReason = "target-crashed"; ///< The target ended while it ran the request.
 constexpr milliseconds targetRefusedRetryAfter{200}; ///< Suggested retry time if the target refused.
 constexpr milliseconds unreachableRetryAfter{1000}; ///< Suggested retry time if the target can't be reached.
 
@@ -122,13 +123,18 @@
                           const admission_request &admissionRequest)
 {
     const std::lock_guard lock(shared.admissionControl.mutex);
-    const auto reason = checkHandOver(shared.admissionControl.admission, admissionRequest, clock::now());
-    if (reason != refusal::none || request.idempotent) {
+    const auto now = clock::now();
+    const auto reason = checkHandOver(shared.admissionControl.admission, admissionRequest, now);
+    if (reason != refusal::none) {
         return reason;
     }
-    return advanceAttempt(shared.admissionControl.dedup, request.id, request.attempt, dedup_stage::handed_over)
-        ? refusal::none
-        : refusal::cancelled;
+    beginRun(shared.crashRegistry, admissionRequest.id, request.fingerprint, now);
+    const bool mayRun = request.idempotent
+        || advanceAttempt(shared.admissionControl.dedup, request.id, request.attempt, dedup_stage::handed_over);
+    if (!mayRun) {
+        endRun(shared.crashRegistry, admissionRequest.id);
+    }
+    return mayRun ? refusal::none : refusal::cancelled;
 }
 
 void addHeader(http_request &request, const std::string &name, std::string value)
@@ -272,6 +278,7 @@
                                    false};
         request_outcome lostOutcome{attempt_result::unknown, refusal::none, lossReason(context, "target-lost")};
         lostOutcome.handedOver = true;
+        lostOutcome.connectionLost = !context.deadlinePassed && !context.callerDisconnected;
         co_return lostOutcome;
     }
     responded = true;
@@ -302,9 +309,34 @@
     trace.detail = complete || why.text.empty() ? "" : describe(why);
     request_outcome outcome{attempt_result::answered, refusal::none, "target"};
     outcome.complete = complete;
+    outcome.connectionLost = !complete && !sink->isCancelled() && clock::now() < request->deadline;
     co_return outcome;
 }
 
+/** Records whether the target survived a request that was handed to it. A target that takes no connections has ended.
+ */
+asio::awaitable<void> concludeRun(daemon_shared &shared, std::uint64_t id, request_fingerprint fingerprint,
+                                  endpoint target, request_outcome &outcome)
+{
+    auto &registry = shared.crashRegistry;
+    if (!outcome.connectionLost) {
+        endRun(registry, id);
+        if (outcome.complete) {
+            clearSuspect(registry, fingerprint);
+        }
+        co_return;
+    }
+    loseRun(registry, id, clock::now());
+    const bool ended = co_await refusesConnections(target, connectTimeout);
+    if (!ended) {
+        co_return;
+    }
+    recordTargetCrash(registry, clock::now());
+    if (outcome.result == attempt_result::unknown) {
+        outcome.reasonText = targetCrashedReason;
+    }
+}
+
 /** Event of the outcome chart for the end of an admitted request. */
 std::string_view finalEvent(const request_outcome &outcome, const outcome_tracker &tracker)
 {
@@ -347,10 +379,12 @@
                            asio::detached);
             outcome = co_await exchangeWithTarget(shared, request, exchange, sink, admissionRequest, responded, trace);
             *done = true;
+            closeTarget(*targets, exchange);
+            co_await concludeRun(shared, admissionRequest.id, request->fingerprint, address, outcome);
         } else {
             outcome = notRun(reason, milliseconds(100));
+            closeTarget(*targets, exchange);
         }
-        closeTarget(*targets, exchange);
     } else {
         trace.detail = describe(why);
     }
@@ -370,6 +404,8 @@
                                                  std::shared_ptr<const routed_request> request,
                                                  std::shared_ptr<response_sink> sink, local_attempt_trace &trace)
 {
+    admission_request admissionRequest{
+        0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
     if (!request->idempotent) {
         auto ended = registerOrder(shared, *request);
         if (ended) {
@@ -377,8 +413,6 @@
         }
     }
     const auto pending = std::make_shared<pending_admission>(co_await asio::this_coro::executor);
-    admission_request admissionRequest{
-        0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
     auto result = requestAdmission(shared, admissionRequest, pending, trace);
     if (result.queued) {
         decideQueued(shared.admissionControl, clock::now()); // Notifies requests that lost their place in the queue.
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "chart_type.h"
+#include "crash_suspect_base.h"
 #include "http_type.h"
 #include "retry_type.h"
 
@@ -27,6 +28,7 @@
     std::uint32_t maxTargets = 6; ///< Maximum number of targets that it may be handed to.
     steady_time deadline{}; ///< When the caller stops waiting.
     steady_time goal = steady_time::max(); ///< Latency goal: a later response is of less use to the caller.
+    request_fingerprint fingerprint; ///< What it asks for, to recognize repetitions of it.
     milliseconds responseTimeout{0}; ///< Time from the hand-over to the start of the response after which the attempt
                                      ///< is abandoned; 0 for no limit.
 };
@@ -43,6 +45,7 @@
     std::uint32_t attempts = 0; ///< Attempts made, once the request is over.
     bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
     std::uint64_t responseBytes = 0; ///< Bytes of the response body received from another daemon.
+    bool connectionLost = false; ///< Whether the connection to the target ended before its complete response.
     bool complete = false; ///< Whether the complete response was forwarded.
     std::string logDetail; ///< Details for the log only; empty if the reason says all.
 };
--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -97,6 +97,7 @@
     request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
     if (request) {
         const auto held = std::make_shared<routed_request>(std::move(*request));
+        held->fingerprint = fingerprintOf(*held, thread.shared->names);
         outcome =
             co_await attemptLocally(*thread.shared, thread.targetClient, held, makePeerSink(*thread.shared, responder));
     }
--- a/packages/daemon/src/request_router.cpp
+++ b/packages/daemon/src/request_router.cpp
@@ -318,6 +318,7 @@
     route_state state;
     state.request = std::make_shared<routed_request>(std::move(request));
     state.sink = std::move(sink);
+    state.request->fingerprint = fingerprintOf(*state.request, thread.shared->names);
     depositBudget(thread.budget, thread.retryLimits);
     for (;;) {
         if (state.sink->isCancelled()) {
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -252,6 +252,7 @@
         auto grant = applyReport(control.state, report, clock::now());
         const auto &target = control.state.target;
         if (target.incarnation != before) {
+            recordTargetCrash(control.shared->crashRegistry, clock::now());
             configureAdmission(control, report);
             logEvent(log_level::info, "target-life",
                      {{"target", target.incarnation.id},
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -5,6 +5,7 @@
 #include "admission_control.h"
 #include "asio_type.h"
 #include "catalog_base.h"
+#include "crash_registry.h"
 #include "header_profile.h"
 #include "metrics_func.h"
 #include "mirror_type.h"
@@ -28,6 +29,7 @@
     std::atomic<std::shared_ptr<const routing_view>> routing; ///< Current routing view.
     std::atomic<catalog_snapshot> catalog; ///< Current documents.
     admission_control admissionControl; ///< Admission control of the local target.
+    crash_registry crashRegistry; ///< Requests suspected of crashing targets.
     std::mutex leavingTargetsMutex; ///< Guards `leavingTargets`.
     leaving_targets
         leavingTargets; ///< Targets of other instances of which this daemon has heard that they are leaving.
--- /dev/null
+++ b/packages/decisions/src/crash_suspect_cmd.cpp
@@ -0,0 +1,150 @@
+/** @file crash_suspect_cmd.cpp Requests suspected of crashing the targets that run them. */
+#include "crash_suspect_func.h"
+
+#include <algorithm>
+#include <memory>
+#include <xxhash.h>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr std::uint32_t quarantineCrashes = 2; ///< Crashes one after another from which a request is quarantined.
+constexpr std::chrono::minutes suspicionTime{10}; ///< After one crash, a request is a suspect for this long.
+constexpr std::chrono::minutes firstQuarantine{10}; ///< Quarantine after `quarantineCrashes`; a target of that time may
+                                                    ///< run other code.
+constexpr int quarantineGrowth = 4; ///< Factor by which the quarantine grows with each further crash.
+constexpr std::chrono::hours longestQuarantine{24}; ///< Upper bound of the quarantine.
+constexpr std::chrono::hours retention{48}; ///< A quarantined request is forgotten this long after its last crash.
+constexpr std::chrono::seconds lostRunRetention{10}; ///< A crash is noticed within this time: a target that is started
+                                                     ///< again reports by then.
+
+milliseconds quarantineTime(std::uint32_t crashes)
+{
+    milliseconds time = firstQuarantine;
+    for (auto more = quarantineCrashes; more < crashes && time < longestQuarantine; ++more) {
+        time *= quarantineGrowth;
+    }
+    return std::min<milliseconds>(time, longestQuarantine);
+}
+
+bool isForgotten(const suspect_record &record, steady_time now)
+{
+    const milliseconds keep = record.crashes < quarantineCrashes ? milliseconds(suspicionTime) : retention;
+    return now - record.lastCrashAt >= keep;
+}
+
+/** Makes room for another suspect: drops the forgotten ones, else the one with the fewest and oldest crashes. */
+void makeRoom(crash_suspects &suspects, steady_time now)
+{
+    if (suspects.known.size() < suspects.capacity) {
+        return;
+    }
+    std::erase_if(suspects.known, [&](const auto &entry) { return isForgotten(entry.second, now); });
+    if (suspects.known.size() < suspects.capacity) {
+        return;
+    }
+    const auto least = std::min_element(suspects.known.begin(), suspects.known.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.second.crashes, a.second.lastCrashAt) < std::pair(b.second.crashes, b.second.lastCrashAt);
+    });
+    suspects.known.erase(least);
+}
+
+/** Hashes a text together with its length, so that texts can't be shifted into one another. */
+void hashText(XXH3_state_t *state, std::string_view text)
+{
+    const std::uint64_t size = text.size();
+    XXH3_128bits_update(state, &size, sizeof size);
+    XXH3_128bits_update(state, text.data(), text.size());
+}
+
+const suspect_record *findSuspect(const crash_suspects &suspects, const request_fingerprint &fingerprint,
+                                  steady_time now)
+{
+    const auto found = suspects.known.find(fingerprint);
+    return found == suspects.known.end() || isForgotten(found->second, now) ? nullptr : &found->second;
+}
+
+} // namespace
+
+request_fingerprint makeFingerprint(const request_content &content)
+{
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), &XXH3_freeState);
+    XXH3_128bits_reset(state.get());
+    for (const auto text :
+         {content.method, content.host, content.path, content.key, content.callerPool, content.body}) {
+        hashText(state.get(), text);
+    }
+    const auto hash = XXH3_128bits_digest(state.get());
+    return {hash.high64, hash.low64};
+}
+
+void recordSuspect(crash_suspects &suspects, const crash_suspect &suspect, steady_time now)
+{
+    const auto *known = findSuspect(suspects, suspect.fingerprint, now);
+    if (suspect.crashes == 0 || (known != nullptr && known->crashes >= suspect.crashes)) {
+        return;
+    }
+    if (known == nullptr) {
+        makeRoom(suspects, now);
+    }
+    suspects.known[suspect.fingerprint] = {suspect.crashes, now};
+}
+
+void clearSuspect(crash_suspects &suspects, const request_fingerprint &fingerprint)
+{
+    suspects.known.erase(fingerprint);
+}
+
+std::uint32_t crashesOf(const crash_suspects &suspects, const request_fingerprint &fingerprint, steady_time now)
+{
+    const auto *known = findSuspect(suspects, fingerprint, now);
+    return known == nullptr ? 0 : known->crashes;
+}
+
+std::optional<milliseconds> quarantineLeft(const crash_suspects &suspects, const request_fingerprint &fingerprint,
+                                           steady_time now)
+{
+    const auto *known = findSuspect(suspects, fingerprint, now);
+    if (known == nullptr || known->crashes < quarantineCrashes) {
+        return std::nullopt;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(known->lastCrashAt + quarantineTime(known->crashes) - now);
+    return left.count() > 0 ? std::optional(left) : std::nullopt;
+}
+
+void beginRun(target_runs &runs, std::uint64_t id, const running_request &request)
+{
+    runs.running[id] = request;
+}
+
+void endRun(target_runs &runs, std::uint64_t id)
+{
+    runs.running.erase(id);
+}
+
+void loseRun(target_runs &runs, std::uint64_t id, steady_time now)
+{
+    std::erase_if(runs.lost, [&](const auto &lost) { return now - lost.lostAt >= lostRunRetention; });
+    const auto run = runs.running.extract(id);
+    if (!run.empty()) {
+        runs.lost.push_back({run.mapped(), now});
+    }
+}
+
+std::vector<crash_suspect> takeCrashedRuns(target_runs &runs, steady_time now)
+{
+    std::vector<crash_suspect> crashed;
+    for (const auto &lost : runs.lost) {
+        if (now - lost.lostAt < lostRunRetention) {
+            crashed.push_back({lost.request.fingerprint, lost.request.crashesBefore + 1});
+        }
+    }
+    for (const auto &[id, request] : runs.running) {
+        crashed.push_back({request.fingerprint, request.crashesBefore + 1});
+    }
+    runs = {};
+    return crashed;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/tests/crash_suspect_test.cpp
@@ -0,0 +1,181 @@
+/** @file crash_suspect_test.cpp Requests that crash the targets that run them, and others that ran beside them. */
+#include "crash_suspect_func.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const steady_time start{hours(1)};
+
+request_fingerprint fingerprintOf(std::string_view path)
+{
+    return makeFingerprint({"GET", "a.example", path, "", "desk", ""});
+}
+
+/** A target and the daemon beside it. */
+struct crashing_target
+{
+    crash_suspects suspects; ///< What the daemon knows.
+    target_runs runs; ///< What the target runs.
+    std::uint64_t nextId = 1; ///< Id of the next request.
+
+    void begin(std::string_view path, steady_time now)
+    {
+        beginRun(runs, nextId++, {fingerprintOf(path), crashesOf(suspects, fingerprintOf(path), now)});
+    }
+
+    std::vector<crash_suspect> crash(steady_time now)
+    {
+        const auto crashed = takeCrashedRuns(runs, now);
+        for (const auto &suspect : crashed) {
+            recordSuspect(suspects, suspect, now);
+        }
+        return crashed;
+    }
+};
+
+} // namespace
+
+TEST(crashSuspect, aRequestUnderWhichASecondTargetCrashesIsQuarantined)
+{
+    crashing_target target;
+    target.begin("/deadly", start);
+    target.crash(start);
+    EXPECT_FALSE(quarantineLeft(target.suspects, fingerprintOf("/deadly"), start));
+    target.begin("/deadly", start + seconds(4));
+    target.crash(start + seconds(4));
+    EXPECT_EQ(quarantineLeft(target.suspects, fingerprintOf("/deadly"), start + seconds(4)), minutes(10));
+}
+
+TEST(crashSuspect, requestsThatRanBesideACrashAreServedAgain)
+{
+    crashing_target target;
+    for (const auto *path : {"/deadly", "/b", "/c"}) {
+        target.begin(path, start);
+    }
+    EXPECT_EQ(target.crash(start).size(), 3U);
+    for (const auto *path : {"/deadly", "/b", "/c"}) {
+        EXPECT_EQ(crashesOf(target.suspects, fingerprintOf(path), start), 1U) << path;
+        EXPECT_FALSE(quarantineLeft(target.suspects, fingerprintOf(path), start)) << path;
+    }
+    clearSuspect(target.suspects, fingerprintOf("/b"));
+    EXPECT_EQ(crashesOf(target.suspects, fingerprintOf("/b"), start), 0U);
+}
+
+TEST(crashSuspect, targetsThatCrashAtTheSameTimeDoNotQuarantineWhatTheyRan)
+{
+    crash_suspects known;
+    for (int number = 0; number < 5; ++number) {
+        crashing_target target;
+        target.begin("/popular", start);
+        for (const auto &suspect : target.crash(start)) {
+            recordSuspect(known, suspect, start);
+        }
+    }
+    EXPECT_EQ(crashesOf(known, fingerprintOf("/popular"), start), 1U);
+    EXPECT_FALSE(quarantineLeft(known, fingerprintOf("/popular"), start));
+}
+
+TEST(crashSuspect, oneCrashIsCountedOnceHoweverItIsNoticed)
+{
+    crashing_target target;
+    target.begin("/a", start);
+    target.begin("/b", start);
+    loseRun(target.runs, 1, start);
+    EXPECT_EQ(target.crash(start).size(), 2U);
+    loseRun(target.runs, 2, start);
+    EXPECT_TRUE(target.crash(start + seconds(3)).empty()) << "the new incarnation reports";
+    EXPECT_EQ(crashesOf(target.suspects, fingerprintOf("/a"), start + seconds(3)), 1U);
+}
+
+TEST(crashSuspect, aRequestLostLongBeforeTheEndOfItsTargetIsNoSuspect)
+{
+    crashing_target target;
+    target.begin("/a", start);
+    loseRun(target.runs, 1, start);
+    EXPECT_TRUE(target.crash(start + seconds(11)).empty());
+}
+
+TEST(crashSuspect, aRequestIsTriedAgainAfterItsQuarantineAndThenQuarantinedForLonger)
+{
+    crashing_target target;
+    target.begin("/deadly", start);
+    target.crash(start);
+    auto now = start;
+    std::vector<hours::rep> minutesHeld;
+    for (int trial = 0; trial < 5; ++trial) {
+        target.begin("/deadly", now);
+        target.crash(now);
+        const auto left = quarantineLeft(target.suspects, fingerprintOf("/deadly"), now);
+        ASSERT_TRUE(left);
+        minutesHeld.push_back(std::chrono::duration_cast<minutes>(*left).count());
+        now += *left;
+        EXPECT_FALSE(quarantineLeft(target.suspects, fingerprintOf("/deadly"), now));
+        EXPECT_GT(crashesOf(target.suspects, fingerprintOf("/deadly"), now), 0U) << "still a suspect";
+    }
+    EXPECT_EQ(minutesHeld, (std::vector<hours::rep>{10, 40, 160, 640, 1440}));
+}
+
+TEST(crashSuspect, newsThatIsRepeatedDoesNotProlongAQuarantine)
+{
+    crash_suspects known;
+    recordSuspect(known, {fingerprintOf("/deadly"), 2}, start);
+    recordSuspect(known, {fingerprintOf("/deadly"), 2}, start + minutes(9));
+    recordSuspect(known, {fingerprintOf("/deadly"), 1}, start + minutes(9));
+    EXPECT_FALSE(quarantineLeft(known, fingerprintOf("/deadly"), start + minutes(10)));
+}
+
+TEST(crashSuspect, memoryIsBoundedAndQuarantinedRequestsStayInIt)
+{
+    crash_suspects known;
+    known.capacity = 100;
+    recordSuspect(known, {fingerprintOf("/deadly"), 2}, start);
+    for (int number = 0; number < 1000; ++number) {
+        recordSuspect(known, {fingerprintOf("/other" + std::to_string(number)), 1}, start + milliseconds(number));
+    }
+    EXPECT_LE(known.known.size(), 100U);
+    EXPECT_TRUE(quarantineLeft(known, fingerprintOf("/deadly"), start + seconds(1)));
+}
+
+TEST(crashSuspect, fingerprintsTellRequestsApart)
+{
+    const request_content content{"GET", "a.example", "/p", "7", "desk", "body"};
+    const std::vector<request_content> others{
+        {"POST", "a.example", "/p", "7", "desk", "body"},  {"GET", "b.example", "/p", "7", "desk", "body"},
+        {"GET", "a.example", "/q", "7", "desk", "body"},   {"GET", "a.example", "/p", "8", "desk", "body"},
+        {"GET", "a.example", "/p", "7", "ledger", "body"}, {"GET", "a.example", "/p", "7", "desk", "other"},
+        {"GET", "a.example", "/p7", "", "desk", "body"}};
+    EXPECT_EQ(makeFingerprint(content), makeFingerprint(content));
+    for (const auto &other : others) {
+        EXPECT_NE(makeFingerprint(content), makeFingerprint(other));
+    }
+}
+
+TEST(crashSuspect, suspectsAreReadAsTheyWereWritten)
+{
+    const std::vector<crash_suspect> suspects{{fingerprintOf("/a"), 1}, {{0, 0xffffffffffffffffULL}, 7}};
+    last_reason why;
+    EXPECT_EQ(parseSuspects(formatSuspects(suspects), why), suspects);
+}
+
+TEST(crashSuspect, malformedSuspectsAreRefusedWhole)
+{
+    const std::string deep(200000, '[');
+    for (const std::string &text : std::vector<std::string>{
+             "", "[]", "{}", "7", R"({"suspects":7})", R"({"suspects":[7]})", R"({"suspects":[["00",1]]})",
+             R"({"suspects":[["00000000000000000000000000000001",-1]]})",
+             R"({"suspects":[["00000000000000000000000000000001",4294967296]]})",
+             R"({"suspects":[["00000000000000000000000000000001",1e99]]})",
+             R"({"suspects":[["0000000000000000000000000000000g",1]]})", deep, R"({"suspects":)" + deep}) {
+        last_reason why;
+        EXPECT_FALSE(parseSuspects(text, why)) << text.substr(0, 80);
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -283,6 +283,15 @@
     cancelTarget(*exchange);
 }
 
+asio::awaitable<bool> refusesConnections(endpoint address, milliseconds timeout)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(timeout);
+    error_code code;
+    co_await stream.async_connect(toAsioEndpoint<tcp>(address), redirectError(code));
+    co_return code == asio::error::connection_refused;
+}
+
 void cancelTarget(target_exchange &exchange)
 {
     exchange.stream.close();
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -100,6 +100,14 @@
  */
 void closeTarget(target_client &client, const std::shared_ptr<target_exchange> &exchange);
 
+/**
+ * Tells whether a target has ended.
+ * @param address Target.
+ * @param timeout Time limit for connecting.
+ * @return Whether it refuses connections; false also if nothing is known within the time limit.
+ */
+asio::awaitable<bool> refusesConnections(endpoint address, milliseconds timeout);
+
 /**
  * Aborts an exchange from another coroutine on the same thread; pending reads and writes fail.
  * @param exchange Exchange.
--- a/packages/trace/src/table/reasons.h
+++ b/packages/trace/src/table/reasons.h
@@ -40,6 +40,7 @@
     reason_row{"target-refused", "the target reported that it did not run the request", "target-life owners-written"},
     reason_row{"target-lost", "the request was sent to the target, and no response was received",
                "target-life target-silent"},
+    reason_row{"target-crashed", "the target ended while it ran the request", "target-crashed target-life"},
     reason_row{"daemon-lost", "the connection to the other daemon failed before its response",
                "node-gone stopping started"},
     reason_row{"time-over", "the deadline passed before a response was received", "target-silent"},
