Fix: a request under which targets crash one after another is handed to no target

What callers saw: one idempotent request without a key took three targets of four within half a second and again each time that it came; with keys one target each few seconds. Callers of the pool lost 20% and more.

Cause: nothing remembered under which requests a target ended. The retry took the request, with all that had run beside it, to the next target within milliseconds, and its repetitions, under other ids and at other daemons, were new requests.

Change: all that a target was running when it ended are suspects, counted by fingerprint. A count says how many targets ended one after another, each having got the request when the end before was known, so a popular request that runs at many targets that end together has one. A target runs one suspect at a time; a complete response clears it. With two the request is quarantined for ten minutes, then four times longer for each further crash: refused at once, 503 with the time left, or 504 if a target ended under this attempt. Daemons tell each other in the headers of attempts (a retry knows) and by keys of the store with a lease of ten minutes (all know, also those that start later).

Pure rules: crashSuspect.*, suspect_admission.* (17).

--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -92,6 +92,22 @@
     co_return *pending->result;
 }
 
+/** Marks a request that may run only while no other suspect does. Returns the outcome if it may not run at all. */
+std::optional<request_outcome> checkSuspicion(daemon_shared &shared, const routed_request &request,
+                                              admission_request &admissionRequest)
+{
+    const auto suspicion = suspicionOf(shared.crashRegistry, request.fingerprint, clock::now());
+    if (suspicion.crashes > 0) {
+        admissionRequest.suspect = request.fingerprint;
+    }
+    if (!suspicion.quarantineLeft) {
+        return std::nullopt;
+    }
+    auto outcome = notRun(refusal::quarantined, *suspicion.quarantineLeft);
+    outcome.crashes = suspicion.crashes;
+    return outcome;
+}
+
 /** Submits a request to admission control. A queued request gets its result through `pending`. */
 admission_result requestAdmission(daemon_shared &shared, admission_request &admissionRequest,
                                   const std::shared_ptr<pending_admission> &pending, local_attempt_trace &trace)
@@ -128,11 +144,14 @@
     if (reason != refusal::none) {
         return reason;
     }
-    beginRun(shared.crashRegistry, admissionRequest.id, request.fingerprint, now);
+    // Other daemons may have told of a crash while the request was queued.
+    if (!beginRun(shared.crashRegistry, admissionRequest.id, request.fingerprint, now)) {
+        return refusal::quarantined;
+    }
     const bool mayRun = request.idempotent
         || advanceAttempt(shared.admissionControl.dedup, request.id, request.attempt, dedup_stage::handed_over);
     if (!mayRun) {
-        endRun(shared.crashRegistry, admissionRequest.id);
+        abandonRun(shared.crashRegistry, admissionRequest.id);
     }
     return mayRun ? refusal::none : refusal::cancelled;
 }
@@ -319,11 +338,14 @@
                                   endpoint target, request_outcome &outcome)
 {
     auto &registry = shared.crashRegistry;
+    if (outcome.complete) {
+        finishRun(registry, id, fingerprint);
+        const std::lock_guard lock(shared.admissionControl.mutex);
+        clearQueuedSuspects(shared.admissionControl.admission, fingerprint);
+        co_return;
+    }
     if (!outcome.connectionLost) {
-        endRun(registry, id);
-        if (outcome.complete) {
-            clearSuspect(registry, fingerprint);
-        }
+        abandonRun(registry, id);
         co_return;
     }
     loseRun(registry, id, clock::now());
@@ -332,6 +354,7 @@
         co_return;
     }
     recordTargetCrash(registry, clock::now());
+    outcome.crashes = suspicionOf(registry, fingerprint, clock::now()).crashes;
     if (outcome.result == attempt_result::unknown) {
         outcome.reasonText = targetCrashedReason;
     }
@@ -383,6 +406,7 @@
             co_await concludeRun(shared, admissionRequest.id, request->fingerprint, address, outcome);
         } else {
             outcome = notRun(reason, milliseconds(100));
+            outcome.crashes = suspicionOf(shared.crashRegistry, request->fingerprint, clock::now()).crashes;
             closeTarget(*targets, exchange);
         }
     } else {
@@ -406,6 +430,9 @@
 {
     admission_request admissionRequest{
         0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
+    if (auto refused = checkSuspicion(shared, *request, admissionRequest)) {
+        co_return *refused;
+    }
     if (!request->idempotent) {
         auto ended = registerOrder(shared, *request);
         if (ended) {
--- a/packages/daemon/src/outcome_type.h
+++ b/packages/daemon/src/outcome_type.h
@@ -29,6 +29,7 @@
     steady_time deadline{}; ///< When the caller stops waiting.
     steady_time goal = steady_time::max(); ///< Latency goal: a later response is of less use to the caller.
     request_fingerprint fingerprint; ///< What it asks for, to recognize repetitions of it.
+    std::uint32_t crashes = 0; ///< Crashes of which the sending daemon suspects it.
     milliseconds responseTimeout{0}; ///< Time from the hand-over to the start of the response after which the attempt
                                      ///< is abandoned; 0 for no limit.
 };
@@ -45,6 +46,7 @@
     std::uint32_t attempts = 0; ///< Attempts made, once the request is over.
     bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
     std::uint64_t responseBytes = 0; ///< Bytes of the response body received from another daemon.
+    std::uint32_t crashes = 0; ///< Crashes of which the daemon beside the target suspects the request.
     bool connectionLost = false; ///< Whether the connection to the target ended before its complete response.
     bool complete = false; ///< Whether the complete response was forwarded.
     std::string logDetail; ///< Details for the log only; empty if the reason says all.
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -15,6 +15,9 @@
 constexpr const char *callerPrefix =
     "qs-h-"; ///< Prefix added to a caller's headers, so that none is taken for a protocol header.
 
+constexpr const char *crashesHeader =
+    "qs-crashes"; ///< Crashes of targets of which the request is suspected, as far as the sender knows.
+constexpr std::int64_t maxCrashes = 1000; ///< A larger number is not believed.
 constexpr milliseconds maxAge{60000}; ///< Longest time sent since which a target is leaving; its leave time is shorter.
 
 std::string toLower(std::string text)
@@ -28,6 +31,19 @@
     return std::atoll(findHeader(headers, name).c_str());
 }
 
+/** Crashes of which a request is suspected, as far as the other daemon knows; 0 if it does not say. */
+std::uint32_t parseCrashes(const std::vector<http_header> &headers)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(parseNumber(headers, crashesHeader), 0, maxCrashes));
+}
+
+void addCrashes(std::vector<http_header> &headers, std::uint32_t crashes)
+{
+    if (crashes > 0) {
+        headers.emplace_back(crashesHeader, std::to_string(crashes));
+    }
+}
+
 std::string formatLoad(double loadPerSlot)
 {
     return std::to_string(std::lround(loadPerSlot * 100));
@@ -68,6 +84,7 @@
         encoded.headers.emplace_back("qs-slot", std::to_string(request.slot->slot.value));
         encoded.headers.emplace_back("qs-fence", std::to_string(request.slot->fence.value));
     }
+    addCrashes(encoded.headers, request.crashes);
     for (const auto &[name, value] : request.http.headers) {
         encoded.headers.emplace_back(callerPrefix + toLower(name), value);
     }
@@ -85,6 +102,7 @@
     decoded.kind = findHeader(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
     decoded.idempotent = findHeader(request.headers, "qs-idempotent") == "1";
     decoded.rank = static_cast<std::uint32_t>(parseNumber(request.headers, "qs-rank"));
+    decoded.crashes = parseCrashes(request.headers);
     decoded.responseTimeout = milliseconds(parseNumber(request.headers, "qs-patience-ms"));
     decoded.goal = now + milliseconds(parseNumber(request.headers, "qs-goal-ms"));
     decoded.deadline = now + milliseconds(parseNumber(request.headers, "qs-deadline-ms"));
@@ -128,6 +146,7 @@
                                      {"qs-text", outcome.reasonText},
                                      {"qs-handed-over", outcome.handedOver ? "1" : "0"},
                                      {"qs-retry-ms", std::to_string(outcome.retryAfter.count())}};
+    addCrashes(headers, outcome.crashes);
     if (outcome.loadPerSlot) {
         headers.emplace_back(loadHeader, formatLoad(*outcome.loadPerSlot));
     }
@@ -142,11 +161,12 @@
         : name == "not-run"             ? attempt_result::not_run
                                         : attempt_result::unknown;
     const auto reason = parseNumber(headers, "qs-reason");
-    if (reason > 0 && reason <= static_cast<std::int64_t>(refusal::cancelled)) {
+    if (reason > 0 && reason <= static_cast<std::int64_t>(refusal::quarantined)) {
         outcome.reason = static_cast<refusal>(reason);
     }
     outcome.reasonText = findHeader(headers, "qs-text");
     outcome.handedOver = findHeader(headers, "qs-handed-over") == "1";
+    outcome.crashes = parseCrashes(headers);
     outcome.retryAfter = milliseconds(parseNumber(headers, "qs-retry-ms"));
     const auto loadPerSlot = findHeader(headers, loadHeader);
     if (!loadPerSlot.empty()) {
--- a/packages/daemon/src/request_router.cpp
+++ b/packages/daemon/src/request_router.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds ownerCheckInterval{150}; ///< Interval of the checks whether the slot still has the same owner.
 constexpr milliseconds noOwnerRetryAfter{1000}; ///< Suggested retry time if no owner is known or reachable.
 
+constexpr const char *quarantinedReason = "quarantined"; ///< Reason of requests that this daemon does not route.
+
 /** State of one request across its attempts. */
 struct route_state
 {
@@ -277,6 +279,16 @@
     return context;
 }
 
+/** Records what an attempt showed about the request: targets crashed under it, or one has responded. */
+void recordCrashes(daemon_shared &shared, const routed_request &request, const request_outcome &outcome)
+{
+    if (outcome.result == attempt_result::answered && outcome.complete) {
+        clearSuspect(shared.crashRegistry, request.fingerprint);
+    } else {
+        recordSuspect(shared.crashRegistry, {request.fingerprint, outcome.crashes}, clock::now());
+    }
+}
+
 /** Log record of an attempt that has just ended. */
 attempt_trace makeAttemptTrace(const route_choice &choice, const routed_request &request,
                                const request_outcome &outcome, steady_time startedAt, steady_time arrivedAt)
@@ -326,6 +338,11 @@
             state.last.reasonText = "cancelled";
             co_return finalOutcome(state);
         }
+        const auto suspicion = suspicionOf(thread.shared->crashRegistry, state.request->fingerprint, clock::now());
+        if (suspicion.quarantineLeft) {
+            state.last = {attempt_result::not_run, refusal::quarantined, quarantinedReason, *suspicion.quarantineLeft};
+            co_return finalOutcome(state);
+        }
         ++state.attempts;
         const auto startedAt = clock::now();
         const auto choice = chooseMember(thread, state);
@@ -340,6 +357,7 @@
             state.request = std::make_shared<routed_request>(*state.request);
             state.request->attempt = makeToken(thread);
             state.request->slot = choice.slot;
+            state.request->crashes = suspicion.crashes;
             const bool lastTarget = state.handOvers + 1 >= state.request->maxTargets;
             const bool mayFailOver = choice.hasAlternative && state.request->idempotent && !lastTarget;
             state.request->responseTimeout = mayFailOver && thread.retryLimits.failoverWhenUnresponsive
@@ -350,6 +368,7 @@
             outcome = co_await attemptMember(thread, member, state.request, state.sink);
         }
         trace.attempts.push_back(makeAttemptTrace(choice, *state.request, outcome, startedAt, trace.arrivedAt));
+        recordCrashes(*thread.shared, *state.request, outcome);
         outcome.attempts = state.attempts;
         if (outcome.result == attempt_result::unknown) {
             state.unknownReason = outcome.reasonText;
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -2,6 +2,7 @@
 #include "roster_control.h"
 
 #include "admission_func.h"
+#include "crash_sync.h"
 #include "datagrams.h"
 #include "elapsed_clock.h"
 #include "exchange_func.h"
@@ -212,6 +213,7 @@
         setRenewalRate(control.exchange.state, control.state, clock::now());
         advance(control);
         reportLoad(control, clock::now());
+        publishCrashes(control);
         decideQueued(control.shared->admissionControl, clock::now());
         logDependencyChanges(control, clock::now());
         setControlGauges(control, clock::now());
@@ -252,7 +254,7 @@
         auto grant = applyReport(control.state, report, clock::now());
         const auto &target = control.state.target;
         if (target.incarnation != before) {
-            recordTargetCrash(control.shared->crashRegistry, clock::now());
+            recordTargetStart(control.shared->crashRegistry, clock::now());
             configureAdmission(control, report);
             logEvent(log_level::info, "target-life",
                      {{"target", target.incarnation.id},
--- a/packages/daemon/src/roster_control.h
+++ b/packages/daemon/src/roster_control.h
@@ -65,6 +65,8 @@
     change_exchange exchange; ///< Changes received from and sent to other daemons.
     async_condition upstreamStale{
         context.get_executor()}; ///< Wakes watches suspended while an upstream daemon delivers all changes.
+    bool publishingCrashes = false; ///< Whether crashes of the target are being written to the store.
+    std::uint64_t crashesPublished = 0; ///< Crashes that were written in this run.
     std::set<revision_number> observedRevisions; ///< Revisions of changes received under any mirrored prefix.
     steady_time nextLoadReport{}; ///< When the next load report is due.
     bool storeReachable = true; ///< Whether the store responded to the last call.
--- a/packages/daemon/src/roster_metrics.cpp
+++ b/packages/daemon/src/roster_metrics.cpp
@@ -70,6 +70,8 @@
     setGauge(numbers, "nodes_known", static_cast<double>(control.state.nodes.size()));
     setGauge(numbers, "store_heard", control.storeReachable ? 1 : 0);
     setGauge(numbers, "tables_version", control.tables ? static_cast<double>(control.tables->rows.version) : 0);
+    setGauge(numbers, "crash_suspects", static_cast<double>(countSuspects(control.shared->crashRegistry)));
+    setGauge(numbers, "target_crashes", static_cast<double>(countCrashes(control.shared->crashRegistry)));
     setGauge(numbers, "link_body_bytes", static_cast<double>(control.shared->crossRegionBytes.load()));
 }
 
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -1,6 +1,7 @@
 /** @file roster_sync.cpp Calls to the store for the roster. */
 #include "roster_sync.h"
 
+#include "crash_sync.h"
 #include "elapsed_clock.h"
 #include "exchange_func.h"
 #include "log_func.h"
@@ -50,6 +51,8 @@
         applyMarker(control.state, {std::string(key.substr(markerPrefix.size()))}, value.revision);
     } else if (key.starts_with(ownersPrefix)) {
         applyStoredOwnership(control, value);
+    } else if (key.starts_with(crashesPrefix)) {
+        applyStoredCrash(control, value, now);
     }
 }
 
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -177,7 +177,8 @@
 
 TEST(reasons, theListHoldsEveryRefusal)
 {
-    for (auto reason = static_cast<int>(refusal::not_owner); reason <= static_cast<int>(refusal::cancelled); ++reason) {
+    for (auto reason = static_cast<int>(refusal::not_owner); reason <= static_cast<int>(refusal::quarantined);
+         ++reason) {
         const std::string word = nameOf(static_cast<refusal>(reason));
         EXPECT_NE(findReason(word), nullptr) << word;
         EXPECT_EQ(reasonWord(word), word);
--- a/packages/decisions/src/admission_base.h
+++ b/packages/decisions/src/admission_base.h
@@ -4,11 +4,13 @@
 #define ADMISSION_BASE_H
 
 #include "cell_base.h"
+#include "crash_suspect_base.h"
 #include "rate_limit_base.h"
 #include "row_type.h"
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace quetzalspool {
 
@@ -36,6 +38,8 @@
     bool transferring = false; ///< Whether the target has produced the response, which is being transferred.
     milliseconds serviceTime{0}; ///< Time the target took to produce the response; set with `transferring`.
     std::uint32_t transfersAhead = 0; ///< Normal responses being transferred when its own was produced.
+    std::optional<request_fingerprint> suspect; ///< Set if a target crashed while it ran this request: one such request
+                                                ///< runs at a time.
 };
 
 /** Why a request was refused. Each of these guarantees that it did not run. */
@@ -51,6 +55,7 @@
     leaving, ///< The target is leaving.
     deadline_passed, ///< The deadline passed, or can't be met any more.
     cancelled, ///< The caller cancelled before the hand-over.
+    quarantined, ///< Targets crashed one after another while they ran this request.
 };
 
 /** Result of an admission decision. */
@@ -117,6 +122,7 @@
     steady_time announcedAt{}; ///< When the target first announced itself since it started.
     std::map<std::pair<pool_id, slot_number>, slot_admission> slots; ///< Served and draining slots by pool and number.
     std::uint32_t inFlight = 0; ///< Requests admitted and not finished.
+    std::set<std::uint64_t> suspectsInFlight; ///< Ids of those among them that are suspected of crashing targets.
     std::uint32_t transferring = 0; ///< Requests in flight whose response is being transferred.
     std::uint32_t normalTransfers = 0; ///< Normal (not urgent) requests among those.
     std::vector<queued_request> queue; ///< Queued requests, ordered by class, rank and deadline.
--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -105,6 +105,9 @@
     takeToken(state.rate, isUrgent(request), now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
+    if (request.suspect) {
+        state.suspectsInFlight.insert(request.id);
+    }
     if (request.slot) {
         ++state.slots[{request.slot->pool, request.slot->slot}].inFlight;
     }
@@ -166,10 +169,17 @@
     return now + service + transfer <= latestResponse(state, request);
 }
 
+/** Whether a request has to wait because the target runs another one that may crash it. */
+bool waitsForSuspect(const admission_state &state, const admission_request &request)
+{
+    return request.suspect && !state.suspectsInFlight.empty();
+}
+
 /** Whether the target can get a request now: it has a free slot, and its rate limit allows one. */
 bool hasRoom(const admission_state &state, const admission_request &request, steady_time now)
 {
-    return state.inFlight < concurrencyFor(state, request, now) && hasToken(state.rate, now);
+    return !waitsForSuspect(state, request) && state.inFlight < concurrencyFor(state, request, now)
+        && hasToken(state.rate, now);
 }
 
 /**
@@ -206,6 +216,13 @@
     return {false, true};
 }
 
+/** First queued request that does not wait for a suspect. */
+std::vector<queued_request>::iterator nextToStart(admission_state &state)
+{
+    return std::find_if(state.queue.begin(), state.queue.end(),
+                        [&](const auto &waiting) { return !waitsForSuspect(state, waiting.request); });
+}
+
 } // namespace
 
 admission_result admit(admission_state &state, const admission_request &request, steady_time now)
@@ -264,6 +281,7 @@
 {
     assert(state.inFlight > 0);
     --state.inFlight;
+    state.suspectsInFlight.erase(request.id);
     if (request.transferring) {
         --state.transferring;
         state.normalTransfers -= isUrgent(request) ? 0 : 1;
@@ -305,10 +323,11 @@
         }
         return reason != refusal::none;
     });
-    while (!state.queue.empty() && hasRoom(state, state.queue.front().request, now)) {
-        startRequest(state, state.queue.front().request, now);
-        decided.push_back({state.queue.front().request.id, {true}});
-        state.queue.erase(state.queue.begin());
+    for (auto next = nextToStart(state); next != state.queue.end() && hasRoom(state, next->request, now);
+         next = nextToStart(state)) {
+        startRequest(state, next->request, now);
+        decided.push_back({next->request.id, {true}});
+        state.queue.erase(next);
     }
     return decided;
 }
@@ -397,6 +416,15 @@
     return busy / slots / std::chrono::duration<double>(service).count();
 }
 
+void clearQueuedSuspects(admission_state &state, const request_fingerprint &fingerprint)
+{
+    for (auto &waiting : state.queue) {
+        if (waiting.request.suspect == fingerprint) {
+            waiting.request.suspect.reset();
+        }
+    }
+}
+
 void drainSlot(admission_state &state, const fenced_slot &slot)
 {
     const auto found = state.slots.find({slot.pool, slot.slot});
@@ -434,6 +462,8 @@
         return "deadline-passed";
     case refusal::cancelled:
         return "cancelled";
+    case refusal::quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -142,6 +142,13 @@
  */
 double speedPerSlot(const admission_state &state);
 
+/**
+ * Lets queued requests run beside others again: a target has responded to the same request.
+ * @param state Admission.
+ * @param fingerprint The request.
+ */
+void clearQueuedSuspects(admission_state &state, const request_fingerprint &fingerprint);
+
 /**
  * Refuses new requests of a slot from now on.
  * @param state Admission.
--- a/packages/decisions/src/crash_suspect_base.h
+++ b/packages/decisions/src/crash_suspect_base.h
@@ -61,6 +61,7 @@
 {
     std::map<std::uint64_t, running_request> running; ///< By the id under which admission control knows the request.
     std::vector<lost_request> lost; ///< Oldest first.
+    bool crashed = false; ///< Whether the current incarnation of the target is known to have crashed.
 };
 
 } // namespace quetzalspool
--- a/packages/decisions/src/crash_suspect_cmd.cpp
+++ b/packages/decisions/src/crash_suspect_cmd.cpp
@@ -118,7 +118,13 @@
     runs.running[id] = request;
 }
 
-void endRun(target_runs &runs, std::uint64_t id)
+void finishRun(target_runs &runs, std::uint64_t id)
+{
+    runs.running.erase(id);
+    runs.crashed = false;
+}
+
+void abandonRun(target_runs &runs, std::uint64_t id)
 {
     runs.running.erase(id);
 }
@@ -135,6 +141,9 @@
 std::vector<crash_suspect> takeCrashedRuns(target_runs &runs, steady_time now)
 {
     std::vector<crash_suspect> crashed;
+    if (runs.crashed) {
+        return crashed;
+    }
     for (const auto &lost : runs.lost) {
         if (now - lost.lostAt < lostRunRetention) {
             crashed.push_back({lost.request.fingerprint, lost.request.crashesBefore + 1});
@@ -144,6 +153,15 @@
         crashed.push_back({request.fingerprint, request.crashesBefore + 1});
     }
     runs = {};
+    runs.crashed = true;
+    return crashed;
+}
+
+std::vector<crash_suspect> beginIncarnation(target_runs &runs, steady_time now)
+{
+    auto crashed = takeCrashedRuns(runs, now);
+    runs.lost.clear();
+    runs.crashed = false;
     return crashed;
 }
 
--- a/packages/decisions/src/crash_suspect_func.h
+++ b/packages/decisions/src/crash_suspect_func.h
@@ -76,11 +76,18 @@
 void beginRun(target_runs &runs, std::uint64_t id, const running_request &request);
 
 /**
- * Records that the target has responded to a request, or that this daemon has abandoned it.
+ * Records that the target has responded to a request.
  * @param runs Runs of the target.
  * @param id Id of the request; may be unknown.
  */
-void endRun(target_runs &runs, std::uint64_t id);
+void finishRun(target_runs &runs, std::uint64_t id);
+
+/**
+ * Records that this daemon has abandoned a request.
+ * @param runs Runs of the target.
+ * @param id Id of the request; may be unknown.
+ */
+void abandonRun(target_runs &runs, std::uint64_t id);
 
 /**
  * Records that the connection of a request ended without a response. Whether the target crashed is not known yet.
@@ -91,13 +98,22 @@
 void loseRun(target_runs &runs, std::uint64_t id, steady_time now);
 
 /**
- * Records that the target has crashed. Further evidence of the same crash finds no requests any more.
+ * Records that the target has crashed. Further evidence of the same crash changes nothing: requests that were handed
+ * over meanwhile reached nobody.
  * @param runs Runs of the target.
  * @param now Present time.
  * @return Requests that it was running, each with one crash more than before.
  */
 std::vector<crash_suspect> takeCrashedRuns(target_runs &runs, steady_time now);
 
+/**
+ * Records that another incarnation of the target has reported, so the one before has ended.
+ * @param runs Runs of the target.
+ * @param now Present time.
+ * @return Requests that it was running, if its end was not known.
+ */
+std::vector<crash_suspect> beginIncarnation(target_runs &runs, steady_time now);
+
 /**
  * Formats a fingerprint.
  * @param fingerprint Fingerprint.
--- a/packages/decisions/tests/crash_suspect_test.cpp
+++ b/packages/decisions/tests/crash_suspect_test.cpp
@@ -1,5 +1,7 @@
 /** @file crash_suspect_test.cpp Requests that crash the targets that run them, and others that ran beside them. */
+#include "admission_func.h"
 #include "crash_suspect_func.h"
+#include "retry_type.h"
 
 #include <gtest/gtest.h>
 
@@ -30,6 +32,11 @@
         beginRun(runs, nextId++, {fingerprintOf(path), crashesOf(suspects, fingerprintOf(path), now)});
     }
 
+    void restart(steady_time now)
+    {
+        beginIncarnation(runs, now);
+    }
+
     std::vector<crash_suspect> crash(steady_time now)
     {
         const auto crashed = takeCrashedRuns(runs, now);
@@ -48,6 +55,7 @@
     target.begin("/deadly", start);
     target.crash(start);
     EXPECT_FALSE(quarantineLeft(target.suspects, fingerprintOf("/deadly"), start));
+    target.restart(start + seconds(3));
     target.begin("/deadly", start + seconds(4));
     target.crash(start + seconds(4));
     EXPECT_EQ(quarantineLeft(target.suspects, fingerprintOf("/deadly"), start + seconds(4)), minutes(10));
@@ -90,8 +98,35 @@
     loseRun(target.runs, 1, start);
     EXPECT_EQ(target.crash(start).size(), 2U);
     loseRun(target.runs, 2, start);
-    EXPECT_TRUE(target.crash(start + seconds(3)).empty()) << "the new incarnation reports";
+    target.begin("/sent-to-nobody", start);
+    loseRun(target.runs, 3, start);
+    EXPECT_TRUE(target.crash(start).empty());
+    target.begin("/sent-before-the-first-report", start + seconds(3));
+    EXPECT_TRUE(beginIncarnation(target.runs, start + seconds(3)).empty());
     EXPECT_EQ(crashesOf(target.suspects, fingerprintOf("/a"), start + seconds(3)), 1U);
+    EXPECT_EQ(crashesOf(target.suspects, fingerprintOf("/sent-to-nobody"), start + seconds(3)), 0U);
+    EXPECT_EQ(target.crash(start + seconds(4)).size(), 1U) << "the next incarnation crashes too";
+}
+
+TEST(crashSuspect, aCrashIsNoticedByTheReportOfTheNextIncarnation)
+{
+    crashing_target target;
+    target.begin("/a", start);
+    target.begin("/b", start);
+    loseRun(target.runs, 1, start);
+    EXPECT_EQ(beginIncarnation(target.runs, start + seconds(3)).size(), 2U);
+}
+
+TEST(crashSuspect, aTargetThatRespondsAfterARefusedConnectionHasNotCrashedForGood)
+{
+    crashing_target target;
+    target.begin("/a", start);
+    target.begin("/b", start);
+    loseRun(target.runs, 1, start);
+    target.crash(start);
+    finishRun(target.runs, 2);
+    target.begin("/c", start + seconds(1));
+    EXPECT_EQ(target.crash(start + seconds(1)).size(), 1U);
 }
 
 TEST(crashSuspect, aRequestLostLongBeforeTheEndOfItsTargetIsNoSuspect)
@@ -110,6 +145,7 @@
     auto now = start;
     std::vector<hours::rep> minutesHeld;
     for (int trial = 0; trial < 5; ++trial) {
+        target.restart(now);
         target.begin("/deadly", now);
         target.crash(now);
         const auto left = quarantineLeft(target.suspects, fingerprintOf("/deadly"), now);
@@ -178,4 +214,75 @@
     }
 }
 
+/** Admission with a target that runs several requests at once. */
+class suspect_admission : public ::testing::Test
+{
+protected:
+    suspect_admission()
+    {
+        state.limits.concurrency = 4;
+        state.limits.warmUp = milliseconds(1);
+        beginTarget(state, start);
+        state.heard = true;
+    }
+
+    static admission_request makeRequest(std::uint64_t id, std::optional<std::string_view> suspectPath)
+    {
+        admission_request request;
+        request.id = id;
+        request.deadline = start + seconds(10);
+        if (suspectPath) {
+            request.suspect = fingerprintOf(*suspectPath);
+        }
+        return request;
+    }
+
+    admission_state state;
+    const steady_time now = start + seconds(1);
+};
+
+TEST_F(suspect_admission, oneSuspectRunsAtATime)
+{
+    EXPECT_TRUE(admit(state, makeRequest(1, "/a"), now).admitted);
+    EXPECT_TRUE(admit(state, makeRequest(2, "/b"), now).queued);
+    EXPECT_TRUE(advanceQueue(state, now).empty());
+    finishRequest(state, makeRequest(1, "/a"), true, milliseconds(5), now);
+    const auto decided = advanceQueue(state, now);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided[0].id, 2U);
+    EXPECT_TRUE(decided[0].result.admitted);
+}
+
+TEST_F(suspect_admission, othersDoNotWaitBehindASuspectThatWaits)
+{
+    EXPECT_TRUE(admit(state, makeRequest(1, "/a"), now).admitted);
+    EXPECT_TRUE(admit(state, makeRequest(2, "/b"), now).queued);
+    auto later = makeRequest(3, std::nullopt);
+    later.deadline += seconds(1);
+    const auto result = admit(state, later, now);
+    const auto decided = advanceQueue(state, now);
+    EXPECT_TRUE(result.admitted || (decided.size() == 1 && decided[0].id == 3 && decided[0].result.admitted));
+}
+
+TEST_F(suspect_admission, repetitionsOfARequestThatATargetSurvivedRunBesideEachOther)
+{
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        admit(state, makeRequest(id, "/popular"), now);
+    }
+    EXPECT_EQ(state.inFlight, 1U);
+    finishRequest(state, makeRequest(1, "/popular"), true, milliseconds(5), now);
+    clearQueuedSuspects(state, fingerprintOf("/popular"));
+    EXPECT_EQ(advanceQueue(state, now).size(), 3U);
+}
+
+TEST_F(suspect_admission, aQuarantinedRequestIsNotTriedElsewhere)
+{
+    retry_budget budget;
+    retry_context context;
+    context.reason = refusal::quarantined;
+    context.idempotent = true;
+    context.deadline = start + seconds(10);
+    EXPECT_FALSE(decideRetry(context, budget, {}, now).retry);
+}
+
 } // namespace quetzalspool
--- a/packages/trace/src/table/reasons.h
+++ b/packages/trace/src/table/reasons.h
@@ -35,6 +35,7 @@
     reason_row{"leaving", "the target was being drained", "target-leaves stopping"},
     reason_row{"deadline-passed", "the deadline passed before the request could be sent to the target", ""},
     reason_row{"cancelled", "the caller cancelled before the hand-over to the target", ""},
+    reason_row{"quarantined", "targets crashed one after another while they ran this request", "target-crashed"},
     reason_row{"cancelled-before-hand-over", "the entry daemon cancelled the attempt before it was sent to the target",
                ""},
     reason_row{"target-refused", "the target reported that it did not run the request", "target-life owners-written"},
