Fix: a log line about a value that is no text ends no task

What operators would see: with log_format = "text", a configuration or an entry with bytes that are no UTF-8 stops a daemon's loop that follows the store (a detached coroutine that an exception leaves ends without a word). The format "json", which the platform uses, replaced such bytes already. Cause: the text format quoted values with the library's strict writer, which throws on such bytes; reasons of a refusal contain bytes of the value that was refused. Evidence: log.aValueThatIsNoTextIsWrittenInBothFormats failed before (type_error.316 in the text format), passes now. Why it works: both formats replace the bytes.

--- a/packages/telemetry/src/log.cpp
+++ b/packages/telemetry/src/log.cpp
@@ -39,13 +39,19 @@
     }
 }
 
+/** Quotes text; bytes that are none are replaced, since values of others may be logged. */
+std::string quoteText(const std::string &value)
+{
+    return nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string formatText(std::string_view event, std::initializer_list<log_field> fields)
 {
     std::string line(event);
     for (const auto &[name, value] : fields) {
         line.append(" ").append(name).append("=");
         const bool quote = value.empty() || value.find_first_of(" \"=") != std::string::npos;
-        line += quote ? nlohmann::json(value).dump() : value;
+        line += quote ? quoteText(value) : value;
     }
     return line;
 }
--- a/packages/telemetry/tests/log_test.cpp
+++ b/packages/telemetry/tests/log_test.cpp
@@ -24,6 +24,15 @@
     EXPECT_FALSE(consumeTokens(budget, start + milliseconds(100)));
 }
 
+// Guards against a task that ends because a line about an odd value can't be written.
+TEST(log, aValueThatIsNoTextIsWrittenInBothFormats)
+{
+    for (const bool json : {false, true}) {
+        startLog("info", json, "one");
+        EXPECT_NO_THROW(logEvent(log_level::info, "line", {{"reason", "no text: \xff\xfe \"\x01"}}));
+    }
+}
+
 TEST(log, neverBlocksOnAStalledReader)
 {
     int pipeEnds[2] = {};
