Fix: an entry with a number out of its range, or without a name or an address, names no target

What callers would see: requests for another writer's entry go to a port that nobody named (70000 was read as 4464, -1 as 65535), or with the empty name to whom all unowned keys seemed to belong; a record of owners with slots counted as one with 4096. Cause: numbers were narrowed to the type of their field without a look at their range (also fractions and 1e300, which is undefined); an entry's name and addresses were not checked at all. Ruled out: deep nesting ended no process here. The parser and the destructor don't recurse, and neither reader copies, compares or writes a part of the value. It is refused all the same, before anybody does. Whole numbers written as 80.0 are still read.

--- a/packages/decisions/src/record.cpp
+++ b/packages/decisions/src/record.cpp
@@ -1,6 +1,7 @@
 /** @file record.cpp JSON format of cell records, and queries. */
 #include "record_func.h"
 
+#include "checked_json.h"
 #include "record_codec.h"
 
 #include <algorithm>
@@ -29,10 +30,10 @@
     std::vector<cell_voter> voters;
     for (const auto &row : from) {
         voters.push_back({{row.at("id").get<std::string>()},
-                          {row.at("incarnation").get<std::uint64_t>()},
-                          row.at("admitted"),
+                          {readNumber<std::uint64_t>(row.at("incarnation"))},
+                          readNumber<std::uint64_t>(row.at("admitted")),
                           {row.at("domain").get<std::string>()},
-                          {row.at("control").at(0), row.at("control").at(1)}});
+                          {row.at("control").at(0), readNumber<std::uint16_t>(row.at("control").at(1))}});
     }
     return voters;
 }
@@ -57,9 +58,9 @@
     std::vector<slot_assignment> slots;
     for (const auto &group : from) {
         const auto owner = group.at("owner").get<std::string>();
-        const auto fence = group.at("fence").get<std::uint64_t>();
+        const auto fence = readNumber<std::uint64_t>(group.at("fence"));
         for (const auto &number : group.at("slots")) {
-            slots.push_back({{number.get<std::uint32_t>()}, {owner}, {fence}});
+            slots.push_back({{readNumber<std::uint32_t>(number)}, {owner}, {fence}});
         }
     }
     std::sort(slots.begin(), slots.end(), [](const auto &a, const auto &b) { return a.slot < b.slot; });
@@ -96,15 +97,17 @@
 {
     cell_member member;
     member.id.value = from.at("id").get<std::string>();
-    member.incarnation.value = from.at("incarnation");
-    member.term.value = from.at("term");
+    member.incarnation.value = readNumber<std::uint64_t>(from.at("incarnation"));
+    member.term.value = readNumber<std::uint64_t>(from.at("term"));
     member.region.value = from.at("region").get<std::string>();
     member.domain.value = from.at("domain").get<std::string>();
-    member.endpoints = {from.at("host"), from.at("ports").at(0), from.at("ports").at(1), from.at("ports").at(2)};
+    const auto &ports = from.at("ports");
+    member.endpoints = {from.at("host"), readNumber<std::uint16_t>(ports.at(0)), readNumber<std::uint16_t>(ports.at(1)),
+                        readNumber<std::uint16_t>(ports.at(2))};
     member.target.pool.value = from.at("pool").get<std::string>();
-    member.target.address = {from.at("target").at(0), from.at("target").at(1)};
-    member.target.slots = from.at("slots");
-    member.target.connections = from.at("connections");
+    member.target.address = {from.at("target").at(0), readNumber<std::uint16_t>(from.at("target").at(1))};
+    member.target.slots = readNumber<std::uint32_t>(from.at("slots"));
+    member.target.connections = readNumber<std::uint32_t>(from.at("connections"));
     member.target.checksGrants = from.at("checks_grants");
     member.leaving = from.at("leaving");
     return member;
@@ -132,11 +135,11 @@
 std::optional<cell_record> parseRecord(std::string_view text, last_reason &why)
 {
     try {
-        const auto from = json::parse(text);
+        const auto from = parseJson(text);
         cell_record record;
         record.id.value = from.at("id").get<std::string>();
-        record.nextNumber = from.at("next_number");
-        record.config.value = from.at("config");
+        record.nextNumber = readNumber<std::uint64_t>(from.at("next_number"));
+        record.config.value = readNumber<std::uint64_t>(from.at("config"));
         for (const auto &member : from.at("members")) {
             record.members.push_back(memberFromJson(member));
         }
@@ -147,7 +150,7 @@
         }
         record.writeId = from.at("write_id");
         return record;
-    } catch (const json::exception &error) {
+    } catch (const std::exception &error) {
         return failed(why, "read a cell record", "", error.what());
     }
 }
--- a/packages/decisions/src/record_codec.h
+++ b/packages/decisions/src/record_codec.h
@@ -18,7 +18,7 @@
 /**
  * Decodes a member from JSON.
  * @param from JSON value.
- * @return Member; throws nlohmann::json::exception if a field is missing or of the wrong type.
+ * @return Member; throws std::exception if a field is missing, of the wrong type or out of range.
  */
 cell_member memberFromJson(const nlohmann::json &from);
 
--- a/packages/decisions/src/roster_codec.cpp
+++ b/packages/decisions/src/roster_codec.cpp
@@ -1,7 +1,9 @@
 /** @file roster_codec.cpp JSON encoding of node entries and of ownership records. */
+#include "checked_json.h"
 #include "record_codec.h"
 #include "roster_func.h"
 
+#include <arpa/inet.h>
 #include <map>
 
 namespace quetzalspool {
@@ -25,21 +27,44 @@
 
 target_incarnation readIncarnation(const json &name, const json &startedUnixMs)
 {
-    return {name.get<std::string>(), startedUnixMs.get<std::int64_t>()};
+    return {name.get<std::string>(), readNumber<std::int64_t>(startedUnixMs)};
+}
+
+bool isIpAddress(const std::string &text)
+{
+    in6_addr ignored{};
+    return inet_pton(AF_INET, text.c_str(), &ignored) == 1 || inet_pton(AF_INET6, text.c_str(), &ignored) == 1;
+}
+
+/** Checks that others can reach a node and its target, which has no address before its first report. */
+void requireReachable(const roster_node &node)
+{
+    const auto &member = node.member;
+    const auto peers = peerEndpoint(member);
+    const auto &target = member.target.address;
+    if (member.id.value.empty()) {
+        throw std::invalid_argument("no name");
+    }
+    if (!isIpAddress(peers.host) || peers.port == 0) {
+        throw std::invalid_argument("no address of the daemon");
+    }
+    const bool hasTarget = !node.targetIncarnation.id.empty();
+    if (hasTarget && (!isIpAddress(target.host) || target.port == 0)) {
+        throw std::invalid_argument("no address of the target");
+    }
 }
 
 /** Parses [slot count, owner index, fence], optionally followed by the handover token and by the next owner. */
 slot_range readRange(const json &row, const json &owners, std::uint32_t first)
 {
-    const auto slots = row.at(0).get<std::uint32_t>();
-    const auto &owner = owners.at(row.at(1).get<std::size_t>());
+    const auto slots = readNumber<std::uint32_t>(row.at(0), 1, numericSlots - first);
+    const auto &owner = owners.at(readNumber<std::size_t>(row.at(1)));
     slot_range range;
     range.first = first;
-    // An invalid slot count yields a range beyond the last slot, which fails the check that ranges cover the pool.
-    range.last = slots == 0 || slots > numericSlots ? numericSlots : first + slots - 1;
+    range.last = first + slots - 1;
     range.owner.value = owner.at(0).get<std::string>();
     range.incarnation = readIncarnation(owner.at(1), owner.at(2));
-    range.fence.value = row.at(2);
+    range.fence.value = readNumber<std::uint64_t>(row.at(2));
     range.handover = row.size() > 3 ? row.at(3).get<std::string>() : "";
     range.nextOwner.value = row.size() > 4 ? row.at(4).get<std::string>() : "";
     return range;
@@ -49,11 +74,11 @@
 slot_range readLegacyRange(const json &row)
 {
     slot_range range;
-    range.first = row.at(0);
-    range.last = row.at(1);
+    range.first = readNumber<std::uint32_t>(row.at(0), 0, numericSlots - 1);
+    range.last = readNumber<std::uint32_t>(row.at(1), 0, numericSlots - 1);
     range.owner.value = row.at(2).get<std::string>();
     range.incarnation = readIncarnation(row.at(3), row.at(4));
-    range.fence.value = row.at(5);
+    range.fence.value = readNumber<std::uint64_t>(row.at(5));
     range.handover = row.at(6).get<std::string>();
     range.nextOwner.value = row.at(7).get<std::string>();
     return range;
@@ -72,10 +97,11 @@
 std::optional<roster_node> parseNode(std::string_view text, last_reason &why)
 {
     try {
-        const auto value = json::parse(text);
-        return roster_node{memberFromJson(value),
-                           {value.at("target_id").get<std::string>(), value.at("target_born").get<std::int64_t>()}};
-    } catch (const json::exception &error) {
+        const auto value = parseJson(text);
+        roster_node node{memberFromJson(value), readIncarnation(value.at("target_id"), value.at("target_born"))};
+        requireReachable(node);
+        return node;
+    } catch (const std::exception &error) {
         return failed(why, "parse a node entry", "", error.what());
     }
 }
@@ -109,21 +135,20 @@
 std::optional<ownership_record> parseOwnership(std::string_view text, last_reason &why)
 {
     try {
-        const auto value = json::parse(text);
+        const auto value = parseJson(text);
         ownership_record record;
         record.pool.value = value.at("pool").get<std::string>();
         std::uint32_t first = 0;
-        for (const auto &row : value.at("runs")) {
-            record.ranges.push_back(value.contains("owners") ? readRange(row, value.at("owners"), first)
+        for (const auto &row : readList(value, "runs")) {
+            record.ranges.push_back(value.contains("owners") ? readRange(row, readList(value, "owners"), first)
                                                              : readLegacyRange(row));
             first = record.ranges.back().last + 1;
         }
-        if (!coversPool(record.ranges)) {
-            return failed(why, "parse the owners of a pool", record.pool.value,
-                          "the slot ranges do not cover the pool");
+        if (record.pool.value.empty() || !coversPool(record.ranges)) {
+            return failed(why, "parse the owners of a pool", "", "no pool, or slot ranges that do not cover it");
         }
         return record;
-    } catch (const json::exception &error) {
+    } catch (const std::exception &error) {
         return failed(why, "parse the owners of a pool", "", error.what());
     }
 }
