Fix: a response with changes that is nested deeply ends no process, and its numbers are checked

What operators would see: a daemon ends by itself, again and again, when what answers at the address of an upstream sends a value of some 100,000 levels; an entry of another writer can name such an address. An offset beyond the clock's range gave a time at random, and rights and watermarks count from it. Cause: the library reads MessagePack recursively; revisions and offsets were narrowed unchecked. Ruled out: datagrams. msgpack-c reads without recursion, and a size that the datagram does not have ends in an exception that is caught, also bad_alloc (oddChanges.aDatagram... passed before as well; it stays as a guard). Evidence: oddChanges.aChangesResponseThatIsNestedOrOutOfRangeIsRefused ended its process before (SIGSEGV), passes now. Why it works: a pass that builds nothing and stops at 33 levels goes first; offsets are at most 30 years, revisions not negative.

--- a/packages/decisions/src/mirror_codec.cpp
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -1,8 +1,7 @@
 /** @file mirror_codec.cpp Encoding of change responses as MessagePack arrays. */
+#include "checked_json.h"
 #include "mirror_func.h"
 
-#include <nlohmann/json.hpp>
-
 namespace quetzalspool {
 
 namespace {
@@ -10,6 +9,19 @@
 using json = nlohmann::json;
 
 constexpr std::size_t plainFields = 4; ///< Fields of a change; a packed value adds its base and its bytes.
+constexpr std::chrono::hours maxOffset{24 * 366 * 30}; ///< Longest time between a request and a time in its response:
+                                                       ///< as long as a machine may run.
+
+revision_number readRevision(const json &from)
+{
+    return {readNumber<std::int64_t>(from, 0)};
+}
+
+milliseconds readOffset(const json &from)
+{
+    const std::int64_t most = milliseconds(maxOffset).count();
+    return milliseconds(readNumber<std::int64_t>(from, -most, most));
+}
 
 json formatUpdate(const mirror_update &update)
 {
@@ -29,15 +41,15 @@
 {
     mirror_update update;
     update.snapshot = row.at(0).get<bool>();
-    update.revision.value = row.at(1).get<std::int64_t>();
-    update.digest = row.at(2).get<std::uint64_t>();
+    update.revision = readRevision(row.at(1));
+    update.digest = readNumber<std::uint64_t>(row.at(2));
     for (const auto &change : row.at(3)) {
         update.changes.push_back(
             {change.at(0).get<std::string>(),
-             {change.at(1).get<std::string>(), {change.at(2).get<std::int64_t>()}, change.at(3).get<bool>()}});
+             {change.at(1).get<std::string>(), readRevision(change.at(2)), change.at(3).get<bool>()}});
         if (change.size() > plainFields) {
             const auto &bytes = change.at(plainFields + 1).get_binary();
-            update.changes.back().packed = {{change.at(plainFields).get<std::int64_t>()}, {bytes.begin(), bytes.end()}};
+            update.changes.back().packed = {readRevision(change.at(plainFields)), {bytes.begin(), bytes.end()}};
         }
     }
     return update;
@@ -61,16 +73,16 @@
 std::optional<changes_response> decodeChanges(std::string_view bytes, last_reason &why)
 {
     try {
-        const auto body = json::from_msgpack(bytes);
+        const auto body = parseMessagePack(bytes);
         changes_response response;
         for (const auto &row : body.at(0)) {
             response.updates.push_back(parseUpdate(row));
         }
-        response.verifiedOffset = milliseconds(body.at(1).get<std::int64_t>());
-        response.entryRevision.value = body.at(2).get<std::int64_t>();
-        response.watermarkOffset = milliseconds(body.at(3).get<std::int64_t>());
+        response.verifiedOffset = readOffset(body.at(1));
+        response.entryRevision = readRevision(body.at(2));
+        response.watermarkOffset = readOffset(body.at(3));
         return response;
-    } catch (const json::exception &error) {
+    } catch (const std::exception &error) {
         return failed(why, "decode a changes response", "", error.what());
     }
 }
