Fix: owners that can't be read are neither granted from an outdated record nor written in vain

What callers would see: keys with two owners. A daemon loses the store for longer than its lease, others are given its keys, another writer overwrites the record of the owners, the daemon comes back: it read "all owners", skipped the one that it could not read, and granted its keys by the record before. Also writes that can't succeed, every 150 ms, each with a line in the log; and a record under the key of another pool was taken for that pool's, with the wrong revision. Cause: a value that could not be read was logged and forgotten. Ruled out: that an odd record gives keys away by itself. Each write requires the revision of a record that was read. Why it works: the roster keeps the revision of a record that can't be read. The last good one stays for those whose entry was never absent since: nobody can have taken keys from them without a write of their own. Who was absent and found the record unreadable grants none of that pool's keys until it reads a good one. Nothing is planned for the pool meanwhile.

--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -18,6 +18,8 @@
 
 using clock = elapsed_clock;
 
+constexpr std::size_t maxLoggedBytes = 200; ///< Bytes of a key that are logged.
+
 void applyStoredEntry(roster_control &control, const instance_id &id, const stored_value &value, steady_time now)
 {
     last_reason why;
@@ -32,9 +34,16 @@
 void applyStoredOwnership(roster_control &control, const stored_value &value)
 {
     last_reason why;
+    const pool_id pool{value.key.substr(ownersPrefix.size())};
     auto record = parseOwnership(value.value, why);
+    if (record && record->pool != pool) {
+        record = failed(why, "parse the owners of a pool", "", "the name of another pool");
+    }
     if (!record) {
-        logEvent(log_level::error, "owners-damaged", {{"key", value.key}, {"reason", describe(why)}});
+        if (applyUnreadableOwnership(control.state, pool, value.revision)) {
+            logEvent(log_level::error, "owners-damaged",
+                     {{"key", value.key.substr(0, maxLoggedBytes)}, {"reason", describe(why)}});
+        }
         return;
     }
     applyOwnership(control.state, {std::move(*record), value.revision});
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -32,6 +32,8 @@
     bool ownersKnown = false; ///< Whether the owners were read after the entry was last absent: other nodes may have
                               ///< taken over slots meanwhile.
     bool ownersReadPending = false; ///< Whether that read is pending.
+    std::set<pool_id> unreadOwners; ///< Pools whose owners could not be read after the entry was last absent; none of
+                                    ///< their slots are granted.
     steady_time nextOwnersRead{}; ///< Earliest time of the next such read, after a failure.
     steady_time entryPresentSince{}; ///< When the entry was first known to be present after its last absence.
     roster_node writtenEntry; ///< Content of the entry as last written or read.
@@ -82,6 +84,9 @@
     bool listed = false; ///< Whether all entries and ownership records have been read once.
     std::map<instance_id, known_node> nodes; ///< All nodes, including this one.
     std::map<pool_id, stored_ownership> records; ///< Owners by pool.
+    std::map<pool_id, revision_number> unreadableOwners; ///< Pools whose owners in the store can't be read, with the
+                                                         ///< revision; the last readable ones are kept, and no write
+                                                         ///< can take effect.
     std::set<pool_id> keyedPools; ///< Pools partitioned by numeric keys, from the tables.
     roster_lease lease; ///< Own lease.
     target_state target; ///< Local target.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -216,12 +216,29 @@
         return;
     }
     known = stored;
+    const auto unreadable = state.unreadableOwners.find(stored.record.pool);
+    if (unreadable != state.unreadableOwners.end() && unreadable->second < stored.revision) {
+        state.unreadableOwners.erase(unreadable);
+        state.lease.unreadOwners.erase(stored.record.pool);
+    }
     // Writes are conditional on the previous revision, so a pending one can no longer take effect.
     state.withheld.erase(stored.record.pool);
     state.unclearWrites.erase(stored.record.pool);
     state.dirty = true;
 }
 
+bool applyUnreadableOwnership(roster_state &state, const pool_id &pool, revision_number revision)
+{
+    const auto known = state.records.find(pool);
+    const auto unreadable = state.unreadableOwners.find(pool);
+    if ((known != state.records.end() && revision <= known->second.revision)
+        || (unreadable != state.unreadableOwners.end() && revision <= unreadable->second)) {
+        return false;
+    }
+    state.unreadableOwners[pool] = revision;
+    return true;
+}
+
 void completeEntryWrite(roster_state &state, const roster_node &entry, roster_outcome outcome, revision_number revision,
                         steady_time sentAt, steady_time now)
 {
@@ -291,6 +308,12 @@
     auto &lease = state.lease;
     lease.ownersReadPending = false;
     lease.ownersKnown = answered && lease.entryPresent && sentAt >= lease.entryPresentSince;
+    if (lease.ownersKnown) {
+        lease.unreadOwners.clear();
+        for (const auto &[pool, revision] : state.unreadableOwners) {
+            lease.unreadOwners.insert(pool);
+        }
+    }
     lease.nextOwnersRead = answered ? now : now + state.timing.retryInterval;
 }
 
@@ -326,7 +349,7 @@
         return served;
     }
     for (const auto &[pool, stored] : state.records) {
-        if (pool != state.self.member.target.pool) {
+        if (pool != state.self.member.target.pool || state.lease.unreadOwners.contains(pool)) {
             continue;
         }
         for (const auto &range : stored.record.ranges) {
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -53,6 +53,16 @@
  */
 void applyOwnership(roster_state &state, const stored_ownership &stored);
 
+/**
+ * Records that the owners of a pool can't be read. The last readable ones stay, unless they may be outdated because the
+ * own entry was absent since; nothing is written until they can be read again.
+ * @param state Roster.
+ * @param pool Pool.
+ * @param revision Revision of the value.
+ * @return True if the revision is a new one.
+ */
+bool applyUnreadableOwnership(roster_state &state, const pool_id &pool, revision_number revision);
+
 /**
  * Applies the result of a write_entry_action.
  * @param state Roster.
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -252,6 +252,9 @@
 
 std::optional<write_owners_action> planOwnership(roster_state &state, const pool_id &pool, steady_time now)
 {
+    if (state.unreadableOwners.contains(pool)) {
+        return std::nullopt;
+    }
     const auto &stored = state.records[pool];
     const auto candidates = eligibleNodes(state, pool);
     const bool isPlanning = isPlanner(state);
--- a/packages/decisions/tests/roster_simulation_exchange.cpp
+++ b/packages/decisions/tests/roster_simulation_exchange.cpp
@@ -88,11 +88,15 @@
     last_reason why;
     const auto name = key.substr(key.find('/') + 1);
     if (key.starts_with("nodes/")) {
-        applyEntry(node.roster, {name}, parseNode(value.text, why), {value.revision}, simulation.now);
+        if (auto entry = parseNode(value.text, why)) {
+            applyEntry(node.roster, {name}, std::move(entry), {value.revision}, simulation.now);
+        }
     } else if (key.starts_with("markers/")) {
         applyMarker(node.roster, {name}, {value.revision});
     } else if (auto record = parseOwnership(value.text, why)) {
         applyOwnership(node.roster, {*record, {value.revision}});
+    } else {
+        applyUnreadableOwnership(node.roster, {name}, {value.revision});
     }
 }
 
