Fix: a node whose entry can't be read gets no work for ever, and stops no plans

What callers would see: another writer's odd value stands for the entry of a node that is lost meanwhile: it has no lease, so the entry never vanishes, and requests go to the lost node until an operator comes. If the node was absent already, the planner tried in vain every 150 ms to give its keys away. An entry under the name of another node was taken for that node's. Cause: a value that could not be read was logged and forgotten: the node stayed as present, or as absent, as it was before. Why it works: the last good entry stays for the lease period, in which a living daemon has noticed and written it anew (aLivingNodeReplacesAnEntryOfItsThatCannotBeRead). Then the node gets no work, is no upstream and no planner. It is not absent: its keys are not given away, since that write requires that there is no entry. Each revision is logged once.

--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -23,12 +23,18 @@
 void applyStoredEntry(roster_control &control, const instance_id &id, const stored_value &value, steady_time now)
 {
     last_reason why;
-    const auto node = parseNode(value.value, why);
+    auto node = parseNode(value.value, why);
+    if (node && node->member.id != id) {
+        node = failed(why, "parse a node entry", "", "the name of another node");
+    }
     if (!node) {
-        logEvent(log_level::error, "entry-damaged", {{"node", id.value}, {"reason", describe(why)}});
+        if (applyUnreadableEntry(control.state, id, value.revision, now)) {
+            logEvent(log_level::error, "entry-damaged",
+                     {{"node", id.value.substr(0, maxLoggedBytes)}, {"reason", describe(why)}});
+        }
         return;
     }
-    applyEntry(control.state, id, node, value.revision, now);
+    applyEntry(control.state, id, std::move(node), value.revision, now);
 }
 
 void applyStoredOwnership(roster_control &control, const stored_value &value)
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -15,6 +15,8 @@
     bool present = false; ///< Whether the entry is known to be in the store.
     revision_number marker; ///< Revision of the node's durable marker, which changes with each write of the entry.
     steady_time absentSince{}; ///< When the entry was first known to be absent.
+    steady_time unreadableSince{}; ///< Since when the entry in the store can't be read; the earliest time if it can.
+    revision_number unreadableRevision; ///< Revision of the last entry that could not be read.
 };
 
 /** Owners of a pool and the revision of the value in the store. */
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -86,10 +86,21 @@
     });
 }
 
-/** Drops the entries of nodes that have been absent for so long that they get no more work. */
+/** Whether a daemon that lives would have replaced an entry that can't be read. */
+bool isAbandoned(const roster_state &state, const known_node &seen, steady_time now)
+{
+    return seen.present && seen.unreadableSince != steady_time{}
+    && now - seen.unreadableSince >= state.timing.leasePeriod;
+}
+
+/** Drops the entries of nodes that have been absent or unreadable for so long that they get no more work. */
 void dropAbsentNodes(roster_state &state, steady_time now)
 {
     for (auto &[id, seen] : state.nodes) {
+        if (isAbandoned(state, seen, now)) {
+            seen.present = false;
+            seen.absentSince = steady_time{};
+        }
         if (seen.node && !isUsable(state, seen, now)) {
             seen.node.reset();
             state.dirty = true;
@@ -184,8 +195,10 @@
         seen.node = std::move(entry);
         seen.present = true;
         seen.marker = std::max(seen.marker, revision);
+        seen.unreadableSince = {};
         return;
     }
+    seen.unreadableSince = {};
     if (seen.present || seen.absentSince == steady_time{}) {
         seen.present = false;
         seen.absentSince = now;
@@ -197,6 +210,23 @@
     }
 }
 
+bool applyUnreadableEntry(roster_state &state, const instance_id &id, revision_number revision, steady_time now)
+{
+    auto &seen = state.nodes[id];
+    if (revision <= seen.marker || revision <= seen.unreadableRevision) {
+        return false;
+    }
+    seen.unreadableRevision = revision;
+    if (seen.unreadableSince == steady_time{}) {
+        seen.unreadableSince = now;
+    }
+    if (!seen.present) {
+        // Writes that reclaim its slots require that the entry is absent, which it is not.
+        seen.absentSince = steady_time{};
+    }
+    return true;
+}
+
 void applyMarker(roster_state &state, const instance_id &id, revision_number revision)
 {
     auto &seen = state.nodes[id];
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -38,6 +38,17 @@
 void applyEntry(roster_state &state, const instance_id &id, std::optional<roster_node> entry, revision_number revision,
                 steady_time now);
 
+/**
+ * Records that the entry of a node exists but can't be read. The last readable one stays for the lease period, in which
+ * a living daemon replaces its entry. The node does not count as absent, so its slots keep their owner.
+ * @param state Roster.
+ * @param id Node.
+ * @param revision Revision of the entry.
+ * @param now Current time.
+ * @return True if the revision is a new one.
+ */
+bool applyUnreadableEntry(roster_state &state, const instance_id &id, revision_number revision, steady_time now);
+
 /**
  * Applies the revision of a node's durable marker, which changes with each write of the node's entry.
  * @param state Roster.
--- a/packages/decisions/tests/roster_simulation_exchange.cpp
+++ b/packages/decisions/tests/roster_simulation_exchange.cpp
@@ -90,6 +90,8 @@
     if (key.starts_with("nodes/")) {
         if (auto entry = parseNode(value.text, why)) {
             applyEntry(node.roster, {name}, std::move(entry), {value.revision}, simulation.now);
+        } else {
+            applyUnreadableEntry(node.roster, {name}, {value.revision}, simulation.now);
         }
     } else if (key.starts_with("markers/")) {
         applyMarker(node.roster, {name}, {value.revision});
