--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -86,10 +86,21 @@
     });
 }
 
-/** Drops the entries of nodes that have been absent for so long that they get no more work. */
+/** Whether a daemon that lives would have replaced an entry that can't be read. */
+bool isAbandoned(const roster_state &state, const known_node &seen, steady_time now)
+{
+    return seen.present && seen.unreadableSince != steady_time{}
+    && now - seen.unreadableSince >= state.timing.leasePeriod;
+}
+
+/** Drops the entries of nodes that have been absent or unreadable for so long that they get no more work. */
 void dropAbsentNodes(roster_state &state, steady_time now)
 {
     for (auto &[id, seen] : state.nodes) {
+        if (isAbandoned(state, seen, now)) {
+            seen.present = false;
+            seen.absentSince = steady_time{};
+        }
         if (seen.node && !isUsable(state, seen, now)) {
             seen.node.reset();
             state.dirty = true;
@@ -184,8 +195,10 @@
         seen.node = std::move(entry);
         seen.present = true;
         seen.marker = std::max(seen.marker, revision);
+        seen.unreadableSince = {};
         return;
     }
+    seen.unreadableSince = {};
     if (seen.present || seen.absentSince == steady_time{}) {
         seen.present = false;
         seen.absentSince = now;
@@ -197,6 +210,23 @@
     }
 }
 
+bool applyUnreadableEntry(roster_state &state, const instance_id &id, revision_number revision, steady_time now)
+{
+    auto &seen = state.nodes[id];
+    if (revision <= seen.marker || revision <= seen.unreadableRevision) {
+        return false;
+    }
+    seen.unreadableRevision = revision;
+    if (seen.unreadableSince == steady_time{}) {
+        seen.unreadableSince = now;
+    }
+    if (!seen.present) {
+        // Writes that reclaim its slots require that the entry is absent, which it is not.
+        seen.absentSince = steady_time{};
+    }
+    return true;
+}
+
 void applyMarker(roster_state &state, const instance_id &id, revision_number revision)
 {
     auto &seen = state.nodes[id];
@@ -216,12 +246,29 @@
         return;
     }
     known = stored;
+    const auto unreadable = state.unreadableOwners.find(stored.record.pool);
+    if (unreadable != state.unreadableOwners.end() && unreadable->second < stored.revision) {
+        state.unreadableOwners.erase(unreadable);
+        state.lease.unreadOwners.erase(stored.record.pool);
+    }
     // Writes are conditional on the previous revision, so a pending one can no longer take effect.
     state.withheld.erase(stored.record.pool);
     state.unclearWrites.erase(stored.record.pool);
     state.dirty = true;
 }
 
+bool applyUnreadableOwnership(roster_state &state, const pool_id &pool, revision_number revision)
+{
+    const auto known = state.records.find(pool);
+    const auto unreadable = state.unreadableOwners.find(pool);
+    if ((known != state.records.end() && revision <= known->second.revision)
+        || (unreadable != state.unreadableOwners.end() && revision <= unreadable->second)) {
+        return false;
+    }
+    state.unreadableOwners[pool] = revision;
+    return true;
+}
+
 void completeEntryWrite(roster_state &state, const roster_node &entry, roster_outcome outcome, revision_number revision,
                         steady_time sentAt, steady_time now)
 {
@@ -291,6 +338,12 @@
     auto &lease = state.lease;
     lease.ownersReadPending = false;
     lease.ownersKnown = answered && lease.entryPresent && sentAt >= lease.entryPresentSince;
+    if (lease.ownersKnown) {
+        lease.unreadOwners.clear();
+        for (const auto &[pool, revision] : state.unreadableOwners) {
+            lease.unreadOwners.insert(pool);
+        }
+    }
     lease.nextOwnersRead = answered ? now : now + state.timing.retryInterval;
 }
 
@@ -326,7 +379,7 @@
         return served;
     }
     for (const auto &[pool, stored] : state.records) {
-        if (pool != state.self.member.target.pool) {
+        if (pool != state.self.member.target.pool || state.lease.unreadOwners.contains(pool)) {
             continue;
         }
         for (const auto &range : stored.record.ranges) {
