Add: the version of the tables by which a request was refused, and a line for heads that could not be read

The line `request-ended` did not say by which version of the tables a request got 404, 413, 403 or 400, so a late refusal could not be told from a right one; only `attempt` had the version, and a refused request has no attempt. A head that was refused with 431 or 400 had no line at all and was not counted in `requests_total`, so neither the log nor the metrics could rule these out.

`request-ended` has `tables_version` now: of the view by which the route was found or the request was refused, 0 before the first. Heads that could not be read are logged and counted with their reason; `caller_left` is 1 where no response could be sent any more (a head that does not arrive within its time: the connection is closed without a status, which a test now holds).

Outer names: none is new.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -51,13 +51,19 @@
     co_return !code;
 }
 
+/** Version of the tables of a view; 0 before the first. */
+std::uint64_t tablesVersion(const routing_view &view)
+{
+    return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
+}
+
 /** Validates the headers, then reads the body and finds the key. */
 asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
+                                                             std::shared_ptr<const routing_view> view,
                                                              std::shared_ptr<caller_connection> connection,
                                                              std::shared_ptr<caller_parser> parser,
                                                              caller_refusal &rejection)
 {
-    const auto view = thread.shared->routing.load();
     const std::string path(parser->get().target());
     const std::string host(parser->get()[http::field::host]);
     const auto *found = findRoute(*view, host, path);
@@ -126,8 +132,10 @@
     request_trace trace;
     trace.arrivedAt = clock::now();
     trace.id = std::string(parser->get()[thread.shared->names.requestId]);
+    const auto view = thread.shared->routing.load();
+    trace.tables = tablesVersion(*view);
     caller_refusal rejection;
-    auto request = co_await acceptRequest(thread, connection, parser, rejection);
+    auto request = co_await acceptRequest(thread, view, connection, parser, rejection);
     if (!request) {
         request_outcome outcome;
         outcome.reasonText = rejection.reason;
@@ -155,13 +163,22 @@
     recordRequestEnd(thread, trace, outcome);
 }
 
-asio::awaitable<void> refuseMalformed(std::shared_ptr<caller_connection> connection, error_code code)
+/** Refuses a request whose headers could not be read. */
+asio::awaitable<void> refuseMalformed(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                                      error_code code)
 {
     connection->keepAlive = false;
     const bool tooLong = code == http::error::header_limit;
-    auto response = refusalResponse(*connection->names,
-                                    tooLong ? caller_refusal{431, "headers-too-large"}
-                                            : caller_refusal{400, "bad-request: " + code.message()});
+    const auto rejection =
+        tooLong ? caller_refusal{431, "headers-too-large"} : caller_refusal{400, "bad-request: " + code.message()};
+    request_trace trace;
+    trace.arrivedAt = clock::now();
+    trace.tables = tablesVersion(*thread.shared->routing.load());
+    trace.callerDisconnected = isDisconnected(*connection);
+    request_outcome outcome;
+    outcome.reasonText = rejection.reason;
+    recordRequestEnd(thread, trace, outcome);
+    auto response = refusalResponse(thread.shared->names, rejection);
     co_await writeResponse(connection, std::move(response));
 }
 
@@ -210,7 +227,7 @@
         co_return;
     }
     if (code) {
-        co_await refuseMalformed(connection, code);
+        co_await refuseMalformed(thread, connection, code);
         co_return;
     }
     connection->stream.expires_after(callerTransferTimeout);
--- a/packages/daemon/src/request_log.cpp
+++ b/packages/daemon/src/request_log.cpp
@@ -90,6 +90,7 @@
     logEvent(log_level::info, "request-ended",
              {{"id", trace.id},
               {"route", trace.route},
+              {"tables_version", std::to_string(trace.tables)},
               {"outcome", nameOf(outcome.result)},
               {"reason", reasonWord(outcome.reasonText)},
               {"late", isLate(outcome, trace.goal, now) ? "1" : "0"},
--- a/packages/daemon/src/request_log.h
+++ b/packages/daemon/src/request_log.h
@@ -39,6 +39,7 @@
     std::string route; ///< Name of the route.
     pool_id pool; ///< Pool.
     steady_time arrivedAt{}; ///< When its headers had been read.
+    std::uint64_t tables = 0; ///< Version of the tables by which its route was found, or by which it was refused.
     steady_time goal = steady_time::max(); ///< A response after this time is late.
     bool callerDisconnected = false; ///< Whether the caller closed its connection before the end.
     std::vector<attempt_trace> attempts; ///< Attempts, oldest first.
--- /dev/null
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -0,0 +1,107 @@
+/** @file caller_refusal_test.cpp Which requests a daemon refuses for good, and what it says while it can't know. */
+#include "planned_stop.h"
+#include "routing_func.h"
+
+namespace quetzalspool::test {
+
+namespace {
+
+constexpr std::uint32_t headLimit = 1000; ///< Limit of the headers in the first tables, in bytes.
+
+/** The traffic part of a daemon that gets complete tables of one host, when the test says so. */
+struct table_daemon : manual_stop
+{
+    table_daemon()
+    {
+        daemon.shared.settings.roster.emplace();
+        auto view = *daemon.shared.routing.load();
+        view.routes.clear();
+        daemon.shared.routing.store(std::make_shared<const routing_view>(view));
+    }
+
+    /** Tables with one route, to the pool without keys. */
+    static tables_snapshot makeTables(std::uint64_t version, std::uint32_t headerBytes)
+    {
+        tables_snapshot tables;
+        tables.version = version;
+        tables.limits.headerBytes = headerBytes;
+        route_row route;
+        route.name = "read";
+        route.host = "a.example";
+        route.prefix = "/r/";
+        route.pool.value = "desk";
+        tables.routes.push_back(route);
+        return tables;
+    }
+
+    void publish(tables_snapshot tables)
+    {
+        auto view = *daemon.shared.routing.load();
+        view.table = makeRouteTable(std::move(tables));
+        daemon.shared.routing.store(std::make_shared<const routing_view>(view));
+    }
+
+    /** Sends a request and returns the status line of its response; empty if the connection was closed without one. */
+    std::string exchange(manual_caller &caller, const std::string &request)
+    {
+        caller.received.clear();
+        caller.send(request);
+        runUntil(true, [&] {
+            caller.receive();
+            return caller.ended || caller.received.find("\r\n\r\n") != std::string::npos;
+        });
+        // The rest of the response belongs to no later one.
+        runUntil(true, [&] { return daemon.shared.requestsInFlight == 0; });
+        caller.receive();
+        return caller.received.substr(0, caller.received.find('\r'));
+    }
+
+    std::string exchangeOnce(const std::string &request)
+    {
+        manual_caller caller(daemon.callers());
+        return exchange(caller, request);
+    }
+};
+
+/** A request with so many bytes of headers beside the host. */
+std::string requestWithHeaders(std::size_t bytes)
+{
+    const std::string name = "X-Note: ";
+    return "GET /r/x HTTP/1.1\r\nHost: a.example\r\n" + name + std::string(bytes - name.size() - 2, 'n') + "\r\n\r\n";
+}
+
+const std::string served = "HTTP/1.1 200 OK";
+const std::string comeBack = "HTTP/1.1 503 Service Unavailable";
+
+} // namespace
+
+TEST(callerRefusal, withoutTablesNoRouteIsCalledMissing)
+{
+    table_daemon node;
+    EXPECT_EQ(node.exchangeOnce(requestText("/r/x")), comeBack);
+    node.publish(table_daemon::makeTables(1, headLimit));
+    EXPECT_EQ(node.exchangeOnce(requestText("/r/x")), served);
+    EXPECT_EQ(node.exchangeOnce(requestText("/nowhere/x")), "HTTP/1.1 404 Not Found");
+}
+
+TEST(callerRefusal, aHeadThatDoesNotArriveInTimeGetsNoFinalStatus)
+{
+    table_daemon node;
+    auto tables = table_daemon::makeTables(1, headLimit);
+    tables.limits.headerTime = milliseconds(100);
+    node.publish(tables);
+    EXPECT_EQ(node.exchangeOnce("GET /r/x HTTP/1.1\r\nHost: a.exa"), "") << "closed without a response";
+    EXPECT_EQ(node.target.executedCount("/r/x"), 0U);
+}
+
+TEST(callerRefusal, aHeadThatIsRefusedIsCounted)
+{
+    table_daemon node;
+    node.publish(table_daemon::makeTables(1, headLimit));
+    EXPECT_EQ(node.exchangeOnce(requestWithHeaders(2 * headLimit)).substr(0, 12), "HTTP/1.1 431");
+    EXPECT_EQ(readCounter(*node.daemon.shared.metricsRegistry,
+                          R"(requests_total{route="",outcome="not-run",reason="headers-too-large"})"),
+              1U);
+}
+
+} // namespace quetzalspool::test
