Fix: a connection that waited for its next request read it under limits that no longer held

What callers saw: 431 ("no request is retried after 431") for a request whose headers the tables in force allow, on a connection that was open before these tables were taken.

Cause: the limits of the headers were read before the wait for the next request, which lasts up to the idle time (15 s on the users' platform, 75 s before the first tables), and applied after it. Every connection kept open over a change of the limits, or over the first tables, read one more request under the old ones: a status of the 4xx class chosen by knowledge that the daemon had already replaced.

Ruled out: new connections (they read the limits in force) and the requests after the next one.

Evidence: callerRefusal.aConnectionThatWaitedIsReadUnderTheLimitsInForce on the code before:

node.exchange(caller, requestWithHeaders(2 * headLimit)) Which is: "HTTP/1.1 431 Request Header Fields Too Large" served Which is: "HTTP/1.1 200 OK"

The limits are read when the first byte of the request has come; the idle time is still that at the start of the wait. The same test holds that the new limit binds.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -239,11 +239,12 @@
 asio::awaitable<void> serveCaller(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
     while (connection->keepAlive && !connection->broken) {
-        const auto limits = currentLimits(*thread.shared);
-        const bool begun = co_await awaitRequest(thread, connection, limits.idleTime);
+        const auto idleTime = currentLimits(*thread.shared).idleTime;
+        const bool begun = co_await awaitRequest(thread, connection, idleTime);
         if (!begun) {
             break;
         }
+        const auto limits = currentLimits(*thread.shared); // The tables may have changed during the wait.
         ++thread.shared->requestsInFlight;
         co_await readAndServe(thread, connection, limits);
         --thread.shared->requestsInFlight;
--- a/packages/daemon/tests/caller_refusal_test.cpp
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t headLimit = 1000; ///< Limit of the headers in the first tables, in bytes.
+constexpr std::uint32_t raisedLimit = 3000; ///< Limit in the next tables, in bytes.
 
 /** The traffic part of a daemon that gets complete tables of one host, when the test says so. */
 struct table_daemon : manual_stop
@@ -84,6 +85,17 @@
     EXPECT_EQ(node.exchangeOnce(requestText("/nowhere/x")), "HTTP/1.1 404 Not Found");
 }
 
+TEST(callerRefusal, aConnectionThatWaitedIsReadUnderTheLimitsInForce)
+{
+    table_daemon node;
+    manual_caller caller(node.daemon.callers());
+    node.publish(table_daemon::makeTables(1, headLimit));
+    EXPECT_EQ(node.exchange(caller, requestText("/r/x")), served);
+    node.publish(table_daemon::makeTables(2, raisedLimit));
+    EXPECT_EQ(node.exchange(caller, requestWithHeaders(2 * headLimit)), served);
+    EXPECT_EQ(node.exchange(caller, requestWithHeaders(2 * raisedLimit)).substr(0, 12), "HTTP/1.1 431");
+}
+
 TEST(callerRefusal, aHeadThatDoesNotArriveInTimeGetsNoFinalStatus)
 {
     table_daemon node;
