Fix: before the first tables, a head longer than the default limit was refused for good

What callers saw: 431 from a daemon that had no tables yet, for a request whose headers the deployment may allow. Callers don't retry after 431; a daemon that knows no configuration has to say 503.

Cause: before the first tables the limits of callers are defaults (16 KiB of headers); a head beyond them got 431 as if the default were the deployment's limit. The missing route is asked for later and gets 503, so only the head went wrong.

Ruled out: the limits of time. The body: its limit is the route's, and without tables there is no route.

Evidence: callerRefusal.withoutTablesNoHeadIsCalledTooLarge on the code before:

node.exchangeOnce(large) Which is: "HTTP/1.1 431 Request Header Fields Too Large" comeBack Which is: "HTTP/1.1 503 Service Unavailable"

The view whose limits a head was read under decides, also when tables come while it is read. On the sites seen so far the limit is the default, 16384 bytes, so this need not be what the users saw.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -57,6 +57,12 @@
     return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
 }
 
+/** Whether the daemon has received no tables yet, so that it knows neither routes nor limits. */
+bool awaitsTables(const daemon_shared &shared, const routing_view &view)
+{
+    return shared.settings.roster && !view.table;
+}
+
 /** Validates the headers, then reads the body and finds the key. */
 asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
                                                              std::shared_ptr<const routing_view> view,
@@ -68,9 +74,8 @@
     const std::string host(parser->get()[http::field::host]);
     const auto *found = findRoute(*view, host, path);
     if (found == nullptr) {
-        const bool awaitingTables = thread.shared->settings.roster && !view->table;
-        rejection =
-            awaitingTables ? caller_refusal{serviceUnavailable, "no-tables-yet"} : caller_refusal{404, "no-route"};
+        rejection = awaitsTables(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
+                                                        : caller_refusal{404, "no-route"};
         co_return std::nullopt;
     }
     const auto route = *found;
@@ -163,17 +168,26 @@
     recordRequestEnd(thread, trace, outcome);
 }
 
-/** Refuses a request whose headers could not be read. */
+/** Why a request whose headers could not be read is refused. */
+caller_refusal headRefusal(bool tablesMissing, error_code code)
+{
+    if (code != http::error::header_limit) {
+        return {400, "bad-request: " + code.message()};
+    }
+    // The tables may allow more than the limit that holds before them.
+    return tablesMissing ? caller_refusal{serviceUnavailable, "no-tables-yet"}
+                         : caller_refusal{431, "headers-too-large"};
+}
+
+/** Refuses a request whose headers could not be read within the limits of a view. */
 asio::awaitable<void> refuseMalformed(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
-                                      error_code code)
+                                      std::shared_ptr<const routing_view> view, error_code code)
 {
     connection->keepAlive = false;
-    const bool tooLong = code == http::error::header_limit;
-    const auto rejection =
-        tooLong ? caller_refusal{431, "headers-too-large"} : caller_refusal{400, "bad-request: " + code.message()};
+    const auto rejection = headRefusal(awaitsTables(*thread.shared, *view), code);
     request_trace trace;
     trace.arrivedAt = clock::now();
-    trace.tables = tablesVersion(*thread.shared->routing.load());
+    trace.tables = tablesVersion(*view);
     trace.callerDisconnected = isDisconnected(*connection);
     request_outcome outcome;
     outcome.reasonText = rejection.reason;
@@ -182,10 +196,9 @@
     co_await writeResponse(connection, std::move(response));
 }
 
-caller_limits currentLimits(const daemon_shared &shared)
+caller_limits limitsOf(const routing_view &view)
 {
-    const auto view = shared.routing.load();
-    return view->table ? view->table->rows.limits : caller_limits{};
+    return view.table ? view.table->rows.limits : caller_limits{};
 }
 
 /**
@@ -211,9 +224,10 @@
 }
 
 /** Reads one request and serves it. Its head must arrive within the header timeout. */
-asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
-                                   caller_limits limits)
+asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
+    const auto view = thread.shared->routing.load();
+    const auto limits = limitsOf(*view);
     const auto parser = std::make_shared<caller_parser>();
     parser->header_limit(limits.headerBytes);
     parser->body_limit(
@@ -227,7 +241,7 @@
         co_return;
     }
     if (code) {
-        co_await refuseMalformed(thread, connection, code);
+        co_await refuseMalformed(thread, connection, view, code);
         co_return;
     }
     connection->stream.expires_after(callerTransferTimeout);
@@ -239,14 +253,13 @@
 asio::awaitable<void> serveCaller(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
     while (connection->keepAlive && !connection->broken) {
-        const auto idleTime = currentLimits(*thread.shared).idleTime;
+        const auto idleTime = limitsOf(*thread.shared->routing.load()).idleTime;
         const bool begun = co_await awaitRequest(thread, connection, idleTime);
         if (!begun) {
             break;
         }
-        const auto limits = currentLimits(*thread.shared); // The tables may have changed during the wait.
         ++thread.shared->requestsInFlight;
-        co_await readAndServe(thread, connection, limits);
+        co_await readAndServe(thread, connection);
         --thread.shared->requestsInFlight;
     }
     closeConnection(*connection);
--- a/packages/daemon/tests/caller_refusal_test.cpp
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -85,6 +85,15 @@
     EXPECT_EQ(node.exchangeOnce(requestText("/nowhere/x")), "HTTP/1.1 404 Not Found");
 }
 
+TEST(callerRefusal, withoutTablesNoHeadIsCalledTooLarge)
+{
+    table_daemon node;
+    const auto large = requestWithHeaders(caller_limits().headerBytes + 1000);
+    EXPECT_EQ(node.exchangeOnce(large), comeBack) << "the tables may allow it";
+    node.publish(table_daemon::makeTables(1, headLimit));
+    EXPECT_EQ(node.exchangeOnce(large).substr(0, 12), "HTTP/1.1 431");
+}
+
 TEST(callerRefusal, aConnectionThatWaitedIsReadUnderTheLimitsInForce)
 {
     table_daemon node;
