Fix: requests without a key got 400 on a route of which one part needs none

What callers saw: 400 `missing-or-bad-key`, which is final, for every request without a key on a route that is split over a pool divided by key and a pool that is not, also for the share that the second one takes from any caller.

Cause: whether a request needs a key was decided for the route, before one of its pools is chosen; one keyed part made the key a duty for all.

Ruled out: routes to one keyed pool (400 is right there and stays; the test holds it) and routes without a keyed part.

Evidence: callerRefusal.aRequestWithoutAKeyIsServedByThePartThatNeedsNone on the code before, 20 of 20 requests:

node.exchangeOnce(requestText("/r/x")) Which is: "HTTP/1.1 400 Bad Request" served Which is: "HTTP/1.1 200 OK"

A request without a usable key goes to the parts that need none, at their weights among each other; 400 only where there is no such part. Requests with a key are shared out over all parts as before, so weights hold for them.

--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -115,6 +115,21 @@
     return key;
 }
 
+std::optional<route_row> keylessPart(const route_row &route, const routing_view &view)
+{
+    auto part = route;
+    std::erase_if(part.shares, [&](const pool_share &share) {
+        const auto pool = view.pools.find(share.pool);
+        return pool == view.pools.end() || pool->second.row.keyed || share.weight == 0;
+    });
+    if (part.shares.empty()) {
+        return std::nullopt;
+    }
+    part.pool = part.shares.front().pool;
+    part.keyFrom = key_source::none;
+    return part;
+}
+
 bool isCallerAllowed(const route_row &route, const std::string &address)
 {
     error_code code;
--- a/packages/daemon/src/caller_request.h
+++ b/packages/daemon/src/caller_request.h
@@ -4,6 +4,7 @@
 
 #include "header_profile.h"
 #include "outcome_type.h"
+#include "routing_base.h"
 #include "row_type.h"
 
 #include <string_view>
@@ -26,6 +27,14 @@
  */
 std::optional<std::string> findKey(const route_row &route, const http_request &request, caller_refusal &rejection);
 
+/**
+ * Finds the part of a route that takes requests without a key: its pools whose targets own no keys.
+ * @param route Route.
+ * @param view Routing view with its pools.
+ * @return The route with these pools only, at their weights; nothing if there is none.
+ */
+std::optional<route_row> keylessPart(const route_row &route, const routing_view &view);
+
 /**
  * Checks whether a caller may use a route.
  * @param route Route.
--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -78,7 +78,7 @@
                                                         : caller_refusal{404, "no-route"};
         co_return std::nullopt;
     }
-    const auto route = *found;
+    auto route = *found;
     if (!isCallerAllowed(route, connection->address)) {
         rejection = {403, "caller-not-allowed"};
         co_return std::nullopt;
@@ -93,7 +93,12 @@
                          std::move(message.body())};
     auto key = findKey(route, request, rejection);
     if (!key) {
-        co_return std::nullopt;
+        auto keyless = keylessPart(route, *view);
+        if (!keyless) {
+            co_return std::nullopt;
+        }
+        route = std::move(*keyless);
+        key = std::string();
     }
     const auto generatedId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
     const auto &settings = thread.shared->settings;
--- a/packages/daemon/tests/caller_refusal_test.cpp
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -17,6 +17,7 @@
         daemon.shared.settings.roster.emplace();
         auto view = *daemon.shared.routing.load();
         view.routes.clear();
+        view.pools[{"vault"}].row = {{"vault"}, true, 16};
         daemon.shared.routing.store(std::make_shared<const routing_view>(view));
     }
 
@@ -105,6 +106,25 @@
     EXPECT_EQ(node.exchange(caller, requestWithHeaders(2 * raisedLimit)).substr(0, 12), "HTTP/1.1 431");
 }
 
+TEST(callerRefusal, aRequestWithoutAKeyIsServedByThePartThatNeedsNone)
+{
+    constexpr int requests = 20;
+    table_daemon node;
+    auto tables = table_daemon::makeTables(1, headLimit);
+    auto &route = tables.routes.front();
+    route.shares = {{{"vault"}, 9}, {{"desk"}, 1}};
+    route.keyFrom = key_source::header;
+    route.keyHeader = "X-Key";
+    node.publish(tables);
+    for (int request = 0; request < requests; ++request) {
+        EXPECT_EQ(node.exchangeOnce(requestText("/r/x")), served);
+    }
+    route.shares.clear();
+    route.pool.value = "vault";
+    node.publish(tables);
+    EXPECT_EQ(node.exchangeOnce(requestText("/r/x")), "HTTP/1.1 400 Bad Request") << "no part takes it";
+}
+
 TEST(callerRefusal, aHeadThatDoesNotArriveInTimeGetsNoFinalStatus)
 {
     table_daemon node;
