Fix: a daemon without documents called every route missing

What callers saw: 404 `no-route`, which is final, from a daemon that had just started and not yet read the tables from the store or from another daemon. Its listeners are open from the start, so after a restart, longest in an outage of the store, every request was told that its route does not exist.

Cause: "no tables yet" (503, with Retry-After) was known only for deployments whose tables come whole from another system; with documents of our own an empty list of routes was taken for the operator's word.

Ruled out: the users' platform (`callerRefusal.withoutTablesNoRouteIsCalledMissing` passed before). The limit of heads stays 431 here: with documents it is fixed and known.

Evidence: callerRefusal.withoutDocumentsNoRouteIsCalledMissing on the code before:

caller.received.substr(0, caller.received.find('\r')) Which is: "HTTP/1.1 404 Not Found" comeBack Which is: "HTTP/1.1 503 Service Unavailable"

While there are no routes at all the refusal is 503. What remains: documents are published one by one, so while the first ones are taken a route that is not there yet still gets 404; that needs a mark "all was read once" in the shared state.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -57,12 +57,18 @@
     return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
 }
 
-/** Whether the daemon has received no tables yet, so that it knows neither routes nor limits. */
-bool awaitsTables(const daemon_shared &shared, const routing_view &view)
+/** Whether the limits for callers are those of tables that the daemon has not received yet. */
+bool awaitsLimits(const daemon_shared &shared, const routing_view &view)
 {
     return shared.settings.roster && !view.table;
 }
 
+/** Whether the daemon has received no routes yet. */
+bool awaitsRoutes(const daemon_shared &shared, const routing_view &view)
+{
+    return shared.settings.roster ? !view.table : view.routes.empty();
+}
+
 /** Validates the headers, then reads the body and finds the key. */
 asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
                                                              std::shared_ptr<const routing_view> view,
@@ -74,7 +80,7 @@
     const std::string host(parser->get()[http::field::host]);
     const auto *found = findRoute(*view, host, path);
     if (found == nullptr) {
-        rejection = awaitsTables(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
+        rejection = awaitsRoutes(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
                                                         : caller_refusal{404, "no-route"};
         co_return std::nullopt;
     }
@@ -174,13 +180,13 @@
 }
 
 /** Why a request whose headers could not be read is refused. */
-caller_refusal headRefusal(bool tablesMissing, error_code code)
+caller_refusal headRefusal(bool limitsUnknown, error_code code)
 {
     if (code != http::error::header_limit) {
         return {400, "bad-request: " + code.message()};
     }
     // The tables may allow more than the limit that holds before them.
-    return tablesMissing ? caller_refusal{serviceUnavailable, "no-tables-yet"}
+    return limitsUnknown ? caller_refusal{serviceUnavailable, "no-tables-yet"}
                          : caller_refusal{431, "headers-too-large"};
 }
 
@@ -189,7 +195,7 @@
                                       std::shared_ptr<const routing_view> view, error_code code)
 {
     connection->keepAlive = false;
-    const auto rejection = headRefusal(awaitsTables(*thread.shared, *view), code);
+    const auto rejection = headRefusal(awaitsLimits(*thread.shared, *view), code);
     request_trace trace;
     trace.arrivedAt = clock::now();
     trace.tables = tablesVersion(*view);
--- a/packages/daemon/tests/caller_refusal_test.cpp
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -86,6 +86,19 @@
     EXPECT_EQ(node.exchangeOnce(requestText("/nowhere/x")), "HTTP/1.1 404 Not Found");
 }
 
+TEST(callerRefusal, withoutDocumentsNoRouteIsCalledMissing)
+{
+    manual_stop node;
+    node.daemon.shared.routing.store(std::make_shared<const routing_view>());
+    manual_caller caller(node.daemon.callers());
+    caller.send(requestText("/r/x"));
+    node.runUntil(true, [&] {
+        caller.receive();
+        return caller.received.find("\r\n\r\n") != std::string::npos;
+    });
+    EXPECT_EQ(caller.received.substr(0, caller.received.find('\r')), comeBack);
+}
+
 TEST(callerRefusal, withoutTablesNoHeadIsCalledTooLarge)
 {
     table_daemon node;
