Fix: the request line was counted towards the limit of the headers

What callers saw: 431, which is final, for a request whose headers are within the limit, if its request line and headers together are not: with headers of just the limit, every request.

Cause: the parser's limit is one for request line and headers, and was set to the tables' limit of the headers ("Maximum bytes of a request's headers").

Ruled out: a head of exactly the limit, request line included, was served before.

Evidence: callerRefusal.theLimitOfTheHeadersLeavesRoomForTheRequestLine on the code before:

node.exchangeOnce(longPath) Which is: "HTTP/1.1 431 Request Header Fields Too Large" served Which is: "HTTP/1.1 200 OK" node.exchangeOnce(requestWithHeaders(headLimit - host.size())) Which is: "HTTP/1.1 431 Request Header Fields Too Large" served Which is: "HTTP/1.1 200 OK"

The parser gets 8 KiB more, and the headers are counted when they are read; the test holds that one byte beyond the limit is refused. Memory for a head grows by 8 KiB at most.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -24,6 +24,7 @@
 using clock = elapsed_clock;
 
 constexpr std::size_t readAhead = 4096; ///< Size of the first read, in bytes; most requests fit.
+constexpr std::uint32_t requestLineLimit = 8192; ///< Bytes of a request line, which the limit of headers doesn't count.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum bytes buffered beyond the longest head.
 
 using caller_parser = http::request_parser<http::string_body>;
@@ -234,16 +235,29 @@
     co_return connection->buffer.size() > 0;
 }
 
+/** Bytes of the headers of a request, with their separators and line ends. */
+std::size_t headerBytes(const http::request_header<> &head)
+{
+    constexpr std::size_t separators = 4; // ": " and CRLF.
+    std::size_t bytes = 0;
+    for (const auto &field : head) {
+        bytes += field.name_string().size() + field.value().size() + separators;
+    }
+    return bytes;
+}
+
 /** Reads one request and serves it. Its head must arrive within the header timeout. */
 asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
     const auto view = thread.shared->routing.load();
     const auto limits = limitsOf(*view);
     const auto parser = std::make_shared<caller_parser>();
-    parser->header_limit(limits.headerBytes);
+    const auto headLimit = std::uint64_t{requestLineLimit} + limits.headerBytes;
+    parser->header_limit(
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(headLimit, std::numeric_limits<std::uint32_t>::max())));
     parser->body_limit(
         std::numeric_limits<std::uint64_t>::max()); // The route's limit is applied once the route is known.
-    connection->buffer.max_size(limits.headerBytes + readAheadLimit);
+    connection->buffer.max_size(headLimit + readAheadLimit);
     connection->stream.expires_after(limits.headerTime);
     error_code code;
     co_await http::async_read_header(connection->stream, connection->buffer, *parser, redirectError(code));
@@ -251,6 +265,9 @@
         connection->keepAlive = false;
         co_return;
     }
+    if (!code && headerBytes(parser->get()) > limits.headerBytes) {
+        code = http::error::header_limit;
+    }
     if (code) {
         co_await refuseMalformed(thread, connection, view, code);
         co_return;
--- a/packages/daemon/tests/caller_refusal_test.cpp
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -119,6 +119,17 @@
     EXPECT_EQ(node.exchange(caller, requestWithHeaders(2 * raisedLimit)).substr(0, 12), "HTTP/1.1 431");
 }
 
+TEST(callerRefusal, theLimitOfTheHeadersLeavesRoomForTheRequestLine)
+{
+    table_daemon node;
+    node.publish(table_daemon::makeTables(1, headLimit));
+    const std::string host = "Host: a.example\r\n";
+    const auto longPath = "GET /r/" + std::string(headLimit, 'p') + " HTTP/1.1\r\n" + host + "\r\n";
+    EXPECT_EQ(node.exchangeOnce(longPath), served);
+    EXPECT_EQ(node.exchangeOnce(requestWithHeaders(headLimit - host.size())), served);
+    EXPECT_EQ(node.exchangeOnce(requestWithHeaders(headLimit - host.size() + 1)).substr(0, 12), "HTTP/1.1 431");
+}
+
 TEST(callerRefusal, aRequestWithoutAKeyIsServedByThePartThatNeedsNone)
 {
     constexpr int requests = 20;
