Fix: a target in absolute form got 404 for a route that is there

What callers saw: 404 `no-route`, which is final, for "GET http://HOST/PATH HTTP/1.1", a form that clients use towards proxies and that every HTTP/1.1 server has to accept (RFC 9112, 3.2.2).

Cause: the target of the request line was taken for a path, so no prefix of a route began it.

Evidence: callerRefusal.absoluteTargetsAreRoutedByTheirPath on the code before:

node.exchangeOnce("GET http://a.example/r/x?q=1 HTTP/1.1\r\nHost: a.example\r\n\r\n") Which is: "HTTP/1.1 404 Not Found" served Which is: "HTTP/1.1 200 OK"

Host and path are taken from such a target, and the target's server gets path and query in origin form with that host. Requests in origin form are passed on unchanged.

--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -97,6 +97,19 @@
     return out;
 }
 
+request_target parseTarget(std::string_view target, std::string_view host)
+{
+    for (const std::string_view scheme : {"http://", "https://"}) {
+        if (boost::algorithm::istarts_with(target, scheme)) {
+            target.remove_prefix(scheme.size());
+            const auto end = std::min(target.find_first_of("/?"), target.size());
+            const std::string path(target.substr(end));
+            return {std::string(target.substr(0, end)), path.starts_with('/') ? path : "/" + path};
+        }
+    }
+    return {std::string(host), std::string(target)};
+}
+
 std::optional<std::string> findKey(const route_row &route, const http_request &request, caller_refusal &rejection)
 {
     if (route.keyFrom == key_source::none) {
--- a/packages/daemon/src/caller_request.h
+++ b/packages/daemon/src/caller_request.h
@@ -18,6 +18,21 @@
     std::string reason; ///< Reason in a few words.
 };
 
+/** Host and path of a request. */
+struct request_target
+{
+    std::string host; ///< Host, with its port if the caller named one.
+    std::string path; ///< Path and query.
+};
+
+/**
+ * Finds host and path of a request. A target in absolute form names both; its host is used instead of the header.
+ * @param target Target of the request line.
+ * @param host Value of the Host header.
+ * @return Host and path.
+ */
+request_target parseTarget(std::string_view target, std::string_view host);
+
 /**
  * Finds the key of a request.
  * @param route Route.
--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -77,9 +77,9 @@
                                                              std::shared_ptr<caller_parser> parser,
                                                              caller_refusal &rejection)
 {
-    const std::string path(parser->get().target());
-    const std::string host(parser->get()[http::field::host]);
-    const auto *found = findRoute(*view, host, path);
+    const std::string hostHeader(parser->get()[http::field::host]);
+    const auto target = parseTarget(std::string(parser->get().target()), hostHeader);
+    const auto *found = findRoute(*view, target.host, target.path);
     if (found == nullptr) {
         rejection = awaitsRoutes(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
                                                         : caller_refusal{404, "no-route"};
@@ -96,7 +96,10 @@
         co_return std::nullopt;
     }
     auto message = parser->release();
-    http_request request{std::string(message.method_string()), path, copyEndToEndHeaders(message),
+    if (target.host != hostHeader) {
+        message.set(http::field::host, target.host);
+    }
+    http_request request{std::string(message.method_string()), target.path, copyEndToEndHeaders(message),
                          std::move(message.body())};
     auto key = findKey(route, request, rejection);
     if (!key) {
--- a/packages/daemon/tests/caller_refusal_test.cpp
+++ b/packages/daemon/tests/caller_refusal_test.cpp
@@ -169,4 +169,15 @@
               1U);
 }
 
+TEST(callerRefusal, absoluteTargetsAreRoutedByTheirPath)
+{
+    table_daemon node;
+    node.publish(table_daemon::makeTables(1, headLimit));
+    EXPECT_EQ(node.exchangeOnce("GET http://a.example/r/x?q=1 HTTP/1.1\r\nHost: a.example\r\n\r\n"), served);
+    EXPECT_EQ(node.target.executedCount("/r/x?q=1"), 1U);
+    EXPECT_EQ(node.exchangeOnce("GET http://b.example/r/x HTTP/1.1\r\nHost: a.example\r\n\r\n"),
+              "HTTP/1.1 404 Not Found")
+        << "the host of the target goes before the header";
+}
+
 } // namespace quetzalspool::test
