Codechange: a request in progress holds no routing view

The changes before this one kept the view by which a request's head was read, and by which its route was found, until the end of the request; with large tables and many versions, requests in progress would have kept all of them in memory.

--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -152,10 +152,10 @@
     request_trace trace;
     trace.arrivedAt = clock::now();
     trace.id = std::string(parser->get()[thread.shared->names.requestId]);
-    const auto view = thread.shared->routing.load();
+    auto view = thread.shared->routing.load();
     trace.tables = tablesVersion(*view);
     caller_refusal rejection;
-    auto request = co_await acceptRequest(thread, view, connection, parser, rejection);
+    auto request = co_await acceptRequest(thread, std::move(view), connection, parser, rejection);
     if (!request) {
         request_outcome outcome;
         outcome.reasonText = rejection.reason;
@@ -252,7 +252,7 @@
 /** Reads one request and serves it. Its head must arrive within the header timeout. */
 asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
-    const auto view = thread.shared->routing.load();
+    auto view = thread.shared->routing.load();
     const auto limits = limitsOf(*view);
     const auto parser = std::make_shared<caller_parser>();
     const auto headLimit = std::uint64_t{requestLineLimit} + limits.headerBytes;
@@ -272,9 +272,10 @@
         code = http::error::header_limit;
     }
     if (code) {
-        co_await refuseMalformed(thread, connection, view, code);
+        co_await refuseMalformed(thread, connection, std::move(view), code);
         co_return;
     }
+    view.reset(); // A request may last longer than its tables.
     connection->stream.expires_after(callerTransferTimeout);
     connection->keepAlive = parser->get().keep_alive() && !thread.shared->stopping;
     connection->headOnly = parser->get().method() == http::verb::head;
