--- a/packages/daemon/src/caller_request.cpp
+++ b/packages/daemon/src/caller_request.cpp
@@ -97,6 +97,19 @@
     return out;
 }
 
+request_target parseTarget(std::string_view target, std::string_view host)
+{
+    for (const std::string_view scheme : {"http://", "https://"}) {
+        if (boost::algorithm::istarts_with(target, scheme)) {
+            target.remove_prefix(scheme.size());
+            const auto end = std::min(target.find_first_of("/?"), target.size());
+            const std::string path(target.substr(end));
+            return {std::string(target.substr(0, end)), path.starts_with('/') ? path : "/" + path};
+        }
+    }
+    return {std::string(host), std::string(target)};
+}
+
 std::optional<std::string> findKey(const route_row &route, const http_request &request, caller_refusal &rejection)
 {
     if (route.keyFrom == key_source::none) {
@@ -115,6 +128,21 @@
     return key;
 }
 
+std::optional<route_row> keylessPart(const route_row &route, const routing_view &view)
+{
+    auto part = route;
+    std::erase_if(part.shares, [&](const pool_share &share) {
+        const auto pool = view.pools.find(share.pool);
+        return pool == view.pools.end() || pool->second.row.keyed || share.weight == 0;
+    });
+    if (part.shares.empty()) {
+        return std::nullopt;
+    }
+    part.pool = part.shares.front().pool;
+    part.keyFrom = key_source::none;
+    return part;
+}
+
 bool isCallerAllowed(const route_row &route, const std::string &address)
 {
     error_code code;
--- a/packages/daemon/src/caller_request.h
+++ b/packages/daemon/src/caller_request.h
@@ -4,6 +4,7 @@
 
 #include "header_profile.h"
 #include "outcome_type.h"
+#include "routing_base.h"
 #include "row_type.h"
 
 #include <string_view>
@@ -17,6 +18,21 @@
     std::string reason; ///< Reason in a few words.
 };
 
+/** Host and path of a request. */
+struct request_target
+{
+    std::string host; ///< Host, with its port if the caller named one.
+    std::string path; ///< Path and query.
+};
+
+/**
+ * Finds host and path of a request. A target in absolute form names both; its host is used instead of the header.
+ * @param target Target of the request line.
+ * @param host Value of the Host header.
+ * @return Host and path.
+ */
+request_target parseTarget(std::string_view target, std::string_view host);
+
 /**
  * Finds the key of a request.
  * @param route Route.
@@ -26,6 +42,14 @@
  */
 std::optional<std::string> findKey(const route_row &route, const http_request &request, caller_refusal &rejection);
 
+/**
+ * Finds the part of a route that takes requests without a key: its pools whose targets own no keys.
+ * @param route Route.
+ * @param view Routing view with its pools.
+ * @return The route with these pools only, at their weights; nothing if there is none.
+ */
+std::optional<route_row> keylessPart(const route_row &route, const routing_view &view);
+
 /**
  * Checks whether a caller may use a route.
  * @param route Route.
--- a/packages/daemon/src/caller_server.cpp
+++ b/packages/daemon/src/caller_server.cpp
@@ -24,6 +24,7 @@
 using clock = elapsed_clock;
 
 constexpr std::size_t readAhead = 4096; ///< Size of the first read, in bytes; most requests fit.
+constexpr std::uint32_t requestLineLimit = 8192; ///< Bytes of a request line, which the limit of headers doesn't count.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum bytes buffered beyond the longest head.
 
 using caller_parser = http::request_parser<http::string_body>;
@@ -51,23 +52,40 @@
     co_return !code;
 }
 
+/** Version of the tables of a view; 0 before the first. */
+std::uint64_t tablesVersion(const routing_view &view)
+{
+    return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
+}
+
+/** Whether the limits for callers are those of tables that the daemon has not received yet. */
+bool awaitsLimits(const daemon_shared &shared, const routing_view &view)
+{
+    return shared.settings.roster && !view.table;
+}
+
+/** Whether the daemon has received no routes yet. */
+bool awaitsRoutes(const daemon_shared &shared, const routing_view &view)
+{
+    return shared.settings.roster ? !view.table : view.routes.empty();
+}
+
 /** Validates the headers, then reads the body and finds the key. */
 asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
+                                                             std::shared_ptr<const routing_view> view,
                                                              std::shared_ptr<caller_connection> connection,
                                                              std::shared_ptr<caller_parser> parser,
                                                              caller_refusal &rejection)
 {
-    const auto view = thread.shared->routing.load();
-    const std::string path(parser->get().target());
-    const std::string host(parser->get()[http::field::host]);
-    const auto *found = findRoute(*view, host, path);
+    const std::string hostHeader(parser->get()[http::field::host]);
+    const auto target = parseTarget(std::string(parser->get().target()), hostHeader);
+    const auto *found = findRoute(*view, target.host, target.path);
     if (found == nullptr) {
-        const bool awaitingTables = thread.shared->settings.roster && !view->table;
-        rejection =
-            awaitingTables ? caller_refusal{serviceUnavailable, "no-tables-yet"} : caller_refusal{404, "no-route"};
+        rejection = awaitsRoutes(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
+                                                        : caller_refusal{404, "no-route"};
         co_return std::nullopt;
     }
-    const auto route = *found;
+    auto route = *found;
     if (!isCallerAllowed(route, connection->address)) {
         rejection = {403, "caller-not-allowed"};
         co_return std::nullopt;
@@ -78,11 +96,19 @@
         co_return std::nullopt;
     }
     auto message = parser->release();
-    http_request request{std::string(message.method_string()), path, copyEndToEndHeaders(message),
+    if (target.host != hostHeader) {
+        message.set(http::field::host, target.host);
+    }
+    http_request request{std::string(message.method_string()), target.path, copyEndToEndHeaders(message),
                          std::move(message.body())};
     auto key = findKey(route, request, rejection);
     if (!key) {
-        co_return std::nullopt;
+        auto keyless = keylessPart(route, *view);
+        if (!keyless) {
+            co_return std::nullopt;
+        }
+        route = std::move(*keyless);
+        key = std::string();
     }
     const auto generatedId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
     const auto &settings = thread.shared->settings;
@@ -126,8 +152,10 @@
     request_trace trace;
     trace.arrivedAt = clock::now();
     trace.id = std::string(parser->get()[thread.shared->names.requestId]);
+    auto view = thread.shared->routing.load();
+    trace.tables = tablesVersion(*view);
     caller_refusal rejection;
-    auto request = co_await acceptRequest(thread, connection, parser, rejection);
+    auto request = co_await acceptRequest(thread, std::move(view), connection, parser, rejection);
     if (!request) {
         request_outcome outcome;
         outcome.reasonText = rejection.reason;
@@ -155,20 +183,37 @@
     recordRequestEnd(thread, trace, outcome);
 }
 
-asio::awaitable<void> refuseMalformed(std::shared_ptr<caller_connection> connection, error_code code)
+/** Why a request whose headers could not be read is refused. */
+caller_refusal headRefusal(bool limitsUnknown, error_code code)
+{
+    if (code != http::error::header_limit) {
+        return {400, "bad-request: " + code.message()};
+    }
+    // The tables may allow more than the limit that holds before them.
+    return limitsUnknown ? caller_refusal{serviceUnavailable, "no-tables-yet"}
+                         : caller_refusal{431, "headers-too-large"};
+}
+
+/** Refuses a request whose headers could not be read within the limits of a view. */
+asio::awaitable<void> refuseMalformed(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                                      std::shared_ptr<const routing_view> view, error_code code)
 {
     connection->keepAlive = false;
-    const bool tooLong = code == http::error::header_limit;
-    auto response = refusalResponse(*connection->names,
-                                    tooLong ? caller_refusal{431, "headers-too-large"}
-                                            : caller_refusal{400, "bad-request: " + code.message()});
+    const auto rejection = headRefusal(awaitsLimits(*thread.shared, *view), code);
+    request_trace trace;
+    trace.arrivedAt = clock::now();
+    trace.tables = tablesVersion(*view);
+    trace.callerDisconnected = isDisconnected(*connection);
+    request_outcome outcome;
+    outcome.reasonText = rejection.reason;
+    recordRequestEnd(thread, trace, outcome);
+    auto response = refusalResponse(thread.shared->names, rejection);
     co_await writeResponse(connection, std::move(response));
 }
 
-caller_limits currentLimits(const daemon_shared &shared)
+caller_limits limitsOf(const routing_view &view)
 {
-    const auto view = shared.routing.load();
-    return view->table ? view->table->rows.limits : caller_limits{};
+    return view.table ? view.table->rows.limits : caller_limits{};
 }
 
 /**
@@ -193,15 +238,29 @@
     co_return connection->buffer.size() > 0;
 }
 
+/** Bytes of the headers of a request, with their separators and line ends. */
+std::size_t headerBytes(const http::request_header<> &head)
+{
+    constexpr std::size_t separators = 4; // ": " and CRLF.
+    std::size_t bytes = 0;
+    for (const auto &field : head) {
+        bytes += field.name_string().size() + field.value().size() + separators;
+    }
+    return bytes;
+}
+
 /** Reads one request and serves it. Its head must arrive within the header timeout. */
-asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
-                                   caller_limits limits)
+asio::awaitable<void> readAndServe(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
+    auto view = thread.shared->routing.load();
+    const auto limits = limitsOf(*view);
     const auto parser = std::make_shared<caller_parser>();
-    parser->header_limit(limits.headerBytes);
+    const auto headLimit = std::uint64_t{requestLineLimit} + limits.headerBytes;
+    parser->header_limit(
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(headLimit, std::numeric_limits<std::uint32_t>::max())));
     parser->body_limit(
         std::numeric_limits<std::uint64_t>::max()); // The route's limit is applied once the route is known.
-    connection->buffer.max_size(limits.headerBytes + readAheadLimit);
+    connection->buffer.max_size(headLimit + readAheadLimit);
     connection->stream.expires_after(limits.headerTime);
     error_code code;
     co_await http::async_read_header(connection->stream, connection->buffer, *parser, redirectError(code));
@@ -209,10 +268,14 @@
         connection->keepAlive = false;
         co_return;
     }
+    if (!code && headerBytes(parser->get()) > limits.headerBytes) {
+        code = http::error::header_limit;
+    }
     if (code) {
-        co_await refuseMalformed(connection, code);
+        co_await refuseMalformed(thread, connection, std::move(view), code);
         co_return;
     }
+    view.reset(); // A request may last longer than its tables.
     connection->stream.expires_after(callerTransferTimeout);
     connection->keepAlive = parser->get().keep_alive() && !thread.shared->stopping;
     connection->headOnly = parser->get().method() == http::verb::head;
@@ -222,13 +285,13 @@
 asio::awaitable<void> serveCaller(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
     while (connection->keepAlive && !connection->broken) {
-        const auto limits = currentLimits(*thread.shared);
-        const bool begun = co_await awaitRequest(thread, connection, limits.idleTime);
+        const auto idleTime = limitsOf(*thread.shared->routing.load()).idleTime;
+        const bool begun = co_await awaitRequest(thread, connection, idleTime);
         if (!begun) {
             break;
         }
         ++thread.shared->requestsInFlight;
-        co_await readAndServe(thread, connection, limits);
+        co_await readAndServe(thread, connection);
         --thread.shared->requestsInFlight;
     }
     closeConnection(*connection);
