Fix: a daemon that was busy is told at once what has become known meanwhile

A daemon that follows it asks again only when it has unpacked and parsed a version of 1,400 routes, 0.3 s and more on a tenth of a core, so it misses that wake; its next request was not answered with what the reader knew by then, but waited for the next time, since a request named the changes that the asker had and not the watermark. So the time until which it knew all changes grew older than 1.25 s though all daemons and links were well: all four daemons that serve others in the region turned to the store in the same 3 ms, 17.12 s + 1.25 s (18.370 to 18.371 s), 25 of their followers 0.5 s later (18.862 to 18.868). Each then got each version whole, 287 kB. From 19.8 s on 259 lines store-lost, 139 of them reads of op/config that exceeded their limit of 0.9 s, 55 daemons, up to the end. The class: a wake that is lost between two long polls.

Ruled out: loss (ended at 15.7 s), the replaced machine (22.9 s, after it began), a reader that fails or is replaced (it was well throughout, no store-lost before 19.8 s).

Change: a response carries the version of what the answering daemon knows (it grows with each change, verification and watermark), the next request to the same daemon names it, and is answered at once if it has grown. Who asks a daemon for the first time names 0. Daemons of earlier builds send no version and wait as before; they ignore the field that they don't know.

--- a/packages/daemon/src/roster_exchange.cpp
+++ b/packages/daemon/src/roster_exchange.cpp
@@ -49,14 +49,20 @@
     return changed;
 }
 
-peer_request makeChangesRequest(const roster_control &control)
+peer_request makeChangesRequest(const roster_control &control, const endpoint &at)
 {
+    const auto version = control.exchange.state.upstreamVersions.find(at);
+    const auto known = version == control.exchange.state.upstreamVersions.end() ? 0 : version->second;
     std::string revisions;
     for (const auto &mirrored : control.mirroredPrefixes) {
         revisions += (revisions.empty() ? "" : ",") + std::to_string(resumeRevision(mirrored->mirror).value);
     }
-    return {
-        changesPath, {{"qs-node", control.state.self.member.id.value}, {"qs-seen", revisions}, {"qs-packed", "1"}}, ""};
+    return {changesPath,
+            {{"qs-node", control.state.self.member.id.value},
+             {"qs-seen", revisions},
+             {"qs-packed", "1"},
+             {"qs-version", std::to_string(known)}},
+            ""};
 }
 
 /** Result of polling an upstream daemon. */
@@ -72,7 +78,7 @@
 asio::awaitable<poll_result> pollUpstream(roster_control &control, endpoint at)
 {
     const auto requestedAt = clock::now();
-    auto request = makeChangesRequest(control);
+    auto request = makeChangesRequest(control, at);
     const auto opened = co_await openCall(control.peers, at, std::move(request), connectTimeout);
     if (!opened.call) {
         co_return poll_result::unresponsive;
@@ -92,6 +98,7 @@
         logEvent(log_level::warn, "changes-unread", {{"peer", toString(at)}, {"reason", describe(why)}});
         co_return poll_result::refused;
     }
+    control.exchange.state.upstreamVersions[at] = changes->version;
     co_return applyChangesResponse(control, *changes, requestedAt) ? poll_result::changed : poll_result::unchanged;
 }
 
@@ -119,9 +126,12 @@
     co_return poll_result::unresponsive;
 }
 
-/** Whether there is a change that the follower does not know. */
-bool hasChanges(const roster_control &control, const changes_request &request)
+/** Whether there is a change, a verification or a watermark that the follower does not know. */
+bool hasNews(const roster_control &control, const changes_request &request)
 {
+    if (request.version && *request.version != control.exchange.state.version) {
+        return true;
+    }
     for (std::size_t index = 0; index < request.revisions.size(); ++index) {
         if (!changesAfter(control.mirroredPrefixes[index]->mirror, request.revisions[index]).changes.empty()) {
             return true;
@@ -171,13 +181,14 @@
         }
         co_return std::nullopt;
     }
-    if (!hasChanges(control, request)) {
+    if (!hasNews(control, request)) {
         co_await awaitChange(control);
     }
     if (!isFresh(exchange, clock::now())) {
         co_return std::nullopt;
     }
     changes_response response;
+    response.version = exchange.version;
     for (std::size_t index = 0; index < request.revisions.size(); ++index) {
         auto &mirror = control.mirroredPrefixes[index]->mirror;
         response.updates.push_back(changesAfter(mirror, request.revisions[index]));
--- a/packages/decisions/src/exchange_base.h
+++ b/packages/decisions/src/exchange_base.h
@@ -4,6 +4,8 @@
 
 #include "base_type.h"
 
+#include <map>
+
 namespace quetzalspool {
 
 /**
@@ -19,6 +21,7 @@
                                              ///< while any of them is not.
     steady_time lastRequestAt{}; ///< When another daemon last requested changes.
     std::optional<steady_time> verifiedAt; ///< Every known entry existed at this time or later.
+    std::map<endpoint, std::uint64_t> upstreamVersions; ///< Version in the last response of each upstream daemon.
     std::uint64_t version = 0; ///< Incremented with each change or verification that waiting requests may need.
 };
 
--- a/packages/decisions/src/mirror_codec.cpp
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -9,6 +9,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::size_t fieldsWithoutVersion = 4; ///< Fields of a response of a daemon that does not name its version.
 constexpr std::size_t plainFields = 4; ///< Fields of a change; a packed value adds its base and its bytes.
 
 json formatUpdate(const mirror_update &update)
@@ -53,7 +54,7 @@
     }
     std::string bytes;
     json::to_msgpack(json{std::move(updates), response.verifiedOffset.count(), response.entryRevision.value,
-                          response.watermarkOffset.count()},
+                          response.watermarkOffset.count(), response.version},
                      bytes);
     return bytes;
 }
@@ -69,6 +70,7 @@
         response.verifiedOffset = milliseconds(body.at(1).get<std::int64_t>());
         response.entryRevision.value = body.at(2).get<std::int64_t>();
         response.watermarkOffset = milliseconds(body.at(3).get<std::int64_t>());
+        response.version = body.size() > fieldsWithoutVersion ? body.at(fieldsWithoutVersion).get<std::uint64_t>() : 0;
         return response;
     } catch (const json::exception &error) {
         return failed(why, "decode a changes response", "", error.what());
--- a/packages/decisions/src/mirror_type.h
+++ b/packages/decisions/src/mirror_type.h
@@ -78,6 +78,8 @@
     instance_id node; ///< The requesting daemon.
     std::vector<revision_number> revisions; ///< Known revision for each followed prefix.
     bool restoresPacked = false; ///< Whether the requesting daemon restores packed values.
+    std::optional<std::uint64_t> version; ///< Version in the last response of this daemon; 0 if there was none, nothing
+                                          ///< if the requesting daemon does not name it.
 };
 
 /** Response to a request for changes. Times are offsets from the arrival of the request, negative if before it. */
@@ -88,6 +90,7 @@
     revision_number entryRevision; ///< Revision of the requester's entry, which existed at that time or later; 0 if the
                                    ///< entry is not known.
     milliseconds watermarkOffset{0}; ///< Time before which all changes are known.
+    std::uint64_t version = 0; ///< Version of what the responding daemon knows; 0 if it does not name it.
 
     bool operator==(const changes_response &) const = default;
 };
--- a/packages/decisions/tests/mirror_test.cpp
+++ b/packages/decisions/tests/mirror_test.cpp
@@ -163,6 +163,19 @@
     EXPECT_FALSE(decodeChanges("\x93\x01\x02\x03", why));
 }
 
+TEST(mirror, aResponseOfADaemonThatNamesNoVersionIsReadByOneThatDoes)
+{
+    changes_response response;
+    response.version = 7;
+    auto bytes = encodeChanges(response);
+    last_reason why;
+    EXPECT_EQ(decodeChanges(bytes, why), response);
+    bytes[0] = '\x94'; // An array of four fields, as earlier builds send it.
+    bytes.pop_back();
+    ASSERT_TRUE(decodeChanges(bytes, why));
+    EXPECT_EQ(decodeChanges(bytes, why)->version, 0U);
+}
+
 TEST(upstream, oneDaemonPerRegionReadsTheStoreAndOthersAreTwoHopsAwayAtMost)
 {
     for (const std::size_t count : {1U, 2U, 9U, 30U, 300U}) {
