Fix: a daemon that has a value doesn't read it whole again and again when a read or watch fails

Cause: a watch that failed or was cancelled was followed by a read of all keys, and a read that failed by the same read after 0.2 or 0.5 s, whatever other daemons delivered meanwhile. The daemon did not watch until a read had succeeded. When many do so at once, each gets less than its share of the link in 0.9 s needs, so none ever succeeds, and the reads keep out the renewals and watches of those that serve others, whose followers then do the same: a retry that sustains the overload that makes it fail. And a change that is written meanwhile does not arrive at all.

Change: a watch that failed is followed by another from the same revision, which delivers whatever that one did not; two that failed in succession by a read, as before, and so is a watch that ended without a change, as before (it may have passed over one). A read that failed is not repeated while upstream daemons deliver all changes, and else after a watch of 1 s from the known revision, so that changes arrive and followers are served meanwhile. Nothing known yet: reads are repeated as before. Ruled out: no read after a watch without a change (a watch may pass over one, a test says so); a longer limit for reads (the confirmations of a right share it).

Tests: prefix_mirroring.aReadThatFailsIsNotRepeated..., aWatchThatFailsOnce..., aChangeArrivesByWatchWhileReadsExceedTheirTimeLimit failed before (the last: the change did not arrive); ...WhileNothingIsKnown holds before and after.

--- a/packages/daemon/src/roster_mirror.cpp
+++ b/packages/daemon/src/roster_mirror.cpp
@@ -23,6 +23,11 @@
 constexpr milliseconds retryInterval{200}; ///< Delay after a failed read or watch.
 constexpr milliseconds followerRetryInterval{500}; ///< The same where an upstream daemon may get data sooner: all
                                                    ///< followers together must not overload an unavailable store.
+constexpr milliseconds watchTimeout{10000}; ///< Time limit of one watch, and so of the time for which a lost connection
+                                            ///< is not noticed.
+constexpr milliseconds rereadInterval{1000}; ///< Time limit of a watch after a read failed: the read is due again, and
+                                             ///< the watch serves followers meanwhile.
+constexpr int maxFailedWatches = 2; ///< After so many watches that failed in succession, all keys are read.
 constexpr milliseconds watchDeliveryTime{250}; ///< A working watch delivers a change within this time.
 
 /** Whether a watch returned changes. Otherwise it failed, timed out, was cancelled, or its revision was
@@ -90,6 +95,36 @@
     control.observedRevisions.erase(control.observedRevisions.begin(), control.observedRevisions.upper_bound(minimum));
 }
 
+/** Whether upstream daemons deliver all changes to a mirror, also those that a watch missed. */
+bool isDeliveredByUpstream(const roster_control &control, const mirrored_keys &mirror)
+{
+    return mirror.revision != revision_number{} && isUpstreamCurrent(control.exchange.state, clock::now());
+}
+
+/** Pause after a failed read or watch. */
+milliseconds retryPause(const roster_control &control)
+{
+    const bool serves = servesFollowers(control.exchange.state, control.state, clock::now());
+    return serves ? retryInterval : followerRetryInterval;
+}
+
+/** Reads all keys of a prefix. Returns false, after a pause, if the store did not respond. */
+asio::awaitable<bool> readMirroredPrefix(roster_control &control, std::shared_ptr<mirrored_prefix> mirrored,
+                                         std::function<void()> onChange)
+{
+    last_reason why;
+    const auto all = co_await mirrored->readAll(why);
+    recordStoreResult(control, all.has_value(), why);
+    if (!all) {
+        co_await sleepFor(retryPause(control));
+        co_return false;
+    }
+    applyRangeResult(control, *mirrored, mirrored->mirror.prefix, *all);
+    onChange();
+    co_await sleepFor(std::exchange(mirrored->initialWatchDelay, milliseconds(0)));
+    co_return true;
+}
+
 /** Reads the changes that the watch in progress should have delivered. */
 asio::awaitable<void> readMissedChanges(roster_control &control, std::shared_ptr<mirrored_prefix> mirrored)
 {
@@ -176,25 +211,24 @@
 {
     control.mirroredPrefixes.push_back(mirrored);
     auto &mirror = mirrored->mirror;
-    bool upstreamCurrent = false; // Whether an upstream daemon has delivered all changes since the last read.
+    bool readDue = true; // Whether a change may be unknown that no watch will deliver.
+    int failedWatches = 0; // Watches in succession.
     for (;;) {
         last_reason why;
-        if (!upstreamCurrent) {
-            const auto all = co_await mirrored->readAll(why);
-            recordStoreResult(control, all.has_value(), why);
-            if (!all) {
-                const bool serves = servesFollowers(control.exchange.state, control.state, clock::now());
-                co_await sleepFor(serves ? retryInterval : followerRetryInterval);
+        if (readDue && !isDeliveredByUpstream(control, mirror)) {
+            readDue = !co_await readMirroredPrefix(control, mirrored, onChange);
+            failedWatches = 0;
+            if (mirror.revision == revision_number{}) {
                 continue;
             }
-            applyRangeResult(control, *mirrored, mirror.prefix, *all);
-            onChange();
-            co_await sleepFor(std::exchange(mirrored->initialWatchDelay, milliseconds(0)));
         }
+        readDue = readDue && !isDeliveredByUpstream(control, mirror);
         co_await waitWhileUpstreamCurrent(control, mirrored);
+        const auto wait = readDue ? rereadInterval : watchTimeout;
         auto watchStartedAt = clock::now();
-        auto result = co_await watchMirroredPrefix(control, mirrored, why);
+        auto result = co_await watchMirroredPrefix(control, mirrored, wait, why);
         while (hasEvents(result)) {
+            failedWatches = 0;
             applyEvents(control, *mirrored, *result);
             onChange();
             if (mirrored->coalesces) {
@@ -202,12 +236,13 @@
             }
             co_await waitWhileUpstreamCurrent(control, mirrored);
             watchStartedAt = clock::now();
-            result = co_await watchMirroredPrefix(control, mirrored, why);
+            result = co_await watchMirroredPrefix(control, mirrored, wait, why);
         }
-        // Changes that the watch missed were received from the upstream daemon, if that is current.
-        upstreamCurrent = isUpstreamCurrent(control.exchange.state, clock::now());
+        failedWatches += result ? 0 : 1;
+        // A watch that ended without a change may have missed one; the next watch delivers what a failed one did not.
+        readDue = readDue || result || failedWatches >= maxFailedWatches;
         if (clock::now() - watchStartedAt < retryInterval) {
-            co_await sleepFor(retryInterval); // Limits the request rate if the store ends watches immediately.
+            co_await sleepFor(retryPause(control)); // Limits the request rate if the store ends watches immediately.
         }
     }
 }
--- a/packages/daemon/src/store_watch.cpp
+++ b/packages/daemon/src/store_watch.cpp
@@ -14,8 +14,6 @@
 
 using clock = elapsed_clock;
 
-constexpr milliseconds watchTimeout{10000}; ///< Time limit of one watch, and so of the time for which a lost connection
-                                            ///< is not noticed.
 constexpr milliseconds completionLimit{
     60000}; ///< Safety limit of the wait for a watch; its call has a shorter time limit.
 
@@ -55,11 +53,11 @@
 }
 
 /** Runs a watch to its end. The call itself is not cancelled; the result of a cancelled watch is discarded. */
-asio::awaitable<void> runWatch(roster_control &control, std::string prefix, revision_number after,
+asio::awaitable<void> runWatch(roster_control &control, std::string prefix, revision_number after, milliseconds wait,
                                std::shared_ptr<pending_watch> watch)
 {
     last_reason why;
-    auto result = co_await control.port.store.watch(std::move(prefix), after, watchTimeout, why);
+    auto result = co_await control.port.store.watch(std::move(prefix), after, wait, why);
     if (!watch->finished) {
         watch->result = std::move(result);
         watch->why = std::move(why);
@@ -70,8 +68,9 @@
 
 } // namespace
 
-asio::awaitable<std::optional<watch_result>>
-watchMirroredPrefix(roster_control &control, std::shared_ptr<mirrored_prefix> mirrored, last_reason &why)
+asio::awaitable<std::optional<watch_result>> watchMirroredPrefix(roster_control &control,
+                                                                 std::shared_ptr<mirrored_prefix> mirrored,
+                                                                 milliseconds wait, last_reason &why)
 {
     if (!mirrored->watchedSince) {
         beginWatching(control, *mirrored);
@@ -84,7 +83,7 @@
         watch->completion.notifyAll();
     };
     const auto &mirror = mirrored->mirror;
-    asio::co_spawn(control.context, runWatch(control, mirror.prefix, mirror.revision, watch), asio::detached);
+    asio::co_spawn(control.context, runWatch(control, mirror.prefix, mirror.revision, wait, watch), asio::detached);
     while (!watch->finished) {
         co_await watch->completion.waitUntil(clock::now() + completionLimit);
     }
--- a/packages/daemon/src/store_watch.h
+++ b/packages/daemon/src/store_watch.h
@@ -10,11 +10,13 @@
  * Watches a mirrored prefix once, from the revision that its mirror has.
  * @param control Control state.
  * @param mirrored Prefix to watch.
+ * @param wait Time after which the watch ends if there is no change.
  * @param why Receives the reason if the store did not respond.
  * @return Result of the watch; nothing if the store did not respond or the watch was cancelled.
  */
-asio::awaitable<std::optional<watch_result>>
-watchMirroredPrefix(roster_control &control, std::shared_ptr<mirrored_prefix> mirrored, last_reason &why);
+asio::awaitable<std::optional<watch_result>> watchMirroredPrefix(roster_control &control,
+                                                                 std::shared_ptr<mirrored_prefix> mirrored,
+                                                                 milliseconds wait, last_reason &why);
 
 /**
  * Waits while an upstream delivers all changes, so that the store need not be watched.
--- a/packages/daemon/tests/roster_sync_test.cpp
+++ b/packages/daemon/tests/roster_sync_test.cpp
@@ -1,7 +1,9 @@
 /** @file roster_sync_test.cpp Mirroring store keys with failing or stalled watches, against a fake store. */
 #include "elapsed_clock.h"
 #include "roster_func.h"
+#include "roster_mirror.h"
 #include "roster_sync.h"
+#include "store_watch.h"
 #include "traffic_start.h"
 
 #include <gtest/gtest.h>
@@ -46,6 +48,28 @@
     };
 }
 
+/** Connects a watch that delivers the tables, and whose first call does something else. */
+void connectWorkingWatch(roster_control &control, fake_store &store,
+                         const std::function<asio::awaitable<std::optional<watch_result>>(milliseconds)> &first)
+{
+    control.port.store.watch = [&store, first](std::string, revision_number after, milliseconds wait,
+                                               last_reason &) -> asio::awaitable<std::optional<watch_result>> {
+        if (++store.watches == 1) {
+            co_return co_await first(wait);
+        }
+        const auto until = elapsed_clock::now() + wait;
+        const auto revision = [&store] { return revision_number{static_cast<std::int64_t>(store.version)}; };
+        while (after >= revision() && elapsed_clock::now() < until) {
+            co_await sleepFor(milliseconds(10));
+        }
+        watch_result result{false, {}, revision()};
+        if (after < result.revision) {
+            result.events.push_back({{"tables", std::to_string(store.version), result.revision}, false});
+        }
+        co_return result;
+    };
+}
+
 /** A daemon that mirrors the tables of the fake store. */
 class prefix_mirroring : public ::testing::Test
 {
@@ -146,4 +170,71 @@
     EXPECT_LE(store.reads + store.watches, 20) << "a failing store is not flooded with calls";
 }
 
+TEST_F(prefix_mirroring, aReadThatFailsIsNotRepeatedWhileUpstreamDaemonsDeliverTheChanges)
+{
+    const milliseconds span(3000);
+    int failedReads = 0;
+    control.port.store.read = [&](std::string, last_reason &) -> asio::awaitable<std::optional<read_result>> {
+        ++failedReads;
+        co_await sleepFor(milliseconds(50)); // The value is large, and the time limit shorter than its transfer.
+        co_return std::nullopt;
+    };
+    store.watchDuration = seconds(60);
+    asio::co_spawn(control.context, mirrorTables(control, [] {}), asio::detached);
+    control.context.run_for(milliseconds(20));
+    mirror_update update{true, {1}, 0, {{"tables", {"1", {1}, false}}}};
+    ASSERT_TRUE(applyUpstreamUpdate(control, *control.mirroredPrefixes.front(), update));
+    control.exchange.state.upstreamWatermark = elapsed_clock::now() + span;
+    control.context.run_for(span);
+    EXPECT_LE(failedReads, 2) << "each takes a share of a slow link from the daemons that serve others";
+    EXPECT_EQ(store.watches, 0);
+    resumeWatches(control);
+    control.context.run_for(milliseconds(100));
+    EXPECT_EQ(store.watches, 1) << "without upstream daemons it watches the store from the revision that it has";
+}
+
+TEST_F(prefix_mirroring, aWatchThatFailsOnceIsFollowedByAnotherAndNotByAWholeRead)
+{
+    connectWorkingWatch(control, store, [](milliseconds) -> asio::awaitable<std::optional<watch_result>> {
+        co_await sleepFor(milliseconds(300));
+        co_return std::nullopt;
+    });
+    mirrorFor(milliseconds(1000));
+    ASSERT_TRUE(control.tables != nullptr);
+    EXPECT_EQ(control.tables->rows.version, 2U) << "the next watch delivers what the failed one did not";
+    EXPECT_EQ(store.reads, 1) << "each takes a share of a slow link from the daemons that serve others";
+}
+
+TEST_F(prefix_mirroring, aChangeArrivesByWatchWhileReadsExceedTheirTimeLimit)
+{
+    connectWorkingWatch(control, store, [](milliseconds) -> asio::awaitable<std::optional<watch_result>> {
+        co_await sleepFor(milliseconds(100));
+        co_return watch_result{false, {}, {1}}; // Ends without a change, so that a read is due.
+    });
+    asio::co_spawn(control.context, mirrorTables(control, [] {}), asio::detached);
+    control.context.run_for(milliseconds(50));
+    control.port.store.read = [&](std::string, last_reason &) -> asio::awaitable<std::optional<read_result>> {
+        ++store.reads;
+        co_return std::nullopt;
+    };
+    control.context.run_for(milliseconds(500));
+    store.version = 2;
+    control.context.run_for(milliseconds(1500));
+    EXPECT_EQ(control.tables->rows.version, 2U);
+    EXPECT_GE(store.reads, 3) << "what the first watch may have missed is still read";
+}
+
+TEST_F(prefix_mirroring, aReadThatFailsIsRepeatedWhileNothingIsKnown)
+{
+    int failedReads = 0;
+    control.port.store.read = [&](std::string, last_reason &) -> asio::awaitable<std::optional<read_result>> {
+        ++failedReads;
+        co_return std::nullopt;
+    };
+    control.exchange.state.upstreamWatermark = elapsed_clock::now() + seconds(60);
+    asio::co_spawn(control.context, mirrorTables(control, [] {}), asio::detached);
+    control.context.run_for(milliseconds(2000));
+    EXPECT_GE(failedReads, 4);
+}
+
 } // namespace quetzalspool::test
