Fix: a daemon doesn't say that it knows all changes while it reads and watches nothing

Callers would see: a route that was added refused with 404 in part of a region.

Cause: since when a prefix is watched was forgotten when a watch failed, not when it ended without a change and all keys were read next. Meanwhile each answer of the store to a renewal moved the time up to which the daemon says that all changes are known, though nothing delivered them: its followers relied on it and neither asked others nor turned to the store.

Change: the prefix counts as not watched from the start of the read until the next watch begins; that watch is confirmed at once, as before, if others ask this daemon.

Test: prefix_mirroring.aDaemonDoesNotSayThatItKnowsAllChangesWhileItReads failed before.

--- a/packages/daemon/src/roster_mirror.cpp
+++ b/packages/daemon/src/roster_mirror.cpp
@@ -113,6 +113,7 @@
                                          std::function<void()> onChange)
 {
     last_reason why;
+    recordNotWatched(control, *mirrored);
     const auto all = co_await mirrored->readAll(why);
     recordStoreResult(control, all.has_value(), why);
     if (!all) {
--- a/packages/daemon/src/store_watch.cpp
+++ b/packages/daemon/src/store_watch.cpp
@@ -89,19 +89,23 @@
     }
     mirrored->cancelWatch = nullptr;
     if (!watch->result) {
-        mirrored->watchedSince.reset();
-        updateWatchedSince(control);
+        recordNotWatched(control, *mirrored);
     }
     why = watch->why;
     co_return std::move(watch->result);
 }
 
+void recordNotWatched(roster_control &control, mirrored_prefix &mirrored)
+{
+    mirrored.watchedSince.reset();
+    updateWatchedSince(control);
+}
+
 asio::awaitable<void> waitWhileUpstreamCurrent(roster_control &control, std::shared_ptr<mirrored_prefix> mirrored)
 {
     const auto &exchange = control.exchange.state;
     while (isUpstreamCurrent(exchange, clock::now())) {
-        mirrored->watchedSince.reset();
-        updateWatchedSince(control);
+        recordNotWatched(control, *mirrored);
         co_await control.upstreamStale.waitUntil(upstreamCurrentUntil(exchange, clock::now()));
     }
 }
--- a/packages/daemon/src/store_watch.h
+++ b/packages/daemon/src/store_watch.h
@@ -18,6 +18,13 @@
                                                                  std::shared_ptr<mirrored_prefix> mirrored,
                                                                  milliseconds wait, last_reason &why);
 
+/**
+ * Records that a prefix is not watched until the next watch of it begins.
+ * @param control Control state.
+ * @param mirrored Prefix.
+ */
+void recordNotWatched(roster_control &control, mirrored_prefix &mirrored);
+
 /**
  * Waits while an upstream delivers all changes, so that the store need not be watched.
  * @param control Control state.
--- a/packages/daemon/tests/roster_sync_test.cpp
+++ b/packages/daemon/tests/roster_sync_test.cpp
@@ -1,5 +1,6 @@
 /** @file roster_sync_test.cpp Mirroring store keys with failing or stalled watches, against a fake store. */
 #include "elapsed_clock.h"
+#include "exchange_func.h"
 #include "roster_func.h"
 #include "roster_mirror.h"
 #include "roster_sync.h"
@@ -224,6 +225,31 @@
     EXPECT_GE(store.reads, 3) << "what the first watch may have missed is still read";
 }
 
+TEST_F(prefix_mirroring, aDaemonDoesNotSayThatItKnowsAllChangesWhileItReads)
+{
+    connectWorkingWatch(control, store, [](milliseconds) -> asio::awaitable<std::optional<watch_result>> {
+        co_await sleepFor(milliseconds(100));
+        co_return watch_result{false, {}, {1}}; // Ends without a change, so that a read is due.
+    });
+    auto &exchange = control.exchange.state;
+    asio::co_spawn(control.context, mirrorTables(control, [] {}), asio::detached);
+    control.context.run_for(milliseconds(50));
+    const auto read = control.port.store.read;
+    control.port.store.read = [read](std::string key, last_reason &why) -> asio::awaitable<std::optional<read_result>> {
+        co_await sleepFor(milliseconds(600));
+        co_return co_await read(key, why);
+    };
+    control.context.run_for(milliseconds(300));
+    store.version = 2;
+    const auto before = exchange.watchWatermark;
+    advanceWatchWatermark(exchange, elapsed_clock::now()); // The store has answered another call.
+    EXPECT_EQ(exchange.watchWatermark, before) << "followers would rely on a daemon that delivers nothing";
+    control.context.run_for(milliseconds(800));
+    advanceWatchWatermark(exchange, elapsed_clock::now());
+    EXPECT_GT(exchange.watchWatermark, before);
+    EXPECT_EQ(control.tables->rows.version, 2U);
+}
+
 TEST_F(prefix_mirroring, aReadThatFailsIsRepeatedWhileNothingIsKnown)
 {
     int failedReads = 0;
