--- a/packages/decisions/src/mirror_codec.cpp
+++ b/packages/decisions/src/mirror_codec.cpp
@@ -8,6 +8,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::size_t fieldsWithoutVersion = 4; ///< Fields of a response of a daemon that does not name its version.
 constexpr std::size_t plainFields = 4; ///< Fields of a change; a packed value adds its base and its bytes.
 constexpr std::chrono::hours maxOffset{24 * 366 * 30}; ///< Longest time between a request and a time in its response:
                                                        ///< as long as a machine may run.
@@ -65,7 +66,7 @@
     }
     std::string bytes;
     json::to_msgpack(json{std::move(updates), response.verifiedOffset.count(), response.entryRevision.value,
-                          response.watermarkOffset.count()},
+                          response.watermarkOffset.count(), response.version},
                      bytes);
     return bytes;
 }
@@ -81,6 +82,8 @@
         response.verifiedOffset = readOffset(body.at(1));
         response.entryRevision = readRevision(body.at(2));
         response.watermarkOffset = readOffset(body.at(3));
+        response.version =
+            body.size() > fieldsWithoutVersion ? readNumber<std::uint64_t>(body.at(fieldsWithoutVersion)) : 0;
         return response;
     } catch (const std::exception &error) {
         return failed(why, "decode a changes response", "", error.what());
