Fix: a request with a key on a route split with a pool without keys had two fingerprints

Where such a request goes to the part without keys, the daemon that took it hashed it with its key, the one beside the target without, since the key was sent only together with a slot. So the daemon that took it did not recognize what others had told of it, and sent the request on once more. The key is now sent and read whenever there is one; the target gets it only with a slot, as before.

--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -79,8 +79,10 @@
                           {"qs-rank", std::to_string(request.rank)},
                           {"qs-deadline-ms", std::to_string(left.count())}},
                          request.http.body};
-    if (request.slot) {
+    if (!request.key.empty()) {
         encoded.headers.emplace_back("qs-key", request.key);
+    }
+    if (request.slot) {
         encoded.headers.emplace_back("qs-slot", std::to_string(request.slot->slot.value));
         encoded.headers.emplace_back("qs-fence", std::to_string(request.slot->fence.value));
     }
@@ -107,8 +109,8 @@
     decoded.goal = now + milliseconds(parseNumber(request.headers, "qs-goal-ms"));
     decoded.deadline = now + milliseconds(parseNumber(request.headers, "qs-deadline-ms"));
     const auto fence = findHeader(request.headers, "qs-fence");
+    decoded.key = findHeader(request.headers, "qs-key");
     if (!fence.empty()) {
-        decoded.key = findHeader(request.headers, "qs-key");
         decoded.slot = fenced_slot{decoded.pool,
                                    {static_cast<std::uint32_t>(parseNumber(request.headers, "qs-slot"))},
                                    {static_cast<std::uint64_t>(parseNumber(request.headers, "qs-fence"))}};
