--- a/packages/decisions/src/admission_cmd.cpp
+++ b/packages/decisions/src/admission_cmd.cpp
@@ -191,17 +191,25 @@
     return !canMeetDeadline(state, request, now + predictedTokenWait(state.rate, before, true, now));
 }
 
+/** Queued requests before a position that don't wait for a suspect. */
+std::size_t countReady(const admission_state &state, std::vector<queued_request>::const_iterator end)
+{
+    return static_cast<std::size_t>(std::count_if(
+        state.queue.begin(), end, [&](const auto &waiting) { return !waitsForSuspect(state, waiting.request); }));
+}
+
 admission_result enqueue(admission_state &state, const admission_request &request, steady_time now)
 {
     const auto at = std::find_if(state.queue.begin(), state.queue.end(),
                                  [&](const auto &other) { return precedes(request, other.request); });
-    const auto before = static_cast<std::size_t>(at - state.queue.begin());
+    const auto before = countReady(state, at);
     const bool urgent = isUrgent(request);
     const auto wait = predictedWait(state, before, urgent, now);
     const milliseconds service(std::llround(expectedServiceMs(state, urgent)));
     const auto transfer = predictedTransfer(state, before, request);
     const bool fits = now + wait + service + transfer <= latestResponse(state, request);
-    const bool full = state.queue.size() >= state.limits.queue;
+    const auto queued = request.suspect ? state.queue.size() : countReady(state, state.queue.end());
+    const bool full = queued >= state.limits.queue;
     const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
         const auto allWait = predictedWait(state, state.queue.size(), urgent, now);
@@ -234,7 +242,8 @@
         ++state.demand[request.slot->slot];
     }
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
-    const bool first = state.queue.empty() || precedes(request, state.queue.front().request);
+    const auto next = nextToStart(state);
+    const bool first = next == state.queue.end() || precedes(request, next->request);
     if (first && hasRoom(state, request, now) && transferMeetsGoal(state, request, now)) {
         startRequest(state, request, now);
         return {true};
@@ -317,7 +326,7 @@
         if (reason == refusal::none && isTooLate(state, waiting.request, before, now)) {
             reason = refusal::deadline_passed;
         }
-        before += reason == refusal::none ? 1 : 0;
+        before += reason == refusal::none && !waitsForSuspect(state, waiting.request) ? 1 : 0;
         if (reason != refusal::none) {
             decided.push_back({waiting.request.id, refuse(state, reason, retryAfterFor(state, reason))});
         }
@@ -416,6 +425,11 @@
     return busy / slots / std::chrono::duration<double>(service).count();
 }
 
+void releaseSuspect(admission_state &state, const admission_request &request)
+{
+    state.suspectsInFlight.erase(request.id);
+}
+
 void clearQueuedSuspects(admission_state &state, const request_fingerprint &fingerprint)
 {
     for (auto &waiting : state.queue) {
--- a/packages/decisions/src/admission_func.h
+++ b/packages/decisions/src/admission_func.h
@@ -142,6 +142,13 @@
  */
 double speedPerSlot(const admission_state &state);
 
+/**
+ * Lets the next suspect run: a response to this one has begun.
+ * @param state Admission.
+ * @param request Request.
+ */
+void releaseSuspect(admission_state &state, const admission_request &request);
+
 /**
  * Lets queued requests run beside others again: a target has responded to the same request.
  * @param state Admission.
