Fix: popular requests were quarantined for minutes, and deadly ones that their callers gave up were no suspects

Cause: the retry from the first target was known to have one crash when the second ended, which counted as two. Now two crashes hold a request back for 1.5 s only, three quarantine it; after a response, older news from other daemons is not believed for 10 s, so it can't return by way of daemons that have seen no response. What it costs: a third target for each deadly request.

Cause: a request that was given up was taken off the list of what the target runs.

Also: an order is registered before it is checked, so that a second arrival of its id is never told "not run"; a crash names at most 256 suspects; checks before and after a run of a suspect in a file of their own (suspect_run).

--- a/packages/daemon/src/crash_registry.cpp
+++ b/packages/daemon/src/crash_registry.cpp
@@ -14,8 +14,6 @@
 
 std::string describeSuspects(std::vector<crash_suspect> suspects)
 {
-    std::stable_sort(suspects.begin(), suspects.end(),
-                     [](const auto &a, const auto &b) { return a.crashes > b.crashes; });
     suspects.resize(std::min(suspects.size(), maxLogged));
     std::string text;
     for (const auto &suspect : suspects) {
@@ -68,26 +66,26 @@
     return {crashesOf(registry.suspects, fingerprint, now), quarantineLeft(registry.suspects, fingerprint, now)};
 }
 
-void recordSuspect(crash_registry &registry, const crash_suspect &suspect, steady_time now)
+void recordNews(crash_registry &registry, const crash_suspect &suspect, steady_time now)
 {
     if (suspect.crashes > 0) {
         const std::lock_guard lock(registry.mutex);
-        recordSuspect(registry.suspects, suspect, now);
+        recordNews(registry.suspects, suspect, now);
     }
 }
 
-void recordSuspects(crash_registry &registry, const std::vector<crash_suspect> &suspects, steady_time now)
+void recordNews(crash_registry &registry, const std::vector<crash_suspect> &suspects, steady_time now)
 {
     const std::lock_guard lock(registry.mutex);
     for (const auto &suspect : suspects) {
-        recordSuspect(registry.suspects, suspect, now);
+        recordNews(registry.suspects, suspect, now);
     }
 }
 
-void clearSuspect(crash_registry &registry, const request_fingerprint &fingerprint)
+void clearSuspect(crash_registry &registry, const request_fingerprint &fingerprint, steady_time now)
 {
     const std::lock_guard lock(registry.mutex);
-    clearSuspect(registry.suspects, fingerprint);
+    clearSuspect(registry.suspects, fingerprint, now);
 }
 
 bool beginRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint, steady_time now)
@@ -100,11 +98,11 @@
     return true;
 }
 
-void finishRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint)
+void finishRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint, steady_time now)
 {
     const std::lock_guard lock(registry.mutex);
     finishRun(registry.runs, id);
-    clearSuspect(registry.suspects, fingerprint);
+    clearSuspect(registry.suspects, fingerprint, now);
 }
 
 void abandonRun(crash_registry &registry, std::uint64_t id)
--- a/packages/daemon/src/crash_registry.h
+++ b/packages/daemon/src/crash_registry.h
@@ -57,7 +57,7 @@
  * @param suspect The request and its crashes; 0 changes nothing.
  * @param now Present time.
  */
-void recordSuspect(crash_registry &registry, const crash_suspect &suspect, steady_time now);
+void recordNews(crash_registry &registry, const crash_suspect &suspect, steady_time now);
 
 /**
  * Records the suspects that another daemon published.
@@ -65,22 +65,24 @@
  * @param suspects Suspects.
  * @param now Present time.
  */
-void recordSuspects(crash_registry &registry, const std::vector<crash_suspect> &suspects, steady_time now);
+void recordNews(crash_registry &registry, const std::vector<crash_suspect> &suspects, steady_time now);
 
 /**
  * Clears a request: a target of another daemon has responded to it.
  * @param registry Registry.
  * @param fingerprint The request.
+ * @param now Present time.
  */
-void clearSuspect(crash_registry &registry, const request_fingerprint &fingerprint);
+void clearSuspect(crash_registry &registry, const request_fingerprint &fingerprint, steady_time now);
 
 /**
  * Clears a request: the local target has responded to it.
  * @param registry Registry.
  * @param id Id under which admission control knows the request.
  * @param fingerprint The request.
+ * @param now Present time.
  */
-void finishRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint);
+void finishRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint, steady_time now);
 
 /**
  * Records that a request is handed to the local target, unless it is quarantined.
@@ -93,7 +95,7 @@
 bool beginRun(crash_registry &registry, std::uint64_t id, const request_fingerprint &fingerprint, steady_time now);
 
 /**
- * Records that this daemon has abandoned a request.
+ * Records that a request was handed to nobody, or that the target refused it.
  * @param registry Registry.
  * @param id Id of the request; may be unknown.
  */
--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -7,6 +7,7 @@
 #include "dedup_func.h"
 #include "elapsed_clock.h"
 #include "request_log.h"
+#include "suspect_run.h"
 
 #include <cmath>
 
@@ -25,7 +26,6 @@
 constexpr milliseconds cancelCheckInterval{150}; ///< Interval of the checks whether the caller has cancelled.
 constexpr std::string_view staleGrantReason =
     "stale-grant"; ///< Reason by which a target refuses an invalid grant, as in its contract.
-constexpr const char *targetCrashedReason = "target-crashed"; ///< The target ended while it ran the request.
 constexpr milliseconds targetRefusedRetryAfter{200}; ///< Suggested retry time if the target refused.
 constexpr milliseconds unreachableRetryAfter{1000}; ///< Suggested retry time if the target can't be reached.
 
@@ -92,22 +92,6 @@
     co_return *pending->result;
 }
 
-/** Marks a request that may run only while no other suspect does. Returns the outcome if it may not run at all. */
-std::optional<request_outcome> checkSuspicion(daemon_shared &shared, const routed_request &request,
-                                              admission_request &admissionRequest)
-{
-    const auto suspicion = suspicionOf(shared.crashRegistry, request.fingerprint, clock::now());
-    if (suspicion.crashes > 0) {
-        admissionRequest.suspect = request.fingerprint;
-    }
-    if (!suspicion.quarantineLeft) {
-        return std::nullopt;
-    }
-    auto outcome = notRun(refusal::quarantined, *suspicion.quarantineLeft);
-    outcome.crashes = suspicion.crashes;
-    return outcome;
-}
-
 /** Submits a request to admission control. A queued request gets its result through `pending`. */
 admission_result requestAdmission(daemon_shared &shared, admission_request &admissionRequest,
                                   const std::shared_ptr<pending_admission> &pending, local_attempt_trace &trace)
@@ -275,6 +259,15 @@
     }
 }
 
+/** Lets the next request run that may crash the target: it has survived this one so far. */
+void endSuspectRun(daemon_shared &shared, const admission_request &admissionRequest)
+{
+    if (admissionRequest.suspect) {
+        const std::lock_guard lock(shared.admissionControl.mutex);
+        releaseSuspect(shared.admissionControl.admission, admissionRequest);
+    }
+}
+
 /** Hands a request over to the target and forwards the response. */
 asio::awaitable<request_outcome>
 exchangeWithTarget(daemon_shared &shared, std::shared_ptr<const routed_request> request,
@@ -302,6 +295,7 @@
     }
     responded = true;
     recordNotice(shared, head->notice, handedOverAt);
+    endSuspectRun(shared, admissionRequest);
     if (!head->notRun.empty()) {
         // A target that does not know the lease yet, or no longer, refuses like a daemon without a lease.
         const auto reason = head->notRun == staleGrantReason ? refusal::no_lease : refusal::none;
@@ -332,34 +326,6 @@
     co_return outcome;
 }
 
-/** Records whether the target survived a request that was handed to it. A target that takes no connections has ended.
- */
-asio::awaitable<void> concludeRun(daemon_shared &shared, std::uint64_t id, request_fingerprint fingerprint,
-                                  endpoint target, request_outcome &outcome)
-{
-    auto &registry = shared.crashRegistry;
-    if (outcome.complete) {
-        finishRun(registry, id, fingerprint);
-        const std::lock_guard lock(shared.admissionControl.mutex);
-        clearQueuedSuspects(shared.admissionControl.admission, fingerprint);
-        co_return;
-    }
-    if (!outcome.connectionLost) {
-        abandonRun(registry, id);
-        co_return;
-    }
-    loseRun(registry, id, clock::now());
-    const bool ended = co_await refusesConnections(target, connectTimeout);
-    if (!ended) {
-        co_return;
-    }
-    recordTargetCrash(registry, clock::now());
-    outcome.crashes = suspicionOf(registry, fingerprint, clock::now()).crashes;
-    if (outcome.result == attempt_result::unknown) {
-        outcome.reasonText = targetCrashedReason;
-    }
-}
-
 /** Event of the outcome chart for the end of an admitted request. */
 std::string_view finalEvent(const request_outcome &outcome, const outcome_tracker &tracker)
 {
@@ -403,7 +369,7 @@
             outcome = co_await exchangeWithTarget(shared, request, exchange, sink, admissionRequest, responded, trace);
             *done = true;
             closeTarget(*targets, exchange);
-            co_await concludeRun(shared, admissionRequest.id, request->fingerprint, address, outcome);
+            co_await concludeRun(shared, request, admissionRequest.id, address, outcome);
         } else {
             outcome = notRun(reason, milliseconds(100));
             outcome.crashes = suspicionOf(shared.crashRegistry, request->fingerprint, clock::now()).crashes;
@@ -430,15 +396,16 @@
 {
     admission_request admissionRequest{
         0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
-    if (auto refused = checkSuspicion(shared, *request, admissionRequest)) {
-        co_return *refused;
-    }
     if (!request->idempotent) {
         auto ended = registerOrder(shared, *request);
         if (ended) {
             co_return *ended;
         }
     }
+    if (auto refused = checkSuspicion(shared, *request, admissionRequest, clock::now())) {
+        recordOrderStage(shared, *request, dedup_stage::refused);
+        co_return *refused;
+    }
     const auto pending = std::make_shared<pending_admission>(co_await asio::this_coro::executor);
     auto result = requestAdmission(shared, admissionRequest, pending, trace);
     if (result.queued) {
--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -98,7 +98,7 @@
     if (request) {
         const auto held = std::make_shared<routed_request>(std::move(*request));
         held->fingerprint = fingerprintOf(*held, thread.shared->names);
-        recordSuspect(thread.shared->crashRegistry, {held->fingerprint, held->crashes}, clock::now());
+        recordNews(thread.shared->crashRegistry, {held->fingerprint, held->crashes}, clock::now());
         outcome =
             co_await attemptLocally(*thread.shared, thread.targetClient, held, makePeerSink(*thread.shared, responder));
     }
--- a/packages/daemon/src/request_router.cpp
+++ b/packages/daemon/src/request_router.cpp
@@ -283,9 +283,9 @@
 void recordCrashes(daemon_shared &shared, const routed_request &request, const request_outcome &outcome)
 {
     if (outcome.result == attempt_result::answered && outcome.complete) {
-        clearSuspect(shared.crashRegistry, request.fingerprint);
+        clearSuspect(shared.crashRegistry, request.fingerprint, clock::now());
     } else {
-        recordSuspect(shared.crashRegistry, {request.fingerprint, outcome.crashes}, clock::now());
+        recordNews(shared.crashRegistry, {request.fingerprint, outcome.crashes}, clock::now());
     }
 }
 
--- a/packages/decisions/src/crash_suspect_base.h
+++ b/packages/decisions/src/crash_suspect_base.h
@@ -31,10 +31,14 @@
 /** What is known about a suspect. */
 struct suspect_record
 {
-    std::uint32_t crashes = 0; ///< As in crash_suspect.
+    std::uint32_t crashes = 0; ///< As in crash_suspect; 0 once it is cleared.
     steady_time lastCrashAt{}; ///< When its latest crash became known here.
+    steady_time clearedAt{}; ///< When a target last responded to it, if there are no crashes since.
 };
 
+/** Maximum number of suspects of one crash, those with most crashes before it first. */
+constexpr std::size_t maxSuspectsOfCrash = 256;
+
 /** Suspects of which this daemon knows, from its own target and from other daemons. */
 struct crash_suspects
 {
--- a/packages/decisions/src/crash_suspect_cmd.cpp
+++ b/packages/decisions/src/crash_suspect_cmd.cpp
@@ -9,7 +9,12 @@
 
 namespace {
 
-constexpr std::uint32_t quarantineCrashes = 2; ///< Crashes one after another from which a request is quarantined.
+constexpr std::uint32_t pauseCrashes = 2; ///< Crashes one after another after which a request is held back shortly.
+constexpr std::uint32_t quarantineCrashes = 3; ///< Crashes one after another from which a request is quarantined.
+constexpr milliseconds pause{1500}; ///< Targets that end for another reason soon after one another are down by then,
+                                    ///< and all daemons know of the crashes.
+constexpr std::chrono::seconds clearanceTime{10}; ///< For this long after a response, other daemons' news of crashes is
+                                                  ///< not believed: it may be older than the response.
 constexpr std::chrono::minutes suspicionTime{10}; ///< After one crash, a request is a suspect for this long.
 constexpr std::chrono::minutes firstQuarantine{10}; ///< Quarantine after `quarantineCrashes`; a target of that time may
                                                     ///< run other code.
@@ -21,6 +26,9 @@
 
 milliseconds quarantineTime(std::uint32_t crashes)
 {
+    if (crashes < quarantineCrashes) {
+        return crashes < pauseCrashes ? milliseconds(0) : pause;
+    }
     milliseconds time = firstQuarantine;
     for (auto more = quarantineCrashes; more < crashes && time < longestQuarantine; ++more) {
         time *= quarantineGrowth;
@@ -30,6 +38,9 @@
 
 bool isForgotten(const suspect_record &record, steady_time now)
 {
+    if (record.crashes == 0) {
+        return now - record.clearedAt >= clearanceTime;
+    }
     const milliseconds keep = record.crashes < quarantineCrashes ? milliseconds(suspicionTime) : retention;
     return now - record.lastCrashAt >= keep;
 }
@@ -88,12 +99,24 @@
     if (known == nullptr) {
         makeRoom(suspects, now);
     }
-    suspects.known[suspect.fingerprint] = {suspect.crashes, now};
+    suspects.known[suspect.fingerprint] = {suspect.crashes, now, {}};
 }
 
-void clearSuspect(crash_suspects &suspects, const request_fingerprint &fingerprint)
+void recordNews(crash_suspects &suspects, const crash_suspect &suspect, steady_time now)
 {
-    suspects.known.erase(fingerprint);
+    const auto *known = findSuspect(suspects, suspect.fingerprint, now);
+    const bool cleared = known != nullptr && known->crashes == 0;
+    if (!cleared) {
+        recordSuspect(suspects, suspect, now);
+    }
+}
+
+void clearSuspect(crash_suspects &suspects, const request_fingerprint &fingerprint, steady_time now)
+{
+    const auto known = suspects.known.find(fingerprint);
+    if (known != suspects.known.end()) {
+        known->second = {0, {}, now};
+    }
 }
 
 std::uint32_t crashesOf(const crash_suspects &suspects, const request_fingerprint &fingerprint, steady_time now)
@@ -106,7 +129,7 @@
                                            steady_time now)
 {
     const auto *known = findSuspect(suspects, fingerprint, now);
-    if (known == nullptr || known->crashes < quarantineCrashes) {
+    if (known == nullptr) {
         return std::nullopt;
     }
     const auto left = std::chrono::ceil<milliseconds>(known->lastCrashAt + quarantineTime(known->crashes) - now);
@@ -152,6 +175,9 @@
     for (const auto &[id, request] : runs.running) {
         crashed.push_back({request.fingerprint, request.crashesBefore + 1});
     }
+    std::stable_sort(crashed.begin(), crashed.end(),
+                     [](const auto &a, const auto &b) { return a.crashes > b.crashes; });
+    crashed.resize(std::min(crashed.size(), maxSuspectsOfCrash));
     runs = {};
     runs.crashed = true;
     return crashed;
--- a/packages/decisions/src/crash_suspect_codec.cpp
+++ b/packages/decisions/src/crash_suspect_codec.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::size_t halfDigits = 16; ///< Hexadecimal digits of half a fingerprint.
 constexpr int hexadecimal = 16; ///< Base of the digits.
-constexpr std::size_t maxSuspects = 1024; ///< More were not running at one target.
 
 std::string formatHalf(std::uint64_t half)
 {
@@ -59,7 +58,7 @@
 {
     const auto value = json::parse(text, nullptr, false);
     const auto rows = value.find("suspects");
-    if (rows == value.end() || !rows->is_array() || rows->size() > maxSuspects) {
+    if (rows == value.end() || !rows->is_array() || rows->size() > maxSuspectsOfCrash) {
         return failed(why, "parse crash suspects", "", "no list of suspects");
     }
     std::vector<crash_suspect> suspects;
--- a/packages/decisions/src/crash_suspect_func.h
+++ b/packages/decisions/src/crash_suspect_func.h
@@ -1,9 +1,9 @@
 /** @file crash_suspect_func.h Requests suspected of crashing the targets that run them.
  *
  * When a target crashes, all requests that it was running are suspects. A suspect runs at most once at a time at a
- * target, so that the next crash tells it from the other suspects. A response clears it. If a target crashes again
- * under a suspect, the request is quarantined: no daemon hands it to a target for a time, which grows with each crash.
- */
+ * target, so that the next crash tells it from the other suspects. A response clears it. If a second target crashes
+ * under a suspect, no daemon hands it to a target for a moment; after a third, it is quarantined for a time that grows
+ * with each further crash. */
 #ifndef CRASH_SUSPECT_FUNC_H
 #define CRASH_SUSPECT_FUNC_H
 
@@ -34,19 +34,28 @@
 request_fingerprint makeFingerprint(const request_content &content);
 
 /**
- * Records that targets crashed while they ran a request. News that is not new changes nothing.
+ * Records that targets crashed while they ran a request. What is known already changes nothing.
  * @param suspects Suspects.
  * @param suspect The request, and the crashes.
  * @param now Present time.
  */
 void recordSuspect(crash_suspects &suspects, const crash_suspect &suspect, steady_time now);
 
+/**
+ * Records what another daemon says about a request, unless a target has responded to it lately.
+ * @param suspects Suspects.
+ * @param suspect The request, and the crashes.
+ * @param now Present time.
+ */
+void recordNews(crash_suspects &suspects, const crash_suspect &suspect, steady_time now);
+
 /**
  * Clears a request: a target has responded to it.
  * @param suspects Suspects.
  * @param fingerprint The request.
+ * @param now Present time.
  */
-void clearSuspect(crash_suspects &suspects, const request_fingerprint &fingerprint);
+void clearSuspect(crash_suspects &suspects, const request_fingerprint &fingerprint, steady_time now);
 
 /**
  * Returns of how many crashes a request is suspected.
@@ -83,14 +92,15 @@
 void finishRun(target_runs &runs, std::uint64_t id);
 
 /**
- * Records that this daemon has abandoned a request.
+ * Records that a request was handed to nobody, or that the target refused it.
  * @param runs Runs of the target.
  * @param id Id of the request; may be unknown.
  */
 void abandonRun(target_runs &runs, std::uint64_t id);
 
 /**
- * Records that the connection of a request ended without a response. Whether the target crashed is not known yet.
+ * Records that the connection of a request ended without a response, also because this daemon gave up waiting. Whether
+ * the target crashes is not known yet.
  * @param runs Runs of the target.
  * @param id Id of the request; may be unknown.
  * @param now Present time.
