Fix: the end of a target was noticed only by its next report if the request that crashed it had been given up

The daemon beside the target now also looks whether the target has ended when a connection for another request could not be made. A connection kept watched after its request was given up would tell; not tried.

--- a/packages/daemon/src/local_attempt.cpp
+++ b/packages/daemon/src/local_attempt.cpp
@@ -377,6 +377,7 @@
         }
     } else {
         trace.detail = describe(why);
+        co_await checkTargetEnded(shared, address);
     }
     {
         const std::lock_guard lock(shared.admissionControl.mutex);
--- a/packages/daemon/src/suspect_run.cpp
+++ b/packages/daemon/src/suspect_run.cpp
@@ -61,4 +61,12 @@
     }
 }
 
+asio::awaitable<void> checkTargetEnded(daemon_shared &shared, endpoint target)
+{
+    const bool ended = co_await refusesConnections(target, connectTimeout);
+    if (ended) {
+        recordTargetCrash(shared.crashRegistry, clock::now());
+    }
+}
+
 } // namespace quetzalspool
--- a/packages/daemon/src/suspect_run.h
+++ b/packages/daemon/src/suspect_run.h
@@ -32,6 +32,14 @@
 asio::awaitable<void> concludeRun(daemon_shared &shared, std::shared_ptr<const routed_request> request,
                                   std::uint64_t id, endpoint target, request_outcome &outcome);
 
+/**
+ * Finds out whether the target has ended, after a connection to it could not be made. Requests that were given up
+ * before may have crashed it.
+ * @param shared Shared state.
+ * @param target Address of the target.
+ */
+asio::awaitable<void> checkTargetEnded(daemon_shared &shared, endpoint target);
+
 } // namespace quetzalspool
 
 #endif // SUSPECT_RUN_H
