Fix: crashes were never written again after an outage of the store that outlasts their lease

The lease is now reset when the store says so, and the next try opens another. No test of its own: it takes an outage of ten minutes; the case is the same as for the lease of a daemon's entry (writeEntry).

--- a/packages/daemon/src/crash_sync.cpp
+++ b/packages/daemon/src/crash_sync.cpp
@@ -39,13 +39,19 @@
         + "-" + std::to_string(number % keysPerRun);
 }
 
-/** Writes a crash under a lease. It may be written twice, if an answer of the store is lost. */
-asio::awaitable<bool> writeCrash(roster_control &control, store_lease_id lease, std::string key, target_crash crash)
+/**
+ * Writes a crash under a lease, which is reset if it has ended. It may be written twice, if an answer of the store is
+ * lost. Returns whether it is stored.
+ */
+asio::awaitable<bool> writeCrash(roster_control &control, store_lease_id &lease, std::string key, target_crash crash)
 {
     last_reason why;
     leased_txn txn{{}, {{std::move(key), formatSuspects(crash.suspects), lease}}};
     const auto result = co_await control.port.store.commit(std::move(txn), why);
     recordStoreResult(control, result.has_value(), why);
+    if (result && result->status == commit_status::lease_ended) {
+        lease = {};
+    }
     co_return result && result->status == commit_status::stored;
 }
 
