--- a/packages/daemon/src/peer_handler.cpp
+++ b/packages/daemon/src/peer_handler.cpp
@@ -131,7 +131,8 @@
         const milliseconds timeout(std::atoll(findHeader(request.headers, "qs-deadline-ms").c_str()));
         response = co_await sendRequest(thread.storePool, thread.shared->settings.store, std::move(call), timeout, why);
     }
-    sendResponseHead(*responder, response ? response->status : gatewayTimeout, {});
+    const auto headers = response ? encodeStoreHeaders(response->headers) : std::vector<http_header>();
+    sendResponseHead(*responder, response ? response->status : gatewayTimeout, headers);
     if (response && !response->body.empty()) {
         co_await sendBodyChunk(responder, std::move(response->body));
     }
@@ -147,6 +148,7 @@
         changesRequest.revisions.push_back({std::atoll(item.c_str())});
     }
     changesRequest.restoresPacked = findHeader(request.headers, "qs-packed") == "1";
+    changesRequest.knowsEras = !findHeader(request.headers, "qs-era").empty();
     const auto version = findHeader(request.headers, "qs-version");
     if (!version.empty()) {
         changesRequest.version = std::strtoull(version.c_str(), nullptr, 10);
--- a/packages/daemon/src/peer_wire.cpp
+++ b/packages/daemon/src/peer_wire.cpp
@@ -193,4 +193,14 @@
     return encoded;
 }
 
+std::vector<http_header> encodeStoreHeaders(const std::vector<http_header> &headers)
+{
+    std::vector<http_header> encoded;
+    encoded.reserve(headers.size());
+    for (const auto &[name, value] : headers) {
+        encoded.emplace_back(toLower(name), value);
+    }
+    return encoded;
+}
+
 } // namespace quetzalspool
--- a/packages/daemon/src/peer_wire.h
+++ b/packages/daemon/src/peer_wire.h
@@ -74,6 +74,13 @@
 std::vector<http_header> encodeResponseHeaders(const std::vector<http_header> &headers,
                                                std::optional<std::uint64_t> length, double loadPerSlot);
 
+/**
+ * Encodes the headers of a store's response that is passed on to another daemon.
+ * @param headers Headers of the response.
+ * @return The same headers with the names in lower case, as HTTP/2 asks.
+ */
+std::vector<http_header> encodeStoreHeaders(const std::vector<http_header> &headers);
+
 } // namespace quetzalspool
 
 #endif // PEER_WIRE_H
--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -12,6 +12,7 @@
 #include "roster_exchange.h"
 #include "roster_func.h"
 #include "roster_metrics.h"
+#include "roster_mirror.h"
 #include "roster_relay.h"
 #include "roster_sync.h"
 #include "routing_func.h"
@@ -336,6 +337,7 @@
     control.port.setRelay(makeRelay(control));
     control.port.observeCalls([&control](const store_call &call) {
         countCall(*control.shared->metricsRegistry, call);
+        applyStoreEra(control, call.era);
         if (call.result == call_result::answered && !call.waits) {
             advanceWatchWatermark(control.exchange.state, clock::now() - call.took);
         }
--- a/packages/daemon/src/roster_exchange.cpp
+++ b/packages/daemon/src/roster_exchange.cpp
@@ -28,9 +28,19 @@
 constexpr milliseconds coalescePause{50}; ///< Pause after changes, so that several arrive together.
 constexpr milliseconds noUpstreamDelay{200}; ///< Delay before the next attempt if no upstream daemon is available.
 
+/** Whether a response is of a lost era, or of a daemon that knows of no eras: its revisions can't be compared. */
+bool isOfLostEra(const roster_control &control, const changes_response &response)
+{
+    return std::any_of(response.updates.begin(), response.updates.end(),
+                       [&](const auto &update) { return eraOf(update.revision) < control.state.era; });
+}
+
 /** Applies a response. Returns whether it contained changes that were not known. */
 bool applyChangesResponse(roster_control &control, const changes_response &response, steady_time requestedAt)
 {
+    for (const auto &update : response.updates) {
+        applyStoreEra(control, eraOf(update.revision));
+    }
     bool changed = false;
     bool mirrorsMatch = true;
     for (std::size_t index = 0; index < response.updates.size(); ++index) {
@@ -61,6 +71,7 @@
             {{"qs-node", control.state.self.member.id.value},
              {"qs-seen", revisions},
              {"qs-packed", "1"},
+             {"qs-era", std::to_string(control.state.era.value)},
              {"qs-version", std::to_string(known)}},
             ""};
 }
@@ -98,6 +109,9 @@
         logEvent(log_level::warn, "changes-unread", {{"peer", toString(at)}, {"reason", describe(why)}});
         co_return poll_result::refused;
     }
+    if (isOfLostEra(control, *changes)) {
+        co_return poll_result::refused;
+    }
     control.exchange.state.upstreamVersions[at] = changes->version;
     co_return applyChangesResponse(control, *changes, requestedAt) ? poll_result::changed : poll_result::unchanged;
 }
@@ -172,7 +186,8 @@
     const auto arrivedAt = clock::now();
     auto &exchange = control.exchange.state;
     exchange.lastRequestAt = arrivedAt;
-    if (request.revisions.size() != control.mirroredPrefixes.size()) {
+    if (request.revisions.size() != control.mirroredPrefixes.size()
+        || (!request.knowsEras && control.state.era.value > 0)) {
         co_return std::nullopt;
     }
     if (!isFresh(exchange, arrivedAt)) {
--- a/packages/daemon/src/roster_mirror.cpp
+++ b/packages/daemon/src/roster_mirror.cpp
@@ -27,6 +27,7 @@
                                             ///< is not noticed.
 constexpr milliseconds rereadInterval{1000}; ///< Time limit of a watch after a read failed: the read is due again, and
                                              ///< the watch serves followers meanwhile.
+constexpr milliseconds eraReadPause{20}; ///< Before the keys are read in a new era of the store.
 constexpr int maxFailedWatches = 2; ///< After so many watches that failed in succession, all keys are read.
 constexpr milliseconds watchDeliveryTime{250}; ///< A working watch delivers a change within this time.
 
@@ -77,6 +78,9 @@
 /** Whether all changes up to a revision were received, under this mirrored prefix or another one. */
 bool hasObservedUntil(const roster_control &control, const mirrored_prefix &mirrored, revision_number revision)
 {
+    if (eraOf(mirrored.mirror.revision) != eraOf(revision)) {
+        return false;
+    }
     for (auto at = mirrored.mirror.revision.value + 1; at <= revision.value; ++at) {
         if (!control.observedRevisions.contains({at})) {
             return false;
@@ -175,6 +179,22 @@
     }
 }
 
+void applyStoreEra(roster_control &control, era_number era)
+{
+    const auto before = control.state.era;
+    if (!beginEra(control.state, era, clock::now())) {
+        return;
+    }
+    logEvent(log_level::warn, "store-era",
+             {{"era", std::to_string(era.value)}, {"before", std::to_string(before.value)}});
+    control.lease = {}; // The store may give out its number again.
+    control.observedRevisions.clear();
+    for (const auto &mirrored : control.mirroredPrefixes) {
+        recordNotWatched(control, *mirrored); // Nothing of the new era is known before it is read.
+    }
+    cancelWatches(control);
+}
+
 std::shared_ptr<mirrored_prefix> findMirrored(const roster_control &control, std::string_view prefix)
 {
     const auto found = std::find_if(control.mirroredPrefixes.begin(), control.mirroredPrefixes.end(),
@@ -184,10 +204,13 @@
 
 bool applyUpstreamUpdate(roster_control &control, mirrored_prefix &mirrored, const mirror_update &update)
 {
+    const auto eraBefore = eraOf(mirrored.mirror.revision);
     const auto applied = applyUpdate(mirrored.mirror, update);
     dispatchChanges(control, mirrored, applied);
     const bool restored = mirrored.mirror.revision >= update.revision; // Otherwise nothing of the update was applied.
-    if (update.snapshot && restored && mirrored.onListed) {
+    // All keys that exist in a new era are newer than those of the era before.
+    const bool complete = update.snapshot || eraOf(update.revision) > eraBefore;
+    if (complete && restored && mirrored.onListed) {
         mirrored.onListed();
     }
     return !applied.empty();
@@ -225,6 +248,11 @@
         }
         readDue = readDue && !isDeliveredByUpstream(control, mirror);
         co_await waitWhileUpstreamCurrent(control, mirrored);
+        if (eraOf(mirror.revision) < control.state.era) {
+            readDue = true;
+            co_await sleepFor(eraReadPause);
+            continue;
+        }
         const auto wait = readDue ? rereadInterval : watchTimeout;
         auto watchStartedAt = clock::now();
         auto result = co_await watchMirroredPrefix(control, mirrored, wait, why);
--- a/packages/daemon/src/roster_mirror.h
+++ b/packages/daemon/src/roster_mirror.h
@@ -6,6 +6,13 @@
 
 namespace quetzalspool {
 
+/**
+ * Records the era of the store. In a new one, the own entry and its lease are gone, and watches start again.
+ * @param control Control state.
+ * @param era Era that the store or another daemon named.
+ */
+void applyStoreEra(roster_control &control, era_number era);
+
 /**
  * Records whether a call to the store got a response, and logs when the store becomes unreachable or reachable. When it
  * is reachable again, all watches are restarted.
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -115,7 +115,10 @@
         return;
     }
     if (control.tables && rows->version <= control.tables->rows.version) {
-        logEvent(log_level::error, "tables-older", {{"version", std::to_string(rows->version)}});
+        // A store that came back from an older copy has an older version until its writer writes the newest again.
+        const bool again = rows->version == control.tables->rows.version;
+        logEvent(again ? log_level::info : log_level::error, again ? "tables-again" : "tables-older",
+                 {{"version", std::to_string(rows->version)}});
         return;
     }
     control.tablesRevision = value.revision;
@@ -158,6 +161,7 @@
         control.lease = *opened;
     }
     const auto sentAt = clock::now();
+    const auto era = control.state.era;
     leased_txn txn{{{markerKey(id), action.marker}},
                    {{entryKey(id), formatNode(action.entry), control.lease},
                     {markerKey(id), std::to_string(action.entry.member.incarnation.value), {}}}};
@@ -167,7 +171,7 @@
     const auto result = co_await control.port.store.commit(std::move(txn), why);
     const auto now = clock::now();
     recordStoreResult(control, result.has_value(), why);
-    if (!result) {
+    if (!result || control.state.era != era) {
         completeEntryWrite(control.state, action.entry, roster_outcome::unclear, {}, sentAt, now);
         co_return;
     }
@@ -206,9 +210,10 @@
 asio::awaitable<void> renewStoreLease(roster_control &control)
 {
     last_reason why;
+    const auto era = control.state.era;
     const auto status = co_await control.port.store.renewLease(control.lease, why);
     recordStoreResult(control, status != renewal_status::unanswered, why);
-    if (status == renewal_status::ended) {
+    if (status == renewal_status::ended && control.state.era == era) {
         logEvent(log_level::warn, "store-lease-ended", {{"lease", std::to_string(control.lease.value)}});
         control.lease = {};
         expireEntry(control.state, clock::now());
@@ -219,6 +224,7 @@
 {
     last_reason why;
     const auto &self = control.state.self.member.id;
+    const auto era = control.state.era;
     leased_txn txn{{{ownersKey(action.record.pool), action.expected}, {markerKey(self), action.marker}},
                    {{ownersKey(action.record.pool), formatOwnership(action.record), {}}}};
     for (const auto &absent : action.absent) {
@@ -228,7 +234,7 @@
     const auto result = co_await control.port.store.commit(std::move(txn), why);
     const auto now = clock::now();
     recordStoreResult(control, result.has_value(), why);
-    if (!result) {
+    if (!result || control.state.era != era) {
         completeOwnersWrite(control.state, action.record, roster_outcome::unclear, {}, now);
         co_return;
     }
@@ -250,10 +256,11 @@
 {
     last_reason why;
     const auto sentAt = clock::now();
+    const auto era = control.state.era;
     const auto result = co_await control.port.store.read(entryKey(control.state.self.member.id), why);
     const auto now = clock::now();
     recordStoreResult(control, result.has_value(), why);
-    if (!result) {
+    if (!result || control.state.era != era) {
         failEntryRead(control.state, now);
         co_return;
     }
@@ -273,10 +280,11 @@
 {
     last_reason why;
     const auto sentAt = clock::now();
+    const auto era = control.state.era;
     const auto all = co_await control.port.store.list(std::string(entryPrefix), why);
     const auto now = clock::now();
     recordStoreResult(control, all.has_value(), why);
-    if (!all) {
+    if (!all || control.state.era != era) {
         failEntryRead(control.state, now);
         co_return;
     }
--- a/packages/decisions/src/mirror_type.h
+++ b/packages/decisions/src/mirror_type.h
@@ -80,6 +80,7 @@
     bool restoresPacked = false; ///< Whether the requesting daemon restores packed values.
     std::optional<std::uint64_t> version; ///< Version in the last response of this daemon; 0 if there was none, nothing
                                           ///< if the requesting daemon does not name it.
+    bool knowsEras = false; ///< Whether the requesting daemon orders revisions by the era of the store.
 };
 
 /** Response to a request for changes. Times are offsets from the arrival of the request, negative if before it. */
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -3,6 +3,7 @@
 #define ROSTER_BASE_H
 
 #include "roster_type.h"
+#include "store_era.h"
 
 #include <set>
 
@@ -96,6 +97,7 @@
                                                          ///< transfers to other owners; they are not granted.
     std::set<pool_id> unclearWrites; ///< Pools with an unanswered write conditional on the current revision.
     std::map<pool_id, pool_load> loads; ///< Observed loads by pool.
+    era_number era; ///< Era of the store.
     bool stopping = false; ///< Whether this daemon is shutting down.
     bool ownersWritePending = false; ///< Whether a write of owners is pending.
     steady_time nextOwnersWrite{}; ///< Earliest time of the next write of owners, after a conflict or failure.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -29,6 +29,14 @@
            });
 }
 
+/** Revision of the own marker; 0 if none is known in the era of the store. */
+revision_number ownMarker(const roster_state &state)
+{
+    const auto own = state.nodes.find(state.self.member.id);
+    const bool known = own != state.nodes.end() && eraOf(own->second.marker) == state.era;
+    return known ? own->second.marker : revision_number{};
+}
+
 /** When all grants of a previous run of this daemon must have ended. */
 steady_time previousRunGrantsEnd(const roster_state &state)
 {
@@ -137,6 +145,23 @@
     return state;
 }
 
+bool beginEra(roster_state &state, era_number era, steady_time now)
+{
+    if (era <= state.era) {
+        return false;
+    }
+    state.era = era;
+    for (auto &[id, seen] : state.nodes) {
+        const bool knownAbsent = !seen.present && seen.absentSince != steady_time{};
+        seen.absentSince = knownAbsent ? now : seen.absentSince;
+        seen.unreadableRevision = {};
+    }
+    expireEntry(state, now);
+    state.lease.nextEntryWrite = now;
+    state.dirty = true;
+    return true;
+}
+
 roster_actions tick(roster_state &state, steady_time now)
 {
     roster_actions actions;
@@ -146,8 +171,7 @@
         return actions;
     }
     if (!lease.entryCallPending) {
-        const auto own = state.nodes.find(state.self.member.id);
-        const auto marker = own == state.nodes.end() ? revision_number{} : own->second.marker;
+        const auto marker = ownMarker(state);
         if ((!lease.entryPresent || lease.writtenEntry != state.self) && now >= lease.nextEntryWrite) {
             lease.entryCallPending = true;
             actions.push_back(write_entry_action{state.self, marker, lease.entryPresent});
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -27,6 +27,16 @@
  */
 roster_actions tick(roster_state &state, steady_time now);
 
+/**
+ * Records the era of the store. A store in a new era has come back from an older copy: the own entry must be written
+ * again, and other nodes that are absent may have been present in what the store lost.
+ * @param state Roster.
+ * @param era Era that was named.
+ * @param now Current time.
+ * @return Whether the era is newer than the known one.
+ */
+bool beginEra(roster_state &state, era_number era, steady_time now);
+
 /**
  * Applies the current entry of a node.
  * @param state Roster.
--- a/packages/store/src/lease_store.h
+++ b/packages/store/src/lease_store.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "http_type.h"
+#include "store_era.h"
 #include "store_type.h"
 
 #include <functional>
@@ -35,6 +36,7 @@
     bool relayed = false; ///< Whether another daemon made the call on behalf of this one.
     bool waits = false; ///< Whether it waits for changes, so that its response does not date the last contact.
     milliseconds took{0}; ///< Duration.
+    era_number era; ///< Highest era that the store has named so far.
 };
 
 /** A write that may be attached to a lease. */
