--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -3,7 +3,6 @@
 #define ROSTER_BASE_H
 
 #include "roster_type.h"
-#include "store_era.h"
 
 #include <set>
 
@@ -78,6 +77,14 @@
     double weight = 0; ///< Sum of the weights of the observations so far, up to 1; the loads are divided by it.
 };
 
+/** What a daemon knows of a pool's owners in an era that the store has lost. */
+struct lost_ownership
+{
+    ownership_record record; ///< Last known owners.
+    std::vector<slot_range> entitled; ///< Ranges that the local target was entitled to hold, and has been since.
+    std::vector<slot_range> unwritten; ///< Ranges of which the store has older owners.
+};
+
 /** One daemon's view of the nodes and owners. */
 struct roster_state
 {
@@ -98,6 +105,9 @@
     std::set<pool_id> unclearWrites; ///< Pools with an unanswered write conditional on the current revision.
     std::map<pool_id, pool_load> loads; ///< Observed loads by pool.
     era_number era; ///< Era of the store.
+    bool lostEra = false; ///< Whether the store came back from an older copy in the time of this process.
+    steady_time lostGrantsEnd{}; ///< When every grant of earlier eras has ended.
+    std::map<pool_id, lost_ownership> lostOwners; ///< Owners in a lost era, until those in the store are confirmed.
     bool stopping = false; ///< Whether this daemon is shutting down.
     bool ownersWritePending = false; ///< Whether a write of owners is pending.
     steady_time nextOwnersWrite{}; ///< Earliest time of the next write of owners, after a conflict or failure.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -1,4 +1,5 @@
 /** @file roster_cmd.cpp Event handlers of the roster: the own lease, other nodes, ownership and target reports. */
+#include "roster_era_func.h"
 #include "roster_func.h"
 
 #include <algorithm>
@@ -29,14 +30,6 @@
            });
 }
 
-/** Revision of the own marker; 0 if none is known in the era of the store. */
-revision_number ownMarker(const roster_state &state)
-{
-    const auto own = state.nodes.find(state.self.member.id);
-    const bool known = own != state.nodes.end() && eraOf(own->second.marker) == state.era;
-    return known ? own->second.marker : revision_number{};
-}
-
 /** When all grants of a previous run of this daemon must have ended. */
 steady_time previousRunGrantsEnd(const roster_state &state)
 {
@@ -145,27 +138,11 @@
     return state;
 }
 
-bool beginEra(roster_state &state, era_number era, steady_time now)
-{
-    if (era <= state.era) {
-        return false;
-    }
-    state.era = era;
-    for (auto &[id, seen] : state.nodes) {
-        const bool knownAbsent = !seen.present && seen.absentSince != steady_time{};
-        seen.absentSince = knownAbsent ? now : seen.absentSince;
-        seen.unreadableRevision = {};
-    }
-    expireEntry(state, now);
-    state.lease.nextEntryWrite = now;
-    state.dirty = true;
-    return true;
-}
-
 roster_actions tick(roster_state &state, steady_time now)
 {
     roster_actions actions;
     dropAbsentNodes(state, now);
+    expireEntitlements(state, now);
     auto &lease = state.lease;
     if (!state.listed) {
         return actions;
@@ -269,15 +246,25 @@
     if (stored.revision <= known.revision) {
         return;
     }
+    const bool sameEra = known.revision == revision_number{} || eraOf(known.revision) == eraOf(stored.revision);
     known = stored;
     const auto unreadable = state.unreadableOwners.find(stored.record.pool);
     if (unreadable != state.unreadableOwners.end() && unreadable->second < stored.revision) {
         state.unreadableOwners.erase(unreadable);
         state.lease.unreadOwners.erase(stored.record.pool);
     }
-    // Writes are conditional on the previous revision, so a pending one can no longer take effect.
-    state.withheld.erase(stored.record.pool);
-    state.unclearWrites.erase(stored.record.pool);
+    const auto lost = state.lostOwners.find(stored.record.pool);
+    if (lost != state.lostOwners.end() && isConfirmed(state, known)) {
+        state.lostOwners.erase(lost);
+    } else if (lost != state.lostOwners.end()) {
+        restoreLostOwners(known.record, lost->second);
+    }
+    if (sameEra) {
+        // Writes are conditional on the previous revision, so a pending one can no longer take effect. In a new era the
+        // store may have that revision again.
+        state.withheld.erase(stored.record.pool);
+        state.unclearWrites.erase(stored.record.pool);
+    }
     state.dirty = true;
 }
 
@@ -306,6 +293,7 @@
         lease.nextEntryWrite = now + state.timing.retryInterval;
         return;
     }
+    expireEntitlements(state, now);
     lease.entryPresentSince = lease.entryPresent ? lease.entryPresentSince : now;
     lease.entryPresent = true;
     lease.writtenEntry = entry;
@@ -325,6 +313,7 @@
         expireEntry(state, now);
         return;
     }
+    expireEntitlements(state, now);
     lease.entryPresentSince = lease.entryPresent ? lease.entryPresentSince : now;
     lease.entryPresent = true;
     lease.writtenEntry = *found;
@@ -408,7 +397,7 @@
         }
         for (const auto &range : stored.record.ranges) {
             if (range.owner == state.self.member.id && range.incarnation == target.incarnation
-                && range.nextOwner.value.empty() && !isWithheld(state, pool, range)) {
+                && range.nextOwner.value.empty() && !isWithheld(state, pool, range) && isEntitled(state, pool, range)) {
                 served.emplace_back(pool, range);
             }
         }
@@ -448,7 +437,7 @@
     const auto &timing = state.timing;
     const auto remaining = std::chrono::duration_cast<milliseconds>(state.lease.validUntil - now);
     const auto duration = std::min(timing.holdPeriod, remaining * 100 / (100 + timing.driftPercent));
-    if (!mayGrant(state, now) || duration < minGrantDuration) {
+    if (!mayGrant(state, now) || duration < minGrantDuration || mustWaitForOwners(state)) {
         return std::nullopt;
     }
     target_grant grant;
--- a/packages/decisions/src/roster_codec.cpp
+++ b/packages/decisions/src/roster_codec.cpp
@@ -129,7 +129,11 @@
         rows.push_back(std::move(row));
     }
     // "runs" holds the slot ranges; stored records fix the name.
-    return json{{"pool", record.pool.value}, {"owners", std::move(owners)}, {"runs", std::move(rows)}}.dump();
+    json value{{"pool", record.pool.value}, {"owners", std::move(owners)}, {"runs", std::move(rows)}};
+    if (record.era.value > 0) {
+        value["era"] = record.era.value;
+    }
+    return value.dump();
 }
 
 std::optional<ownership_record> parseOwnership(std::string_view text, last_reason &why)
@@ -138,6 +142,7 @@
         const auto value = parseJson(text);
         ownership_record record;
         record.pool.value = value.at("pool").get<std::string>();
+        record.era.value = readNumberOr<std::int64_t>(value, "era", 0);
         std::uint32_t first = 0;
         for (const auto &row : readList(value, "runs")) {
             record.ranges.push_back(value.contains("owners") ? readRange(row, readList(value, "owners"), first)
--- a/packages/decisions/src/roster_plan.cpp
+++ b/packages/decisions/src/roster_plan.cpp
@@ -1,4 +1,5 @@
 /** @file roster_plan.cpp Plans the next owners of a pool. Each step checks its conditions, then changes a draft. */
+#include "roster_era_func.h"
 #include "roster_func.h"
 #include "roster_load_func.h"
 
@@ -98,7 +99,7 @@
     const auto &target = state.target;
     const auto &pool = draft.record.pool;
     for (auto &range : draft.record.ranges) {
-        if (range.owner != state.self.member.id) {
+        if (range.owner != state.self.member.id || !isEntitled(state, pool, range)) {
             continue;
         }
         const bool otherIncarnation = !target.incarnation.id.empty() && range.incarnation != target.incarnation;
@@ -131,7 +132,7 @@
         }
         const auto seen = state.nodes.find(range.owner);
         if (seen == state.nodes.end() || seen->second.present || seen->second.absentSince == steady_time{}
-            || now - seen->second.absentSince < grantsOverAfter) {
+            || now - seen->second.absentSince < grantsOverAfter || eraOf(seen->second.marker) != state.era) {
             continue;
         }
         const absent_node absent{range.owner, seen->second.marker};
@@ -188,6 +189,41 @@
     return now - state.nodesChanged >= state.timing.settleTime;
 }
 
+/** Fencing token of the assignments in the next write; higher than all of lost eras. */
+fence_number nextFence(const roster_state &state, const stored_ownership &stored)
+{
+    const auto base = std::max(stored.revision, revisionInEra(state.era, 0));
+    return {static_cast<std::uint64_t>(base.value) + 1};
+}
+
+/** Whether the known owners assign any range to this daemon that it is not entitled to, or that the store has not. */
+bool lacksOwnRanges(const roster_state &state, const ownership_record &record)
+{
+    return std::any_of(record.ranges.begin(), record.ranges.end(), [&](const auto &range) {
+        return range.owner == state.self.member.id && !isEntitled(state, record.pool, range);
+    });
+}
+
+/**
+ * Plans the owners of a pool that are not confirmed in the era of the store. Until the grants of the lost era have
+ * ended, they change only where this daemon hands over its own ranges, and by what it knows of the lost era.
+ */
+void planUnconfirmed(const roster_state &state, ownership_draft &draft,
+                     const std::vector<const roster_node *> &candidates, steady_time now)
+{
+    const auto &pool = draft.record.pool;
+    const auto lost = state.lostOwners.find(pool);
+    const bool isBehind = requiredRevision(state, state.records.at(pool)) == revision_number{}
+        || (lost != state.lostOwners.end() && !lost->second.unwritten.empty());
+    const bool isConcerned = isPlanner(state) || lacksOwnRanges(state, draft.record);
+    planOwnRanges(state, draft, candidates, now);
+    if (now >= state.lostGrantsEnd && isConcerned) {
+        draft.record.era = state.era;
+        draft.changed = true;
+    }
+    draft.changed = draft.changed || (isBehind && isConcerned);
+}
+
 } // namespace
 
 void mergeRanges(ownership_record &record)
@@ -250,23 +286,21 @@
     return changed;
 }
 
-std::optional<write_owners_action> planOwnership(roster_state &state, const pool_id &pool, steady_time now)
+namespace {
+
+/** Plans the owners of a pool that are confirmed, or the first ones. Returns false if these can't be chosen yet. */
+bool planConfirmed(roster_state &state, ownership_draft &draft, const std::vector<const roster_node *> &candidates,
+                   steady_time now)
 {
-    if (state.unreadableOwners.contains(pool)) {
-        return std::nullopt;
-    }
-    const auto &stored = state.records[pool];
-    const auto candidates = eligibleNodes(state, pool);
     const bool isPlanning = isPlanner(state);
-    ownership_draft draft{stored.record, {static_cast<std::uint64_t>(stored.revision.value) + 1}, {}, {}, false};
-    draft.record.pool = pool;
+    draft.record.era = state.era;
     if (draft.record.ranges.empty()) {
         if (!isPlanning || candidates.empty() || !isSettled(state, now)) {
-            return std::nullopt;
+            return false;
         }
         draft.record.ranges.push_back({0, numericSlots - 1, {}, {}, {}, "", {}});
     }
-    const auto observedLoad = state.loads.find(pool);
+    const auto observedLoad = state.loads.find(draft.record.pool);
     const auto *load = observedLoad == state.loads.end() ? nullptr : &observedLoad->second;
     planOwnRanges(state, draft, candidates, now);
     if (isPlanning) {
@@ -281,6 +315,29 @@
         state.nextBalance = now + balanceInterval;
         draft.changed = planRebalance(draft.record, candidates, load);
     }
+    return true;
+}
+
+} // namespace
+
+std::optional<write_owners_action> planOwnership(roster_state &state, const pool_id &pool, steady_time now)
+{
+    if (state.unreadableOwners.contains(pool)) {
+        return std::nullopt;
+    }
+    const auto &stored = state.records[pool];
+    const auto candidates = eligibleNodes(state, pool);
+    const bool isFirst = stored.record.ranges.empty();
+    if (isFirst && state.lostEra && now < state.lostGrantsEnd) {
+        return std::nullopt; // Owners of a lost era may hold keys.
+    }
+    ownership_draft draft{stored.record, nextFence(state, stored), {}, {}, false};
+    draft.record.pool = pool;
+    if (!isFirst && !isConfirmed(state, stored)) {
+        planUnconfirmed(state, draft, candidates, now);
+    } else if (!planConfirmed(state, draft, candidates, now)) {
+        return std::nullopt;
+    }
     // If an earlier write got no answer, write again even without changes: only one write on the condition of this
     // revision can succeed, so its result settles the earlier one too.
     if (!draft.changed && !state.unclearWrites.contains(pool)) {
@@ -288,9 +345,7 @@
     }
     mergeRanges(draft.record);
     withhold(state.withheld[pool], draft.transferred);
-    const auto own = state.nodes.find(state.self.member.id);
-    return write_owners_action{std::move(draft.record), stored.revision,
-                               own == state.nodes.end() ? revision_number{} : own->second.marker,
+    return write_owners_action{std::move(draft.record), requiredRevision(state, stored), ownMarker(state),
                                std::move(draft.absent)};
 }
 
--- a/packages/decisions/src/roster_type.h
+++ b/packages/decisions/src/roster_type.h
@@ -4,6 +4,7 @@
 #define ROSTER_TYPE_H
 
 #include "record_base.h"
+#include "store_era.h"
 
 #include <variant>
 
@@ -84,6 +85,7 @@
 {
     pool_id pool; ///< Pool.
     std::vector<slot_range> ranges; ///< Ranges in the order of their slots; together they cover the pool.
+    era_number era; ///< Era of the store in which the owners were last confirmed; 0 if it names none.
 
     bool operator==(const ownership_record &) const = default;
 };
--- /dev/null
+++ b/packages/decisions/tests/roster_era_test.cpp
@@ -0,0 +1,138 @@
+/** @file roster_era_test.cpp Ownership of keys when the store comes back from an older copy. */
+#include "roster_simulation_internal.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalspool::test {
+
+namespace {
+
+constexpr std::size_t daemonCount = 4; ///< Daemons of a simulation.
+constexpr std::size_t formerOwner = 0; ///< Daemon whose target hands over its keys.
+
+roster_simulation makeServingSimulation(std::uint64_t seed)
+{
+    auto simulation = makeRosterSimulation(seed, daemonCount);
+    runFor(simulation, seconds(20));
+    EXPECT_EQ(servedSlotCount(simulation), numericSlots);
+    return simulation;
+}
+
+/** Whether any range of the stored owners belongs to a daemon. */
+bool storeNames(const roster_simulation &simulation, std::size_t owner)
+{
+    last_reason why;
+    const auto record = parseOwnership(simulation.store.values.at("owners/p").text, why);
+    const instance_id id{"n" + std::to_string(owner)};
+    return std::any_of(record->ranges.begin(), record->ranges.end(),
+                       [&](const auto &range) { return range.owner == id; });
+}
+
+/**
+ * Moves all keys of a target to others, starts another target in its place, and lets the store come back from a copy of
+ * before. Returns false if the keys did not move in time.
+ */
+bool forgetMove(roster_simulation &simulation)
+{
+    const auto before = simulation.now;
+    simulation.nodes[formerOwner].target.leaving = true;
+    for (int step = 0; step < 600 && storeNames(simulation, formerOwner); ++step) {
+        runFor(simulation, milliseconds(10));
+    }
+    const bool moved = !storeNames(simulation, formerOwner);
+    runFor(simulation, seconds(1));
+    restartTarget(simulation, formerOwner);
+    simulation.storeDownUntil = simulation.now + milliseconds(500);
+    rewindStore(simulation, std::chrono::duration_cast<milliseconds>(simulation.now - before));
+    return moved && storeNames(simulation, formerOwner);
+}
+
+} // namespace
+
+// The store forgot a move of keys, and all daemons start again: the former owner held the keys beside the new one.
+TEST(rosterEra, aForgottenMoveAndARollingRestartGiveNoSlotTwoOwners)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto simulation = makeServingSimulation(seed);
+        ASSERT_TRUE(forgetMove(simulation)) << seed;
+        runFor(simulation, seconds(4));
+        for (std::size_t index = 0; index < daemonCount; ++index) {
+            restartDaemon(simulation, index);
+            runFor(simulation, seconds(3));
+        }
+        runFor(simulation, seconds(10));
+        EXPECT_EQ(simulation.violation, "") << seed;
+        EXPECT_EQ(servedSlotCount(simulation), numericSlots) << seed;
+    }
+}
+
+// The same when all daemons end at once, so that nobody knows of the move any more.
+TEST(rosterEra, aForgottenMoveAndALossOfAllDaemonsGiveNoSlotTwoOwners)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto simulation = makeServingSimulation(seed);
+        ASSERT_TRUE(forgetMove(simulation)) << seed;
+        for (std::size_t index = 0; index < daemonCount; ++index) {
+            restartDaemon(simulation, index);
+        }
+        runFor(simulation, seconds(20));
+        EXPECT_EQ(simulation.violation, "") << seed;
+        EXPECT_EQ(servedSlotCount(simulation), numericSlots) << seed;
+    }
+}
+
+TEST(rosterEra, livingOwnersServeAllKeysWhileTheStoreComesBack)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        auto simulation = makeServingSimulation(seed);
+        simulation.storeDownUntil = simulation.now + milliseconds(500);
+        rewindStore(simulation, seconds(6));
+        for (int step = 0; step < 150; ++step) {
+            runFor(simulation, milliseconds(100));
+            ASSERT_EQ(servedSlotCount(simulation), numericSlots) << "seed " << seed << ", step " << step;
+        }
+        EXPECT_EQ(simulation.violation, "") << seed;
+    }
+}
+
+TEST(rosterEra, aForgottenMoveIsWrittenAgain)
+{
+    auto simulation = makeServingSimulation(1);
+    ASSERT_TRUE(forgetMove(simulation));
+    runFor(simulation, seconds(2));
+    EXPECT_FALSE(storeNames(simulation, formerOwner));
+    EXPECT_EQ(servedSlotCount(simulation), numericSlots) << "the new owners go on";
+    last_reason why;
+    const auto storedEra = [&] { return parseOwnership(simulation.store.values.at("owners/p").text, why)->era; };
+    EXPECT_EQ(storedEra(), era_number{}) << "the grants of the lost era may not have ended";
+    runFor(simulation, seconds(8));
+    EXPECT_EQ(storedEra(), era_number{1});
+}
+
+TEST(rosterEra, allEntriesAreBackSoonAfterTheStoreCameBack)
+{
+    auto simulation = makeRosterSimulation(3, 10);
+    runFor(simulation, seconds(20));
+    simulation.storeDownUntil = simulation.now + milliseconds(500);
+    rewindStore(simulation, seconds(3));
+    runFor(simulation, milliseconds(2500));
+    for (const auto &node : simulation.nodes) {
+        EXPECT_TRUE(node.roster.lease.entryPresent) << node.roster.self.member.id;
+    }
+}
+
+// A fencing token of the new era is higher than all of the lost one, also where the copy has forgotten the highest.
+TEST(rosterEra, fencingTokensNeverGoDown)
+{
+    auto simulation = makeServingSimulation(5);
+    for (int round = 0; round < 4; ++round) {
+        restartTarget(simulation, static_cast<std::size_t>(round) % daemonCount);
+        runFor(simulation, seconds(2));
+        rewindStore(simulation, seconds(3));
+        runFor(simulation, seconds(9));
+    }
+    EXPECT_EQ(simulation.violation, "") << "the simulation checks each grant against the highest token of its slot";
+    EXPECT_EQ(servedSlotCount(simulation), numericSlots);
+}
+
+} // namespace quetzalspool::test
--- a/packages/decisions/tests/roster_simulation.cpp
+++ b/packages/decisions/tests/roster_simulation.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds releaseReportDelay{80}; ///< Delay of the report after a release of slots.
 constexpr milliseconds oneWayDelay{3}; ///< Network delay to or from the store.
 constexpr milliseconds callTimeout{900}; ///< After this time a call counts as unanswered.
+constexpr milliseconds copyInterval{200}; ///< Between two copies of the store.
+constexpr milliseconds copyRetention{15000}; ///< How long a copy is kept.
 const pool_id pool{"p"};
 
 void put(roster_simulation &simulation, const std::string &key, const std::string &text, std::int64_t lease)
@@ -35,18 +37,42 @@
     }
 }
 
+/** Copies the store, if a copy is due. */
+void copyStore(roster_simulation &simulation)
+{
+    auto &copies = simulation.copies;
+    if (!copies.empty() && simulation.now - copies.back().at < copyInterval) {
+        return;
+    }
+    copies.push_back({simulation.now, simulation.store});
+    std::erase_if(copies, [&](const auto &copy) { return simulation.now - copy.at > copyRetention; });
+}
+
 std::int64_t revisionOf(const roster_simulation &simulation, const std::string &key)
 {
     const auto found = simulation.store.values.find(key);
     return found == simulation.store.values.end() ? 0 : found->second.revision;
 }
 
+/** Whether a condition of a write holds; the store compares its own revisions. */
+bool holds(const roster_simulation &simulation, const std::string &key, revision_number required)
+{
+    return revisionOf(simulation, key) == storeRevisionOf(required);
+}
+
+/** Whether a daemon knows that a condition can't hold, since its revision is of a lost era. */
+bool isOfLostEra(const fake_node &node, revision_number required)
+{
+    return required != revision_number{} && eraOf(required) < node.roster.era;
+}
+
 /** Simulates a store call: request, processing and response. The request may be late, and both may be lost. */
 void callStore(roster_simulation &simulation, std::size_t index, std::function<std::function<void()>()> act,
                std::function<void()> unanswered)
 {
     const auto daemonRun = simulation.nodes[index].run;
     const auto done = std::make_shared<bool>(false);
+    const auto sentIn = simulation.nodes[index].roster.era;
     const auto current = [&simulation, index, daemonRun, done] {
         return simulation.nodes[index].run == daemonRun && simulation.nodes[index].up && !*done;
     };
@@ -58,7 +84,7 @@
     });
     const bool late = chance(simulation, simulation.lateWriteRate);
     after(simulation, late ? milliseconds(1000 + simulation.random() % 5000) : oneWayDelay,
-          [&simulation, index, act, current, done] {
+          [&simulation, index, act, unanswered, current, done, sentIn] {
               if (!reachesStore(simulation, simulation.nodes[index])) {
                   return;
               }
@@ -66,10 +92,18 @@
               if (chance(simulation, simulation.responseLossRate)) {
                   return;
               }
-              after(simulation, oneWayDelay, [&simulation, index, answer, current, done] {
-                  if (current() && simulation.now >= simulation.nodes[index].storeUnreachableUntil) {
-                      *done = true;
+              const auto era = simulation.store.era;
+              after(simulation, oneWayDelay, [&simulation, index, answer, unanswered, current, done, era, sentIn] {
+                  auto &node = simulation.nodes[index];
+                  if (!current() || simulation.now < node.storeUnreachableUntil || era < node.roster.era) {
+                      return;
+                  }
+                  *done = true;
+                  observeEra(simulation, node, era);
+                  if (era == sentIn) {
                       answer();
+                  } else {
+                      unanswered();
                   }
               });
           });
@@ -87,12 +121,12 @@
         auto &store = simulation.store;
         const auto marker = keyOf("markers", id);
         const auto entry = keyOf("nodes", id);
-        const bool conditionsHold = revisionOf(simulation, marker) == action.marker.value
-            && (!action.present || revisionOf(simulation, entry) == action.marker.value);
+        const bool conditionsHold =
+            holds(simulation, marker, action.marker) && (!action.present || holds(simulation, entry, action.marker));
         if (!conditionsHold) {
-            const auto known = revisionOf(simulation, marker);
+            const auto known = position(simulation, revisionOf(simulation, marker));
             return [&simulation, index, action, sentAt, known, id] {
-                applyMarker(simulation.nodes[index].roster, {id}, {known});
+                applyMarker(simulation.nodes[index].roster, {id}, known);
                 completeEntryWrite(simulation.nodes[index].roster, action.entry, roster_outcome::conflicted, {}, sentAt,
                                    simulation.now);
             };
@@ -104,9 +138,9 @@
         ++store.revision;
         put(simulation, marker, "run", 0);
         put(simulation, entry, formatNode(action.entry), at.lease);
-        const auto revision = store.revision;
+        const auto revision = position(simulation, store.revision);
         return [&simulation, index, action, sentAt, revision] {
-            completeEntryWrite(simulation.nodes[index].roster, action.entry, roster_outcome::stored, {revision}, sentAt,
+            completeEntryWrite(simulation.nodes[index].roster, action.entry, roster_outcome::stored, revision, sentAt,
                                simulation.now);
         };
     };
@@ -120,12 +154,10 @@
 {
     const auto sentAt = simulation.now;
     const auto act = [&simulation, index, sentAt]() -> std::function<void()> {
-        const auto values = simulation.store.values;
-        return [&simulation, index, sentAt, values] {
-            for (const auto &[key, value] : values) {
-                if (key.starts_with("owners/")) {
-                    deliverValue(simulation, simulation.nodes[index], key, value);
-                }
+        const auto owners = changesOf(simulation, "owners/");
+        return [&simulation, index, sentAt, owners] {
+            for (const auto &change : owners) {
+                deliverValue(simulation, simulation.nodes[index], change.key, change.value);
             }
             completeOwnersRead(simulation.nodes[index].roster, true, sentAt, simulation.now);
         };
@@ -142,8 +174,8 @@
     const bool all = simulation.peerExchange && servesFollowers(asking.exchange, asking.roster, simulation.now);
     const auto act = [&simulation, index, sentAt, all]() -> std::function<void()> {
         ++simulation.storeReads;
-        const auto entries = changesOf(simulation.store.values, "nodes/");
-        const revision_number storeRevision{simulation.store.revision};
+        const auto entries = changesOf(simulation, "nodes/");
+        const auto storeRevision = position(simulation, simulation.store.revision);
         const auto key = keyOf("nodes", simulation.nodes[index].roster.self.member.id.value);
         const auto found = simulation.store.values.find(key);
         std::optional<roster_node> entry;
@@ -151,10 +183,10 @@
         if (found != simulation.store.values.end()) {
             entry = parseNode(found->second.text, why);
         }
-        const auto revision = revisionOf(simulation, key);
+        const auto revision = position(simulation, revisionOf(simulation, key));
         return [&simulation, index, entry, revision, sentAt, all, entries, storeRevision] {
             auto &node = simulation.nodes[index];
-            completeEntryRead(node.roster, entry, {revision}, sentAt, simulation.now);
+            completeEntryRead(node.roster, entry, revision, sentAt, simulation.now);
             advanceWatchWatermark(node.exchange, sentAt);
             if (all) {
                 deliverChanges(simulation, node, applyListing(node.mirror, "nodes/", entries, storeRevision));
@@ -181,14 +213,19 @@
 
 void writeOwners(roster_simulation &simulation, std::size_t index, const write_owners_action &action)
 {
-    const auto id = simulation.nodes[index].roster.self.member.id.value;
+    auto &node = simulation.nodes[index];
+    const auto id = node.roster.self.member.id.value;
+    if (isOfLostEra(node, action.expected) || isOfLostEra(node, action.marker)) {
+        completeOwnersWrite(node.roster, action.record, roster_outcome::conflicted, {}, simulation.now);
+        return;
+    }
     const auto act = [&simulation, index, action, id]() -> std::function<void()> {
         const auto key = keyOf("owners", pool.value);
-        bool conditionsHold = revisionOf(simulation, key) == action.expected.value
-            && revisionOf(simulation, keyOf("markers", id)) == action.marker.value;
+        bool conditionsHold =
+            holds(simulation, key, action.expected) && holds(simulation, keyOf("markers", id), action.marker);
         for (const auto &absent : action.absent) {
             conditionsHold = conditionsHold && revisionOf(simulation, keyOf("nodes", absent.node.value)) == 0
-                && revisionOf(simulation, keyOf("markers", absent.node.value)) == absent.marker.value;
+                && holds(simulation, keyOf("markers", absent.node.value), absent.marker);
         }
         if (!conditionsHold) {
             return [&simulation, index, action] {
@@ -198,9 +235,9 @@
         }
         ++simulation.store.revision;
         put(simulation, key, formatOwnership(action.record), 0);
-        const auto revision = simulation.store.revision;
+        const auto revision = position(simulation, simulation.store.revision);
         return [&simulation, index, action, revision] {
-            completeOwnersWrite(simulation.nodes[index].roster, action.record, roster_outcome::stored, {revision},
+            completeOwnersWrite(simulation.nodes[index].roster, action.record, roster_outcome::stored, revision,
                                 simulation.now);
         };
     };
@@ -342,7 +379,7 @@
     self.member.endpoints = {"127.0.0.1", 0, static_cast<std::uint16_t>(index + 1), 0};
     ++node.run;
     node.up = true;
-    node.watchedRevision = 0;
+    node.watchedRevision = {};
     node.lease = 0;
     node.mirror = {};
     node.exchange = {};
@@ -367,6 +404,19 @@
     simulation.pendingEvents.emplace(simulation.now + wait, std::move(act));
 }
 
+revision_number position(const roster_simulation &simulation, std::int64_t storeRevision)
+{
+    return storeRevision == 0 ? revision_number{} : revisionInEra(simulation.store.era, storeRevision);
+}
+
+void observeEra(roster_simulation &simulation, fake_node &node, era_number era)
+{
+    if (beginEra(node.roster, era, simulation.now)) {
+        node.lease = 0;
+        node.exchange.watchedSince.reset();
+    }
+}
+
 bool reachesStore(const roster_simulation &simulation, const fake_node &node)
 {
     return simulation.now >= simulation.storeDownUntil && simulation.now >= node.storeUnreachableUntil;
@@ -391,6 +441,7 @@
         simulation.now += timeStep;
         if (simulation.now >= simulation.storeDownUntil) {
             expireLeases(simulation);
+            copyStore(simulation);
         }
         while (!simulation.pendingEvents.empty() && simulation.pendingEvents.begin()->first <= simulation.now) {
             const auto act = std::move(simulation.pendingEvents.begin()->second);
@@ -404,6 +455,21 @@
     }
 }
 
+void rewindStore(roster_simulation &simulation, milliseconds age)
+{
+    const auto isTooYoung = [&](const store_copy &copy) { return simulation.now - copy.at < age; };
+    const auto copy = std::find_if_not(simulation.copies.rbegin(), simulation.copies.rend(), isTooYoung);
+    if (copy == simulation.copies.rend()) {
+        return;
+    }
+    const auto era = simulation.store.era.value + 1;
+    simulation.store = copy->store;
+    simulation.store.era.value = era;
+    std::erase_if(simulation.store.values, [](const auto &entry) { return entry.second.lease != 0; });
+    simulation.store.leases.clear();
+    simulation.copies.clear();
+}
+
 void restartDaemon(roster_simulation &simulation, std::size_t index)
 {
     startDaemon(simulation, index);
--- a/packages/decisions/tests/roster_simulation.h
+++ b/packages/decisions/tests/roster_simulation.h
@@ -36,6 +36,14 @@
     std::map<std::int64_t, fake_lease> leases; ///< By id.
     std::int64_t revision = 1; ///< Revision of the whole store.
     std::int64_t nextLease = 1; ///< Id of the next lease.
+    era_number era; ///< How often it has come back from an older copy.
+};
+
+/** What the store held at one moment. */
+struct store_copy
+{
+    steady_time at{}; ///< When it was made.
+    fake_lease_store store; ///< The store.
 };
 
 /** A target process and the slots that it believes to hold. */
@@ -61,7 +69,7 @@
     std::uint64_t run = 0; ///< Number of the daemon's run; responses to earlier runs are dropped.
     std::int64_t lease = 0; ///< Store lease of the daemon.
     target_report staleReport; ///< Last report of the previous incarnation; its id is empty if there was none.
-    std::int64_t watchedRevision = 0; ///< Store revision up to which the watch has delivered changes.
+    revision_number watchedRevision; ///< Store revision up to which the watch has delivered changes.
     steady_time watchStalledUntil{}; ///< Until when the watch delivers nothing.
     mirrored_keys mirror; ///< The daemon's mirror of the store, from which it answers peers.
     exchange_state exchange; ///< State of the change exchange with peers.
@@ -75,12 +83,14 @@
     steady_time now{seconds(1000)}; ///< Virtual time.
     std::mt19937_64 random; ///< Source of all randomness.
     fake_lease_store store; ///< Store.
+    std::vector<store_copy> copies; ///< Copies of the store, oldest first.
     std::vector<fake_node> nodes; ///< Instances.
     std::multimap<steady_time, std::function<void()>>
         pendingEvents; ///< Scheduled events, such as the arrival of messages.
     steady_time storeDownUntil{}; ///< Until when the store answers nobody.
     double responseLossRate = 0; ///< Fraction of the store's responses that are lost.
     double lateWriteRate = 0; ///< Fraction of the store calls that arrive seconds late.
+    bool losesEras = false; ///< Whether random faults include a store that comes back from an older copy.
     bool peerExchange = false; ///< Whether daemons exchange changes with peers, so that few read the store.
     double messageLossRate =
         0; ///< Fraction of the messages between daemons that are lost; as many are delayed, and as many duplicated.
@@ -133,6 +143,13 @@
  */
 void revokeEntry(roster_simulation &simulation, std::size_t index);
 
+/**
+ * Makes the store come back from a copy, in a new era: later writes are gone, and all leases with their keys.
+ * @param simulation Simulation.
+ * @param age Age of the copy.
+ */
+void rewindStore(roster_simulation &simulation, milliseconds age);
+
 /**
  * Counts the slots that are currently served by a target.
  * @param simulation Simulation.
--- a/packages/decisions/tests/roster_simulation_exchange.cpp
+++ b/packages/decisions/tests/roster_simulation_exchange.cpp
@@ -53,8 +53,14 @@
                    steady_time sentAt)
 {
     auto &node = simulation.nodes[index];
+    const auto era = eraOf(response.updates.front().revision);
+    if (era < node.roster.era) {
+        return;
+    }
+    observeEra(simulation, node, era);
+    const bool complete = response.updates.front().snapshot || eraOf(node.mirror.revision) < era;
     deliverChanges(simulation, node, applyUpdate(node.mirror, response.updates.front()));
-    if (response.updates.front().snapshot) {
+    if (complete) {
         applyMissingEntries(simulation, node);
     }
     const bool mirrorsMatch = mirrorDigest(node.mirror) == response.updates.front().digest;
@@ -83,22 +89,22 @@
 
 } // namespace
 
-void deliverValue(roster_simulation &simulation, fake_node &node, const std::string &key, const fake_value &value)
+void deliverValue(roster_simulation &simulation, fake_node &node, const std::string &key, const mirrored_value &value)
 {
     last_reason why;
     const auto name = key.substr(key.find('/') + 1);
     if (key.starts_with("nodes/")) {
         if (auto entry = parseNode(value.text, why)) {
-            applyEntry(node.roster, {name}, std::move(entry), {value.revision}, simulation.now);
+            applyEntry(node.roster, {name}, std::move(entry), value.revision, simulation.now);
         } else {
-            applyUnreadableEntry(node.roster, {name}, {value.revision}, simulation.now);
+            applyUnreadableEntry(node.roster, {name}, value.revision, simulation.now);
         }
     } else if (key.starts_with("markers/")) {
-        applyMarker(node.roster, {name}, {value.revision});
+        applyMarker(node.roster, {name}, value.revision);
     } else if (auto record = parseOwnership(value.text, why)) {
-        applyOwnership(node.roster, {*record, {value.revision}});
+        applyOwnership(node.roster, {*record, value.revision});
     } else {
-        applyUnreadableOwnership(node.roster, {name}, {value.revision});
+        applyUnreadableOwnership(node.roster, {name}, value.revision);
     }
 }
 
@@ -107,7 +113,7 @@
 {
     for (const auto &change : news) {
         if (!change.value.removed) {
-            deliverValue(simulation, node, change.key, {change.value.text, change.value.revision.value, 0});
+            deliverValue(simulation, node, change.key, change.value);
         } else if (change.key.starts_with("nodes/")) {
             const instance_id id{change.key.substr(change.key.find('/') + 1)};
             const auto seen = node.roster.nodes.find(id);
@@ -118,12 +124,12 @@
     }
 }
 
-std::vector<key_change> changesOf(const std::map<std::string, fake_value> &values, const std::string &prefix)
+std::vector<key_change> changesOf(const roster_simulation &simulation, const std::string &prefix)
 {
     std::vector<key_change> changes;
-    for (const auto &[key, value] : values) {
+    for (const auto &[key, value] : simulation.store.values) {
         if (key.starts_with(prefix)) {
-            changes.push_back({key, {value.text, {value.revision}, false}});
+            changes.push_back({key, {value.text, position(simulation, value.revision), false}});
         }
     }
     return changes;
@@ -141,14 +147,14 @@
         confirmSoon(node.exchange, node.roster, simulation.now);
     }
     if (!reachesStore(simulation, node) || simulation.now < node.watchStalledUntil
-        || node.watchedRevision == simulation.store.revision) {
+        || node.watchedRevision == position(simulation, simulation.store.revision)) {
         return;
     }
     ++simulation.storeReads;
-    deliverChanges(simulation, node,
-                   applyListing(node.mirror, "", changesOf(simulation.store.values, ""), {simulation.store.revision}));
+    observeEra(simulation, node, simulation.store.era);
+    node.watchedRevision = position(simulation, simulation.store.revision);
+    deliverChanges(simulation, node, applyListing(node.mirror, "", changesOf(simulation, ""), node.watchedRevision));
     applyMissingEntries(simulation, node);
-    node.watchedRevision = simulation.store.revision;
 }
 
 /** Requests changes from an upstream daemon, if the next request is due. */
--- a/packages/decisions/tests/roster_test.cpp
+++ b/packages/decisions/tests/roster_test.cpp
@@ -42,6 +42,11 @@
 {
     const auto index = simulation.random() % simulation.nodes.size();
     auto &node = simulation.nodes[index];
+    if (simulation.losesEras && simulation.random() % 5 == 0) {
+        simulation.storeDownUntil = simulation.now + randomSpan(simulation, 100, 2500);
+        rewindStore(simulation, randomSpan(simulation, 500, 6000));
+        return;
+    }
     switch (simulation.random() % (simulation.peerExchange ? 14 : 12)) {
     case 0:
         restartDaemon(simulation, index);
@@ -365,6 +370,21 @@
     runRandomFaults(seedStart(), seedCount(), [](auto &simulation) { simulation.peerExchange = true; });
 }
 
+// The store comes back from older copies again and again, beside all other faults: the copy may name owners that lost
+// their keys in the lost era, while the grants of that era are still valid.
+TEST(roster, randomFaultsNeverGiveASlotTwoOwnersWhenTheStoreComesBackFromACopy)
+{
+    runRandomFaults(seedStart(), seedCount(), [](auto &simulation) { simulation.losesEras = true; });
+}
+
+TEST(roster, randomFaultsNeverGiveASlotTwoOwnersWhenTheStoreComesBackFromACopyWithPeerExchange)
+{
+    runRandomFaults(seedStart(), seedCount(), [](auto &simulation) {
+        simulation.losesEras = true;
+        simulation.peerExchange = true;
+    });
+}
+
 // Guards against a lease that counts from the arrival of a late response instead of from the sending of the request,
 // with which a slot gets two owners.
 TEST(roster, aLateResponseDoesNotExtendTheLease)
