--- a/packages/daemon/src/roster_control.cpp
+++ b/packages/daemon/src/roster_control.cpp
@@ -265,9 +265,10 @@
         advance(control);
         return grant;
     };
-    events.leave = [&control](const std::string &id) {
-        const bool known = applyLeave(control.state, id, clock::now());
-        logEvent(log_level::info, "target-leaves", {{"target", id}, {"known", known ? "1" : "0"}});
+    events.leave = [&control](const target_incarnation &left) {
+        const bool known = applyLeave(control.state, left, clock::now());
+        logEvent(log_level::info, "target-leaves",
+                 {{"target", left.id}, {"born", std::to_string(left.startedUnixMs)}, {"known", known ? "1" : "0"}});
         advance(control);
         return known;
     };
--- a/packages/daemon/src/roster_port.h
+++ b/packages/daemon/src/roster_port.h
@@ -15,8 +15,8 @@
 {
     std::function<std::optional<target_grant>(const target_report &)>
         report; ///< Applies a report; returns the grant, if any.
-    std::function<bool(const std::string &)> leave; ///< Applies the announcement that an incarnation of the target
-                                                    ///< ends; false if the incarnation is unknown.
+    std::function<bool(const target_incarnation &)> leave; ///< Applies the announcement that an incarnation of the
+                                                           ///< target ends; false if it is not the current one.
     std::function<bool(const pool_id &)> isKeyed; ///< Whether a pool is divided by key.
     std::function<bool(const pool_id &)> isKnown; ///< Whether a pool is in the tables.
 };
--- a/packages/daemon/src/roster_sync.cpp
+++ b/packages/daemon/src/roster_sync.cpp
@@ -56,6 +56,16 @@
     applyOwnership(control.state, {std::move(*record), value.revision});
 }
 
+/** Applies a node's marker; the own one may name a target that announced its exit to the run before. */
+void applyStoredMarker(roster_control &control, const instance_id &id, const stored_value &value, steady_time now)
+{
+    applyMarker(control.state, id, value.revision);
+    const auto left = id == control.state.self.member.id ? parseDeparture(value.value) : std::nullopt;
+    if (left) {
+        applyLeave(control.state, *left, now);
+    }
+}
+
 /** Applies one value stored under the product's prefix. */
 void applyStoredValue(roster_control &control, const stored_value &value, steady_time now)
 {
@@ -63,7 +73,7 @@
     if (key.starts_with(entryPrefix)) {
         applyStoredEntry(control, {std::string(key.substr(entryPrefix.size()))}, value, now);
     } else if (key.starts_with(markerPrefix)) {
-        applyMarker(control.state, {std::string(key.substr(markerPrefix.size()))}, value.revision);
+        applyStoredMarker(control, {std::string(key.substr(markerPrefix.size()))}, value, now);
     } else if (key.starts_with(ownersPrefix)) {
         applyStoredOwnership(control, value);
     } else if (key.starts_with(crashesPrefix)) {
@@ -162,9 +172,9 @@
     }
     const auto sentAt = clock::now();
     const auto era = control.state.era;
-    leased_txn txn{{{markerKey(id), action.marker}},
-                   {{entryKey(id), formatNode(action.entry), control.lease},
-                    {markerKey(id), std::to_string(action.entry.member.incarnation.value), {}}}};
+    leased_txn txn{
+        {{markerKey(id), action.marker}},
+        {{entryKey(id), formatNode(action.entry), control.lease}, {markerKey(id), formatMarker(control.state), {}}}};
     if (action.present) {
         txn.compares.push_back({entryKey(id), action.marker});
     }
--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -67,6 +67,13 @@
                    ///< answer first omitted them.
 };
 
+/** A target incarnation that announced its exit to this daemon or to its run before. */
+struct departed_target
+{
+    target_incarnation incarnation; ///< Incarnation; the start is 0 if the announcement did not name it.
+    steady_time at{}; ///< When the announcement was heard of.
+};
+
 /** Observed load of each slot of one pool and observed speed of its targets. */
 struct pool_load
 {
@@ -100,6 +107,8 @@
     std::set<pool_id> keyedPools; ///< Pools partitioned by numeric keys, from the tables.
     roster_lease lease; ///< Own lease.
     target_state target; ///< Local target.
+    std::vector<departed_target> departed; ///< Incarnations that announced their exit, the latest last. A delayed
+                                           ///< report of one does not make it usable again.
     std::map<pool_id, std::vector<slot_range>> withheld; ///< Ranges that a write whose outcome is not known yet
                                                          ///< transfers to other owners; they are not granted.
     std::set<pool_id> unclearWrites; ///< Pools with an unanswered write conditional on the current revision.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -1,4 +1,5 @@
 /** @file roster_cmd.cpp Event handlers of the roster: the own lease, other nodes, ownership and target reports. */
+#include "roster_departure_func.h"
 #include "roster_era_func.h"
 #include "roster_func.h"
 
@@ -48,6 +49,8 @@
     target.incarnation = report.incarnation;
     target.lastReportAt = now;
     target.grantsEndAt = previousRunGrantsEnd(state);
+    target.left = hasDeparted(state, report.incarnation, now);
+    target.leaving = target.left;
     state.dirty = true;
 }
 
@@ -468,19 +471,6 @@
     return true;
 }
 
-bool applyLeave(roster_state &state, const std::string &id, steady_time now)
-{
-    if (state.target.incarnation.id != id) {
-        return false;
-    }
-    state.target.leaving = true;
-    state.target.left = true;
-    state.self.member.leaving = true;
-    state.dirty = true;
-    state.nextOwnersWrite = std::max(state.nextOwnersWrite, now);
-    return true;
-}
-
 bool isUsable(const roster_state &state, const known_node &seen, steady_time now)
 {
     return seen.node && (seen.present || now - seen.absentSince < state.timing.absentLimit);
--- a/packages/decisions/src/roster_func.h
+++ b/packages/decisions/src/roster_func.h
@@ -176,13 +176,28 @@
 bool applyLeavingNotice(roster_state &state);
 
 /**
- * Records that the target announced its exit.
+ * Records that an incarnation of the target announced its exit. It holds also for one that is not known yet, as it is
+ * after a start of the daemon: a delayed report may come later.
  * @param state Roster.
- * @param id Name of the target's incarnation.
+ * @param left Incarnation; a start of 0 stands for any, for a limited time.
  * @param now Current time.
  * @return Whether it is the current incarnation.
  */
-bool applyLeave(roster_state &state, const std::string &id, steady_time now);
+bool applyLeave(roster_state &state, const target_incarnation &left, steady_time now);
+
+/**
+ * Formats the own marker: the run of the daemon, and the incarnation of the target if that has announced its exit.
+ * @param state Roster.
+ * @return Text.
+ */
+std::string formatMarker(const roster_state &state);
+
+/**
+ * Parses the incarnation that announced its exit to an earlier run of the daemon.
+ * @param marker Text of the own marker.
+ * @return The incarnation, or nothing if the marker names none.
+ */
+std::optional<target_incarnation> parseDeparture(std::string_view marker);
 
 /**
  * Lists the ranges that may be granted to the local target.
