Change: in a new era of the store, daemons write their entries one after another

Cause: all lose their entries at the same moment, and each would write it again at once, with a lease: a fleet of hundreds exceeds the store's rate, and refused calls cost as well. Ruled out: a random delay, since decisions take no randomness. Change: a delay by the rank of the daemon's name, 10 ms each, 2 s at most for all; the rights of the lost era last for a lease period, 7 s by default. Evidence: rosterEra.aLargeFleetWritesItsEntriesOneAfterAnother (400 daemons, no two in the same millisecond; before, all in one); rosterEra.* passed, and ten daemons still have their entries back within 2 s of the return. Not measured: the burst at 100 and 300 machines against a real store's rate.

--- a/packages/decisions/src/roster_era.cpp
+++ b/packages/decisions/src/roster_era.cpp
@@ -16,6 +16,20 @@
 
 namespace {
 
+constexpr milliseconds entryInterval{10}; ///< Between the entries that two daemons write in a new era.
+constexpr milliseconds maxEntryDelay{2000}; ///< Longest wait for it; the rights of the lost era last longer.
+
+/**
+ * Time that this daemon waits before it writes its entry in a new era. All lose theirs at the same moment, and together
+ * they would exceed the rate that the store allows.
+ */
+milliseconds entryDelay(const roster_state &state)
+{
+    const auto count = static_cast<std::int64_t>(std::max<std::size_t>(state.nodes.size(), 1));
+    const auto rank = std::distance(state.nodes.begin(), state.nodes.lower_bound(state.self.member.id));
+    return std::min(entryInterval * count, maxEntryDelay) * rank / count;
+}
+
 bool contains(const slot_range &outer, const slot_range &inner)
 {
     return outer.first <= inner.first && inner.last <= outer.last;
@@ -74,7 +88,7 @@
         seen.unreadableRevision = {};
     }
     expireEntry(state, now);
-    state.lease.nextEntryWrite = now;
+    state.lease.nextEntryWrite = now + entryDelay(state);
     state.dirty = true;
     return true;
 }
--- a/packages/decisions/tests/roster_era_test.cpp
+++ b/packages/decisions/tests/roster_era_test.cpp
@@ -121,6 +121,26 @@
     }
 }
 
+// All daemons lose their entries at once, and wrote them again at once, beyond the rate of the store.
+TEST(rosterEra, aLargeFleetWritesItsEntriesOneAfterAnother)
+{
+    constexpr int count = 400;
+    std::map<steady_time, int> perMoment;
+    const steady_time now{seconds(1000)};
+    for (int index = 0; index < count; ++index) {
+        roster_node self;
+        self.member.id.value = "n" + std::to_string(1000 + index);
+        auto state = startRoster(self, {}, now);
+        for (int other = 0; other < count; ++other) {
+            state.nodes[{"n" + std::to_string(1000 + other)}].present = true;
+        }
+        EXPECT_TRUE(beginEra(state, {1}, now));
+        EXPECT_LE(state.lease.nextEntryWrite, now + seconds(2));
+        ++perMoment[std::chrono::floor<milliseconds>(state.lease.nextEntryWrite)];
+    }
+    EXPECT_EQ(perMoment.size(), static_cast<std::size_t>(count)) << "no two at the same moment";
+}
+
 // A fencing token of the new era is higher than all of the lost one, also where the copy has forgotten the highest.
 TEST(rosterEra, fencingTokensNeverGoDown)
 {
