Fix: in a new era a daemon took its entry in the copy for its own

Cause: after a first write that conflicted, the daemon read its entry, found the one of the copy and took it for written. Nobody renews the lease under that one, so it was gone 3 s later and then written again. Ruled out: the spread of writes (the trial had none yet). Change: an entry confirms a right only in the era in which this process wrote it; until it is written, none is read.

--- a/packages/decisions/src/roster_base.h
+++ b/packages/decisions/src/roster_base.h
@@ -39,6 +39,8 @@
     steady_time nextOwnersRead{}; ///< Earliest time of the next such read, after a failure.
     steady_time entryPresentSince{}; ///< When the entry was first known to be present after its last absence.
     roster_node writtenEntry; ///< Content of the entry as last written or read.
+    era_number writtenIn; ///< Era of the store in which this process last wrote the entry. An entry that the store has
+                          ///< from a copy is bound to a lease that nobody renews.
     steady_time validUntil{}; ///< Every grant must end before this time.
     steady_time nextConfirm{}; ///< When to read and confirm the entry next.
     steady_time nextEntryWrite{}; ///< Earliest time of the next write of the entry, after a failure.
--- a/packages/decisions/src/roster_cmd.cpp
+++ b/packages/decisions/src/roster_cmd.cpp
@@ -155,7 +155,7 @@
         if ((!lease.entryPresent || lease.writtenEntry != state.self) && now >= lease.nextEntryWrite) {
             lease.entryCallPending = true;
             actions.push_back(write_entry_action{state.self, marker, lease.entryPresent});
-        } else if (now >= lease.nextConfirm) {
+        } else if (now >= lease.nextConfirm && lease.writtenIn == state.era) {
             lease.entryCallPending = true;
             actions.push_back(confirm_entry_action{});
         }
@@ -300,6 +300,7 @@
     lease.entryPresentSince = lease.entryPresent ? lease.entryPresentSince : now;
     lease.entryPresent = true;
     lease.writtenEntry = entry;
+    lease.writtenIn = state.era;
     lease.validUntil = std::max(lease.validUntil, sentAt + state.timing.leasePeriod);
     lease.nextConfirm = now + state.timing.confirmInterval;
     lease.nextRenewal = now + state.timing.entryRenewal;
@@ -312,7 +313,7 @@
     auto &lease = state.lease;
     lease.entryCallPending = false;
     lease.nextConfirm = now + state.timing.confirmInterval;
-    if (!found || found->member.incarnation != state.self.member.incarnation) {
+    if (!found || found->member.incarnation != state.self.member.incarnation || lease.writtenIn != state.era) {
         expireEntry(state, now);
         return;
     }
--- a/packages/decisions/tests/roster_simulation.cpp
+++ b/packages/decisions/tests/roster_simulation.cpp
@@ -455,7 +455,7 @@
     }
 }
 
-void rewindStore(roster_simulation &simulation, milliseconds age)
+void rewindStore(roster_simulation &simulation, milliseconds age, leases_after_rewind leases)
 {
     const auto isTooYoung = [&](const store_copy &copy) { return simulation.now - copy.at < age; };
     const auto copy = std::find_if_not(simulation.copies.rbegin(), simulation.copies.rend(), isTooYoung);
@@ -465,8 +465,13 @@
     const auto era = simulation.store.era.value + 1;
     simulation.store = copy->store;
     simulation.store.era.value = era;
-    std::erase_if(simulation.store.values, [](const auto &entry) { return entry.second.lease != 0; });
-    simulation.store.leases.clear();
+    if (leases == leases_after_rewind::gone) {
+        std::erase_if(simulation.store.values, [](const auto &entry) { return entry.second.lease != 0; });
+        simulation.store.leases.clear();
+    }
+    for (auto &[id, lease] : simulation.store.leases) {
+        lease.endsAt = simulation.now + lease.ttl;
+    }
     simulation.copies.clear();
 }
 
--- a/packages/decisions/tests/roster_simulation.h
+++ b/packages/decisions/tests/roster_simulation.h
@@ -143,12 +143,21 @@
  */
 void revokeEntry(roster_simulation &simulation, std::size_t index);
 
+/** What becomes of the leases in a copy from which the store comes back. */
+enum class leases_after_rewind
+{
+    gone, ///< They are gone with their keys.
+    kept, ///< They run anew, for their whole time.
+};
+
 /**
- * Makes the store come back from a copy, in a new era: later writes are gone, and all leases with their keys.
+ * Makes the store come back from a copy, in a new era: later writes are gone.
  * @param simulation Simulation.
  * @param age Age of the copy.
+ * @param leases What becomes of the leases in the copy.
  */
-void rewindStore(roster_simulation &simulation, milliseconds age);
+void rewindStore(roster_simulation &simulation, milliseconds age,
+                 leases_after_rewind leases = leases_after_rewind::gone);
 
 /**
  * Counts the slots that are currently served by a target.
--- a/packages/decisions/tests/roster_test.cpp
+++ b/packages/decisions/tests/roster_test.cpp
@@ -44,7 +44,9 @@
     auto &node = simulation.nodes[index];
     if (simulation.losesEras && simulation.random() % 5 == 0) {
         simulation.storeDownUntil = simulation.now + randomSpan(simulation, 100, 2500);
-        rewindStore(simulation, randomSpan(simulation, 500, 6000));
+        const auto age = randomSpan(simulation, 500, 6000);
+        const bool keepsLeases = simulation.random() % 2 == 0;
+        rewindStore(simulation, age, keepsLeases ? leases_after_rewind::kept : leases_after_rewind::gone);
         return;
     }
     switch (simulation.random() % (simulation.peerExchange ? 14 : 12)) {
