Fix: daemons that start together read the store through few of them

Cause: each daemon read all keys and the configuration whole from the store at its start. In a trial with 292 daemons (a copy of the site of 72 machines, 60 Mbit/s between the regions) those in the region of the store had the tables 0.1 s after their start, those beyond the link after 4 to 8 s: 300 entries and markers for each of 146 daemons fill the link, calls pass their limit of 900 ms and are repeated. Ruled out by the logs: the store's rate limits (no 429 among the reasons), processor time and memory; once started, a change reached 292 daemons in 112 ms.

Change: a daemon that starts reads one small key that names the reader of its group (two groups in each failure domain). The reader reads the store; the others ask it over the exchange that followers use already, and continue with a watch from the copy's revision. A reader that doesn't respond or gets no copy is replaced by a conditional write. If the store does not answer within 400 ms, a daemon reads by itself as before. Updates between daemons are compressed together; a listing of all keys also counts as the verification of all entries, so that a reader serves right after it.

--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -142,12 +142,14 @@
 /** Parses a request for changes; if the header is missing, it names no prefix. */
 changes_request parseChangesRequest(const peer_request &request)
 {
-    changes_request changesRequest{{findHeader(request.headers, "qs-node")}, {}, false, {}};
+    changes_request changesRequest;
+    changesRequest.node.value = findHeader(request.headers, "qs-node");
     std::istringstream revisions(findHeader(request.headers, "qs-seen"));
     for (std::string item; std::getline(revisions, item, ',');) {
         changesRequest.revisions.push_back({std::atoll(item.c_str())});
     }
     changesRequest.restoresPacked = findHeader(request.headers, "qs-packed") == "1";
+    changesRequest.readsPackedUpdates = findHeader(request.headers, "qs-packs") == "1";
     changesRequest.knowsEras = !findHeader(request.headers, "qs-era").empty();
     const auto version = findHeader(request.headers, "qs-version");
     if (!version.empty()) {
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -14,6 +14,7 @@
 #include "roster_metrics.h"
 #include "roster_mirror.h"
 #include "roster_relay.h"
+#include "roster_start.h"
 #include "roster_sync.h"
 #include "routing_func.h"
 #include "traffic_start.h"
@@ -350,6 +351,7 @@
     const auto onChange = [&control] { advance(control); };
     asio::co_spawn(control.context, mirrorTables(control, onChange), asio::detached);
     asio::co_spawn(control.context, mirrorRoster(control, onChange), asio::detached);
+    asio::co_spawn(control.context, getFirstCopy(control, onChange), asio::detached);
     asio::co_spawn(control.context, pollUpstreams(control, onChange), asio::detached);
     asio::co_spawn(control.context, tickLoop(control), asio::detached);
     return true;
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -34,6 +34,14 @@
     std::function<void()> onListed; ///< Called after a complete listing was applied; may be empty.
 };
 
+/** Updates in the compressed form in which they were sent. */
+struct packed_updates
+{
+    std::uint64_t version = 0; ///< Version of the exchange at which they were collected.
+    std::map<std::vector<revision_number>, std::string> byRevisions; ///< Compressed, by the revisions that the follower
+                                                                     ///< knew.
+};
+
 /** I/O of requesting store changes from upstream daemons and of serving them to followers. */
 struct change_exchange
 {
@@ -43,6 +51,7 @@
     std::map<endpoint, steady_time> backoffUntil; ///< Failed upstream daemons, not polled until then.
     std::uint64_t notifiedVersion = 0; ///< Version at which waiting long polls were last woken.
     std::vector<std::shared_ptr<asio::steady_timer>> longPolls; ///< Timers of waiting requests.
+    packed_updates packed; ///< What followers at the same revisions get.
 };
 
 /** State owned by the control thread. */
@@ -63,6 +72,10 @@
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing relays.
     std::vector<std::shared_ptr<mirrored_prefix>> mirroredPrefixes; ///< In the same order in all daemons.
     change_exchange exchange; ///< Changes received from and sent to other daemons.
+    bool firstReaderKnown = false; ///< Whether the store has answered which daemon reads it for others that start.
+    bool firstCopyDecided = false; ///< Whether the first copy of the store has arrived from another daemon, or is to be
+                                   ///< read from the store.
+    async_condition firstCopy{context.get_executor()}; ///< Notified when that is decided.
     async_condition upstreamStale{
         context.get_executor()}; ///< Wakes watches suspended while an upstream daemon delivers all changes.
     bool publishingCrashes = false; ///< Whether crashes of the target are being written to the store.
--- a/packages/daemon/src/roster/roster_exchange.cpp
+++ b/packages/daemon/src/roster/roster_exchange.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds refusedBackoff{400}; ///< A daemon without fresh data is not polled for this time.
 constexpr unsigned statusOk = 200; ///< Status of a response with changes.
 constexpr milliseconds coalescePause{50}; ///< Pause after changes, so that several arrive together.
+constexpr std::size_t maxPackedForms = 8; ///< Compressed updates kept for followers that know different revisions.
 constexpr milliseconds noUpstreamDelay{200}; ///< Delay before the next attempt if no upstream daemon is available.
 
 /** Whether a response is of a lost era, or of a daemon that knows of no eras: its revisions can't be compared. */
@@ -71,21 +72,14 @@
             {{"qs-node", control.state.self.member.id.value},
              {"qs-seen", revisions},
              {"qs-packed", "1"},
+             {"qs-packs", "1"},
              {"qs-era", std::to_string(control.state.era.value)},
              {"qs-version", std::to_string(known)}},
             ""};
 }
 
-/** Result of polling an upstream daemon. */
-enum class poll_result
-{
-    changed, ///< There were unknown changes.
-    unchanged, ///< There was no unknown change.
-    refused, ///< The other daemon has no fresh data, or its response could not be used.
-    unresponsive, ///< There was no response.
-};
+} // namespace
 
-/** Polls one upstream daemon. */
 asio::awaitable<poll_result> pollUpstream(roster_control &control, endpoint at)
 {
     const auto requestedAt = clock::now();
@@ -116,6 +110,8 @@
     co_return applyChangesResponse(control, *changes, requestedAt) ? poll_result::changed : poll_result::unchanged;
 }
 
+namespace {
+
 /** Polls the upstream daemons in order of preference until one responds. */
 asio::awaitable<poll_result> pollFirstAvailable(roster_control &control)
 {
@@ -140,6 +136,24 @@
     co_return poll_result::unresponsive;
 }
 
+/** Updates for a follower, compressed together; many followers ask for the same at the same moment. */
+std::string packFor(roster_control &control, const changes_request &request, std::vector<mirror_update> &updates)
+{
+    auto &cache = control.exchange.packed;
+    if (cache.version != control.exchange.state.version) {
+        cache = {control.exchange.state.version, {}};
+    }
+    const auto known = cache.byRevisions.find(request.revisions);
+    if (known != cache.byRevisions.end()) {
+        return known->second;
+    }
+    auto packed = packUpdates(updates);
+    if (!packed.empty() && cache.byRevisions.size() < maxPackedForms) {
+        cache.byRevisions.emplace(request.revisions, packed);
+    }
+    return packed;
+}
+
 /** Whether there is a change, a verification or a watermark that the follower does not know. */
 bool hasNews(const roster_control &control, const changes_request &request)
 {
@@ -211,6 +225,9 @@
             packUpdate(mirror, response.updates.back(), request.revisions[index]);
         }
     }
+    if (request.readsPackedUpdates) {
+        response.packedUpdates = packFor(control, request, response.updates);
+    }
     response.verifiedOffset = verifiedOffset(exchange, control.state.timing, arrivedAt);
     const auto *entry = findExisting(findMirrored(control, rootPrefix)->mirror, entryKey(request.node));
     response.entryRevision = entry == nullptr ? revision_number{} : entry->revision;
--- a/packages/daemon/src/roster/roster_exchange.h
+++ b/packages/daemon/src/roster/roster_exchange.h
@@ -6,6 +6,23 @@
 
 namespace quetzalspool {
 
+/** Result of polling an upstream daemon. */
+enum class poll_result
+{
+    changed, ///< There were unknown changes.
+    unchanged, ///< There was no unknown change.
+    refused, ///< The other daemon has no fresh data, or its response could not be used.
+    unresponsive, ///< There was no response.
+};
+
+/**
+ * Polls one upstream daemon once.
+ * @param control Control state.
+ * @param at Its peer address.
+ * @return Result; changes are applied.
+ */
+asio::awaitable<poll_result> pollUpstream(roster_control &control, endpoint at);
+
 /**
  * Polls upstream daemons for changes until the process ends. While none responds, the store is watched instead.
  * @param control Control state.
--- a/packages/daemon/src/roster/roster_keys.h
+++ b/packages/daemon/src/roster/roster_keys.h
@@ -14,6 +14,8 @@
     "quetzalspool/markers/"; ///< Markers of nodes, one per node: written with
                              ///< each write of the entry, and kept when it expires.
 constexpr std::string_view ownersPrefix = "quetzalspool/owners/"; ///< Ownership records by pool.
+constexpr std::string_view readersPrefix =
+    "quetzalspool/readers/"; ///< Daemons that read the store for others that start, by group.
 constexpr std::string_view crashesPrefix =
     "quetzalspool/crashes/"; ///< Crashes of targets with the requests that they ran, bound to store leases.
 
--- a/packages/daemon/src/roster/roster_mirror.cpp
+++ b/packages/daemon/src/roster/roster_mirror.cpp
@@ -6,6 +6,8 @@
 #include "log_func.h"
 #include "mirror_func.h"
 #include "roster_func.h"
+#include "roster_keys.h"
+#include "roster_start.h"
 #include "store_watch.h"
 #include "upstream_func.h"
 
@@ -118,6 +120,7 @@
 {
     last_reason why;
     recordNotWatched(control, *mirrored);
+    const auto sentAt = clock::now();
     const auto all = co_await mirrored->readAll(why);
     recordStoreResult(control, all.has_value(), why);
     if (!all) {
@@ -125,6 +128,9 @@
         co_return false;
     }
     applyRangeResult(control, *mirrored, mirrored->mirror.prefix, *all);
+    if (mirrored->mirror.prefix == rootPrefix) {
+        recordVerification(control.exchange.state, sentAt); // It lists all entries.
+    }
     onChange();
     co_await sleepFor(std::exchange(mirrored->initialWatchDelay, milliseconds(0)));
     co_return true;
@@ -235,7 +241,13 @@
 {
     control.mirroredPrefixes.push_back(mirrored);
     auto &mirror = mirrored->mirror;
-    bool readDue = true; // Whether a change may be unknown that no watch will deliver.
+    co_await awaitFirstCopy(control);
+    // Whether a change may be unknown that no watch will deliver. A copy from another daemon names its revision, from
+    // which the watch continues.
+    bool readDue = mirror.revision == revision_number{};
+    if (!readDue) {
+        co_await sleepFor(std::exchange(mirrored->initialWatchDelay, milliseconds(0)));
+    }
     int failedWatches = 0; // Watches in succession.
     for (;;) {
         last_reason why;
--- a/packages/decisions/src/mirror/mirror_codec.cpp
+++ b/packages/decisions/src/mirror/mirror_codec.cpp
@@ -1,6 +1,7 @@
 /** @file mirror_codec.cpp Encoding of change responses as MessagePack arrays. */
 #include "checked_json.h"
 #include "mirror_func.h"
+#include "value_delta_func.h"
 
 namespace quetzalspool {
 
@@ -56,14 +57,48 @@
     return update;
 }
 
+json formatUpdates(const std::vector<mirror_update> &updates)
+{
+    json rows = json::array();
+    for (const auto &update : updates) {
+        rows.push_back(formatUpdate(update));
+    }
+    return rows;
+}
+
+/** Restores the rows of updates that packUpdates has compressed. */
+json unpackRows(const json &from)
+{
+    const auto &packed = from.get_binary();
+    const auto rows = unpackValue({reinterpret_cast<const char *>(packed.data()), packed.size()}, "");
+    if (!rows) {
+        throw std::invalid_argument("compressed updates can't be restored");
+    }
+    return parseMessagePack(*rows);
+}
+
+std::vector<mirror_update> parseUpdates(const json &from)
+{
+    std::vector<mirror_update> updates;
+    for (const auto &row : from.is_binary() ? unpackRows(from) : from) {
+        updates.push_back(parseUpdate(row));
+    }
+    return updates;
+}
+
 } // namespace
 
+std::string packUpdates(const std::vector<mirror_update> &updates)
+{
+    std::string rows;
+    json::to_msgpack(formatUpdates(updates), rows);
+    return rows.size() < minPackedBytes || rows.size() > maxPackedBytes ? "" : packValue(rows, "");
+}
+
 std::string encodeChanges(const changes_response &response)
 {
-    json updates = json::array();
-    for (const auto &update : response.updates) {
-        updates.push_back(formatUpdate(update));
-    }
+    const auto &packed = response.packedUpdates;
+    json updates = packed.empty() ? formatUpdates(response.updates) : json::binary({packed.begin(), packed.end()});
     std::string bytes;
     json::to_msgpack(json{std::move(updates), response.verifiedOffset.count(), response.entryRevision.value,
                           response.watermarkOffset.count(), response.version},
@@ -76,9 +111,7 @@
     try {
         const auto body = parseMessagePack(bytes);
         changes_response response;
-        for (const auto &row : body.at(0)) {
-            response.updates.push_back(parseUpdate(row));
-        }
+        response.updates = parseUpdates(body.at(0));
         response.verifiedOffset = readOffset(body.at(1));
         response.entryRevision = readRevision(body.at(2));
         response.watermarkOffset = readOffset(body.at(3));
--- a/packages/decisions/src/mirror/mirror_func.h
+++ b/packages/decisions/src/mirror/mirror_func.h
@@ -104,6 +104,13 @@
  */
 bool restoreTexts(const mirrored_keys &keys, mirror_update &update);
 
+/**
+ * Compresses updates together: entries of nodes resemble each other, so that all of a fleet take a tenth of their size.
+ * @param updates Updates.
+ * @return Compressed bytes; empty if the updates are too small to gain from it, or too large to be restored.
+ */
+std::string packUpdates(const std::vector<mirror_update> &updates);
+
 /**
  * Encodes a response as MessagePack.
  * @param response Response.
--- a/packages/decisions/src/mirror/mirror_type.h
+++ b/packages/decisions/src/mirror/mirror_type.h
@@ -78,6 +78,7 @@
     instance_id node; ///< The requesting daemon.
     std::vector<revision_number> revisions; ///< Known revision for each followed prefix.
     bool restoresPacked = false; ///< Whether the requesting daemon restores packed values.
+    bool readsPackedUpdates = false; ///< Whether the requesting daemon reads updates that are compressed together.
     std::optional<std::uint64_t> version; ///< Version in the last response of this daemon; 0 if there was none, nothing
                                           ///< if the requesting daemon does not name it.
     bool knowsEras = false; ///< Whether the requesting daemon orders revisions by the era of the store.
@@ -92,6 +93,8 @@
                                    ///< entry is not known.
     milliseconds watermarkOffset{0}; ///< Time before which all changes are known.
     std::uint64_t version = 0; ///< Version of what the responding daemon knows; 0 if it does not name it.
+    std::string packedUpdates; ///< The updates compressed together, sent in place of `updates`; empty if they are sent
+                               ///< as they are.
 
     bool operator==(const changes_response &) const = default;
 };
