Add: routes may name the regions whose targets serve their requests

Operators need to keep requests, and so their bodies, within regions. A route has a list of regions (allowed_regions in the platform's configuration); targets elsewhere are no candidates at any attempt, and a keyed request whose owner is elsewhere is refused and never sent. The regions are looked up again in the current tables by host and path at each attempt. If no allowed target is left, the request is refused at once with reason no-allowed-target. A check at the receiving daemon was ruled out: the body would have been sent.

The filter also knows drained failure domains, which nothing sets yet.

--- a/packages/daemon/src/callers/caller_request.cpp
+++ b/packages/daemon/src/callers/caller_request.cpp
@@ -170,6 +170,7 @@
     request.rank = route.rank;
     request.maxTargets = route.targetsPerRequest;
     request.route = route.name;
+    request.regions = route.regions;
     request.pool = choosePool(route, origin.draw);
     request.key = std::move(key);
     auto deadline = route.deadline;
--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -123,6 +123,7 @@
                                 retryAge,
                                 now};
     auto routed = makeRoutedRequest(route, std::move(request), std::move(*key), origin);
+    routed.host = target.host;
     // Requests that arrive during a planned stop must end before the process does. Late in the stop, those that might
     // not are refused: a caller on a persistent connection can retry on another one.
     const auto stopDeadline = thread.shared->stopDeadline.load();
--- a/packages/daemon/src/requests/outcome_type.h
+++ b/packages/daemon/src/requests/outcome_type.h
@@ -29,6 +29,8 @@
     steady_time deadline{}; ///< When the caller stops waiting.
     steady_time goal = steady_time::max(); ///< Latency goal: a later response is of less use to the caller.
     request_fingerprint fingerprint; ///< What it asks for, to recognize repetitions of it.
+    std::string host; ///< Host by which its route was found; known only to that daemon.
+    std::vector<region_id> regions; ///< Regions that its route named on arrival; known only to that daemon.
     std::uint32_t crashes = 0; ///< Crashes of which the sending daemon suspects it.
     milliseconds responseTimeout{0}; ///< Time from the hand-over to the start of the response after which the attempt
                                      ///< is abandoned; 0 for no limit.
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -1,6 +1,7 @@
 /** @file request_router.cpp Routes a request to its target, with retries. */
 #include "request_router.h"
 
+#include "allowed_regions_func.h"
 #include "balance_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
@@ -8,6 +9,7 @@
 #include "local_attempt.h"
 #include "peer_wire.h"
 #include "routing_func.h"
+#include "scope_filter_func.h"
 
 #include <set>
 
@@ -22,6 +24,8 @@
 constexpr milliseconds ownerCheckInterval{150}; ///< Interval of the checks whether the slot still has the same owner.
 constexpr milliseconds noOwnerRetryAfter{1000}; ///< Suggested retry time if no owner is known or reachable.
 
+constexpr milliseconds outOfScopeRetryAfter{1000}; ///< Suggested retry time if no target may serve the request.
+
 constexpr const char *quarantinedReason = "quarantined"; ///< Reason of requests that this daemon does not route.
 
 /** State of one request across its attempts. */
@@ -46,6 +50,7 @@
     revision_number ownersRevision; ///< Revision of the ownership record that named the daemon, for keyed pools.
     bool poolKnown = false; ///< Whether the pool is in the tables.
     bool hasAlternative = false; ///< Whether another target remains to be tried after this one.
+    target_scope scope = target_scope::open; ///< Why no target may serve the request, if that is the case.
 };
 
 std::string makeToken(traffic_thread &thread)
@@ -68,24 +73,45 @@
     if (!choice.poolKnown) {
         return choice;
     }
+    const auto allowed = findAllowedRegions(*choice.view, request.host, request.http.path, request.regions);
     if (pool->second.row.keyed) {
         const auto slot = findSlot(request.key, pool->second.row);
         const auto owner = slot ? findOwner(*choice.view, request.pool, *slot) : std::nullopt;
         if (owner) {
-            choice.member = owner->member;
+            choice.scope = scopeOfOwner(*choice.view, *owner->member, allowed, clock::now());
+            choice.member = choice.scope == target_scope::open ? owner->member : nullptr;
             choice.slot = fenced_slot{request.pool, *slot, owner->fence};
             choice.ownersRevision = owner->revision;
+        } else {
+            choice.scope = scopeOfUnowned(*choice.view, request.pool, allowed);
         }
         return choice;
     }
     const auto &settings = thread.shared->settings;
-    const auto members = membersOf(*choice.view, request.pool);
+    auto members = membersOf(*choice.view, request.pool);
+    choice.scope = keepInScope(*choice.view, allowed, members);
     choice.member = chooseTarget(thread.balance, members, state.tried,
                                  {settings.instance, settings.region, settings.domain}, thread.random, clock::now());
-    choice.hasAlternative = members.size() > state.tried.size() + 1;
+    if (choice.member == nullptr && choice.scope == target_scope::open && allowed.restricted) {
+        choice.scope = target_scope::not_allowed; // All targets of the allowed regions are leaving.
+    }
+    choice.hasAlternative = countUntried(members, state.tried) > 1;
     return choice;
 }
 
+/** Outcome of an attempt for which no target was chosen. */
+request_outcome noTargetOutcome(const route_choice &choice)
+{
+    request_outcome outcome{attempt_result::not_run, refusal::none, choice.poolKnown ? "no-owner" : "no-pool",
+                            noOwnerRetryAfter};
+    outcome.reachedOwner = false;
+    if (choice.scope != target_scope::open) {
+        outcome.reasonText = nameOf(choice.scope);
+        outcome.retryAfter = outOfScopeRetryAfter;
+    }
+    return outcome;
+}
+
 /** Whether the slot of an attempt has been assigned to another owner since. */
 bool ownerChanged(const traffic_thread &thread, const routed_request &request)
 {
@@ -349,9 +375,7 @@
         if (choice.member == nullptr && !state.tried.empty() && state.request->key.empty()) {
             co_return finalOutcome(state); // All targets were tried: the last refusal is the reason.
         }
-        request_outcome outcome{attempt_result::not_run, refusal::none, choice.poolKnown ? "no-owner" : "no-pool",
-                                noOwnerRetryAfter};
-        outcome.reachedOwner = false;
+        auto outcome = noTargetOutcome(choice);
         if (choice.member != nullptr) {
             // Each attempt has its own copy: the coroutine watching an abandoned attempt may still read it.
             state.request = std::make_shared<routed_request>(*state.request);
@@ -374,7 +398,8 @@
             state.unknownReason = outcome.reasonText;
         }
         state.last = outcome;
-        if (outcome.result == attempt_result::answered || state.sink->isCancelled()) {
+        if (outcome.result == attempt_result::answered || choice.scope != target_scope::open
+            || state.sink->isCancelled()) {
             co_return finalOutcome(state);
         }
         state.handOvers += outcome.handedOver || outcome.result == attempt_result::unknown ? 1 : 0;
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -117,6 +117,10 @@
                               ///< or, as other daemons remember, to the run before.
     bool leaving = false; ///< Whether the target is leaving.
     steady_time leavingSince{}; ///< When it began to leave.
+    std::optional<steady_time> drainedSince; ///< Since when the failure domain of the target may be drained; unset
+                                             ///< while it is in service.
+    milliseconds drainLimit{0}; ///< Time since then in which requests for keys are served that were not reassigned yet.
+    std::optional<steady_time> drainEndedAt; ///< When the latest drain ended. The target may be cold from then on.
     steady_time leaseUntil{}; ///< End of the instance lease.
     std::optional<steady_time> targetLeaseUntil; ///< Lease end known to the target; unset if it checks no grants.
     steady_time announcedAt{}; ///< When the target first announced itself since it started.
--- a/packages/decisions/src/roster/roster_base.h
+++ b/packages/decisions/src/roster/roster_base.h
@@ -2,6 +2,8 @@
 #ifndef ROSTER_BASE_H
 #define ROSTER_BASE_H
 
+#include "allowed_regions_base.h"
+#include "drained_domains_base.h"
 #include "roster_type.h"
 
 #include <set>
@@ -107,6 +109,8 @@
                                                          ///< revision; the last readable ones are kept, and no write
                                                          ///< can take effect.
     std::set<pool_id> keyedPools; ///< Pools partitioned by numeric keys, from the tables.
+    placement_regions regions; ///< Regions in which the slots of keyed pools are placed, from the tables.
+    drained_domains drained; ///< Failure domains out of service.
     roster_lease lease; ///< Own lease.
     target_state target; ///< Local target.
     std::vector<departed_target> departed; ///< Incarnations that announced their exit, the latest last. A delayed
--- a/packages/decisions/src/routing/routing_base.h
+++ b/packages/decisions/src/routing/routing_base.h
@@ -2,6 +2,7 @@
 #ifndef ROUTING_BASE_H
 #define ROUTING_BASE_H
 
+#include "drained_domains_base.h"
 #include "record_base.h"
 #include "snapshot_type.h"
 
@@ -57,6 +58,7 @@
     rules_row rules; ///< The customer's rules for changes.
     revision_number tablesRevision; ///< Highest revision of any row.
     std::shared_ptr<const route_table> table; ///< Routes of complete tables; null if the routes above are used.
+    drained_domains drained; ///< Failure domains out of service.
 };
 
 /** Owner of a slot, as found by a lookup. */
--- a/packages/tables/src/row_type.h
+++ b/packages/tables/src/row_type.h
@@ -54,6 +54,7 @@
     bool idempotent = false; ///< Whether requests of any method may run more than once.
     std::uint32_t rank = 2; ///< Priority of the requests; smaller values go first.
     std::uint32_t targetsPerRequest = 6; ///< Maximum targets that one request may be sent to.
+    std::vector<region_id> regions; ///< Regions whose targets may serve the requests; empty for all.
 
     bool operator==(const route_row &) const = default;
 };
