Add: a cold target gets no more requests in any second than its bound

Cause: a target tolerates few requests per second for some seconds after its start and crashes well above that; nothing limited them. Ruled out: a limit at the forwarding daemons (they would have to share one budget by messages), and one bucket at admission alone (connecting takes up to half a second, so admitted requests can be handed over together).

Change: admission beside the target has two token buckets, at admission and at the hand-over, whose rate is the pool's cold_per_s and whose burst is a part of what the bounds cold_over and cold_slack allow. They count at all times, so the second in which the target becomes cold is covered too. Reports and the header X-Cold-Ms say that a target is cold; it is treated as cold until the next report after its connection was refused, reset or closed. Without cold_per_s nothing changes.

--- a/packages/base/src/target_notice.h
+++ b/packages/base/src/target_notice.h
@@ -2,6 +2,8 @@
 #ifndef TARGET_NOTICE_H
 #define TARGET_NOTICE_H
 
+#include "base_type.h"
+
 namespace quetzalspool {
 
 /** What a response says about the target's rate limit. */
@@ -20,6 +22,7 @@
     bool leaving = false; ///< Whether the target says that it is leaving.
     bool succeeded = false; ///< Whether the response certainly belongs to the current request, which the target
                             ///< executed without failing. Only such a one shows by naming no limit that there is none.
+    milliseconds coldFor{0}; ///< Time for which the target says that it will be cold; 0 if it does not say so.
 };
 
 } // namespace quetzalspool
--- a/packages/daemon/src/cells/control.cpp
+++ b/packages/daemon/src/cells/control.cpp
@@ -3,6 +3,7 @@
 
 #include "admission_func.h"
 #include "cell_func.h"
+#include "cold_limit_func.h"
 #include "datagrams.h"
 #include "document_gossip.h"
 #include "elapsed_clock.h"
@@ -223,10 +224,23 @@
     }
 }
 
+/** Applies the limit of the pool's row for a cold target. Announcements don't say whether it is cold; responses do. */
+void applyColdRate(control_state &control, const pool_id &name, bool restarted, steady_time now)
+{
+    const auto view = control.shared->routing.load();
+    const auto pool = view->pools.find(name);
+    auto &admissionControl = control.shared->admissionControl;
+    const std::lock_guard lock(admissionControl.mutex);
+    auto &limit = admissionControl.admission.cold;
+    setColdRate(limit, pool == view->pools.end() ? 0 : pool->second.row.coldPerSecond, {}, now, now);
+    applyColdReport(limit, std::nullopt, restarted, now);
+}
+
 void applyAnnouncement(control_state &control, const target_announcement &announcement, steady_time now)
 {
     auto &cell = ownCell(control);
     const bool changed = cell.self.target != announcement;
+    applyColdRate(control, announcement.pool, changed, now);
     cell.self.target = announcement;
     control.lastAnnouncementAt = now;
     recordTargetLease(control, announcement.checksGrants);
--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -4,6 +4,7 @@
 #include "admission_estimate_func.h"
 #include "admission_func.h"
 #include "async_condition.h"
+#include "cold_signs.h"
 #include "dedup_func.h"
 #include "elapsed_clock.h"
 #include "request_log.h"
@@ -128,6 +129,9 @@
     if (reason != refusal::none) {
         return reason;
     }
+    if (!takeHandOverToken(shared.admissionControl.admission.cold, now)) {
+        return refusal::overloaded;
+    }
     // Other daemons may have told of a crash while the request was queued.
     if (!beginRun(shared.crashRegistry, admissionRequest.id, request.fingerprint, now)) {
         return refusal::quarantined;
@@ -359,6 +363,7 @@
     const auto startedAt = clock::now();
     const std::string echoedId = shared.names.composeRequestIds ? "" : request->id;
     const auto exchange = co_await openTarget(targets, address, echoedId, maxIdleTime(*request), connectTimeout, why);
+    noteConnection(shared, exchange.get());
     if (exchange) {
         const auto reason = authorizeHandOver(shared, *request, admissionRequest);
         if (reason == refusal::none) {
@@ -368,6 +373,7 @@
                            asio::detached);
             outcome = co_await exchangeWithTarget(shared, request, exchange, sink, admissionRequest, responded, trace);
             *done = true;
+            noteConnection(shared, exchange.get());
             closeTarget(*targets, exchange);
             co_await concludeRun(shared, request, admissionRequest.id, address, outcome);
         } else {
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -2,6 +2,7 @@
 #include "roster_control.h"
 
 #include "admission_func.h"
+#include "cold_control.h"
 #include "crash_sync.h"
 #include "datagrams.h"
 #include "elapsed_clock.h"
@@ -164,7 +165,8 @@
         message.slots.emplace_back(slot.value, count);
     }
     if (!admissionControl.admission.demand.empty()) {
-        message.speed = static_cast<std::uint64_t>(speedPerSlot(admissionControl.admission) * speedUnitSeconds);
+        message.speed =
+            static_cast<std::uint64_t>(speedPerSlot(admissionControl.admission, clock::now()) * speedUnitSeconds);
     }
     admissionControl.admission.demand.clear();
     return message;
@@ -217,6 +219,7 @@
         publishCrashes(control);
         decideQueued(control.shared->admissionControl, clock::now());
         logDependencyChanges(control, clock::now());
+        updateColdLimit(control, clock::now());
         setControlGauges(control, clock::now());
         co_await sleepFor(tickInterval);
     }
@@ -252,7 +255,8 @@
     target_events events;
     events.report = [&control](const target_report &report) {
         const auto before = control.state.target.incarnation;
-        auto grant = applyReport(control.state, report, clock::now());
+        const auto now = clock::now();
+        auto grant = applyReport(control.state, report, now);
         const auto &target = control.state.target;
         if (target.incarnation != before) {
             recordTargetStart(control.shared->crashRegistry, clock::now());
@@ -262,6 +266,7 @@
                       {"born", std::to_string(target.incarnation.startedUnixMs)},
                       {"pool", report.announcement.pool.value}});
         }
+        applyColdness(control, report, target.incarnation != before, now);
         advance(control);
         return grant;
     };
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -7,6 +7,7 @@
 
 #include "async_condition.h"
 #include "exchange_base.h"
+#include "log_func.h"
 #include "mirror_type.h"
 #include "peer_client.h"
 #include "roster_base.h"
@@ -71,6 +72,8 @@
     steady_time nextLoadReport{}; ///< When the next load report is due.
     bool storeReachable = true; ///< Whether the store responded to the last call.
     steady_time nextGauges{}; ///< When the gauges are updated next.
+    bool targetCold = false; ///< Whether the limit of a cold target was in force at the last check.
+    log_budget coldLogBudget{1, 5, 5}; ///< Budget of log lines about the target becoming cold or warm.
     bool targetResponsive = false; ///< Whether the target beside this daemon reported lately.
     bool leaseValid = false; ///< Whether the right to grant keys was valid at the last check.
     bool wasReady = false; ///< Whether the daemon was ever ready for callers.
--- a/packages/daemon/src/roster/roster_port.h
+++ b/packages/daemon/src/roster/roster_port.h
@@ -2,6 +2,7 @@
 #ifndef ROSTER_PORT_H
 #define ROSTER_PORT_H
 
+#include "cold_limit_base.h"
 #include "header_profile.h"
 #include "http_type.h"
 #include "lease_store.h"
@@ -28,6 +29,7 @@
     lease_store store; ///< Store.
     std::optional<milliseconds>
         leaveTime; ///< Time a target serves after its leave was acknowledged; empty for the default.
+    cold_bound coldBound; ///< Bound on the requests to a cold target.
     std::string tablesKey; ///< Key of the tables in the store.
     std::function<std::optional<tables_snapshot>(std::string_view text, last_reason &why)>
         readTables; ///< Parses the tables.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -125,7 +125,7 @@
         thread->callerAcceptor = std::make_shared<tcp::acceptor>(std::move(*callerAcceptor));
         thread->targetClient =
             makeTargetClient({names.notRun, names.composeRequestIds ? "" : names.requestId,
-                              names.acceptUnframedResponses, names.targetLimit, names.targetLeaving});
+                              names.acceptUnframedResponses, names.targetLimit, names.targetLeaving, names.targetCold});
         thread->peerClient = makePeerClient(thread->context.get_executor());
         thread->peerServer = startPeerServer(std::move(*peerAcceptor),
                                              [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -4,6 +4,7 @@
 #define ADMISSION_BASE_H
 
 #include "cell_base.h"
+#include "cold_limit_base.h"
 #include "crash_suspect_base.h"
 #include "rate_limit_base.h"
 #include "row_type.h"
@@ -112,6 +113,7 @@
     pool_id pool; ///< Pool of the target; empty if not checked. A restarted target may belong to another pool.
     bool hasTarget = false; ///< Whether a target has announced itself.
     rate_limit rate; ///< Rate limit that the target names in its responses.
+    cold_limit cold; ///< Limit while the target is cold.
     bool heard = true; ///< Whether the target has responded to this run of the daemon, so that its limit is known.
     bool saysLeaving = false; ///< Whether a response of the target said that it is leaving, to this run of the daemon
                               ///< or, as other daemons remember, to the run before.
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -1,6 +1,7 @@
 /** @file admission_cmd.cpp Admission control for the local target. */
 #include "admission_func.h"
 
+#include "admission_cold_func.h"
 #include "admission_estimate_func.h"
 
 #include <algorithm>
@@ -103,6 +104,7 @@
         state.lastProgress = now;
     }
     takeToken(state.rate, isUrgent(request), now);
+    takeColdToken(state.cold, now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
     if (request.suspect) {
@@ -175,11 +177,11 @@
     return request.suspect && !state.suspectsInFlight.empty();
 }
 
-/** Whether the target can get a request now: it has a free slot, and its rate limit allows one. */
+/** Whether the target can get a request now: it has a free slot, and its limits allow one. */
 bool hasRoom(const admission_state &state, const admission_request &request, steady_time now)
 {
     return !waitsForSuspect(state, request) && state.inFlight < concurrencyFor(state, request, now)
-        && hasToken(state.rate, now);
+        && hasToken(state.rate, now) && hasColdToken(state.cold, now);
 }
 
 /**
@@ -207,11 +209,13 @@
     const auto wait = predictedWait(state, before, urgent, now);
     const milliseconds service(std::llround(expectedServiceMs(state, urgent)));
     const auto transfer = predictedTransfer(state, before, request);
-    const bool fits = now + wait + service + transfer <= latestResponse(state, request);
+    const auto latest = latestWhileCold(state, request, latestResponse(state, request), now);
+    const bool fits = now + wait + service + transfer <= latest;
     const auto queued = request.suspect ? state.queue.size() : countReady(state, state.queue.end());
     const bool full = queued >= state.limits.queue;
     const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
+        countColdRefusal(state, now);
         const auto allWait = predictedWait(state, state.queue.size(), urgent, now);
         const auto returnAfter = planReturn(state.rate, std::max(allWait, transfer), urgent, request.deadline, now);
         return refuse(state, refusal::overloaded, clampRetryAfter(returnAfter));
@@ -325,6 +329,11 @@
         auto reason = checkRequest(state, waiting.request, now);
         if (reason == refusal::none && isTooLate(state, waiting.request, before, now)) {
             reason = refusal::deadline_passed;
+        } else if (reason == refusal::none
+                   && missesGoalWhileCold(state, waiting.request, before, latestResponse(state, waiting.request),
+                                          now)) {
+            reason = refusal::overloaded;
+            countColdRefusal(state, now);
         }
         before += reason == refusal::none && !waitsForSuspect(state, waiting.request) ? 1 : 0;
         if (reason != refusal::none) {
@@ -390,6 +399,7 @@
         state.leavingSince = state.heard ? state.leavingSince : steady_time{};
     }
     state.heard = true;
+    applyColdNotice(state.cold, notice.coldFor, now);
     return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
 }
 
@@ -412,16 +422,19 @@
 {
     const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
     const std::chrono::duration<double, std::milli> service(state.serviceMs);
-    const auto sustained = std::max(sustainedConcurrency(state.rate, service, slots), minSustainedConcurrency);
+    const auto limited =
+        std::min(sustainedConcurrency(state.rate, service, slots), coldConcurrency(state.cold, service, slots, now));
+    const auto sustained = std::max(limited, minSustainedConcurrency);
     const auto load = static_cast<double>(state.inFlight + state.queue.size()) / sustained;
-    return hasToken(state.rate, now) ? load : std::max(load, 1.0);
+    return hasToken(state.rate, now) && hasColdToken(state.cold, now) ? load : std::max(load, 1.0);
 }
 
-double speedPerSlot(const admission_state &state)
+double speedPerSlot(const admission_state &state, steady_time now)
 {
     const std::chrono::duration<double, std::milli> service(std::max(state.serviceMs, minSpeedServiceMs));
     const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
-    const auto busy = sustainedConcurrency(state.rate, service, slots);
+    const auto busy =
+        std::min(sustainedConcurrency(state.rate, service, slots), coldConcurrency(state.cold, service, slots, now));
     return busy / slots / std::chrono::duration<double>(service).count();
 }
 
--- a/packages/decisions/src/admission/admission_estimate.cpp
+++ b/packages/decisions/src/admission/admission_estimate.cpp
@@ -1,6 +1,7 @@
 /** @file admission_estimate.cpp Estimates for admission: concurrency, service time, queueing and transfer time. */
 #include "admission_estimate_func.h"
 
+#include "cold_limit_func.h"
 #include "rate_limit_func.h"
 
 #include <algorithm>
@@ -120,7 +121,8 @@
     const auto slots = yields ? std::max(concurrency - state.meanUrgentInFlight, minNormalSlots) : concurrency;
     const auto forSlot = static_cast<double>(before + 1) / slots * expectedServiceMs(state, urgent);
     const auto forToken = static_cast<double>(predictedTokenWait(state.rate, before, !yields, now).count());
-    const auto mean = std::max(forSlot, forToken);
+    const auto forColdToken = static_cast<double>(predictedColdWait(state.cold, before, now).count());
+    const auto mean = std::max({forSlot, forToken, forColdToken});
     return milliseconds(std::llround(yields ? mean * waitMargin : mean));
 }
 
--- a/packages/decisions/src/admission/admission_estimate_func.h
+++ b/packages/decisions/src/admission/admission_estimate_func.h
@@ -63,8 +63,9 @@
 /**
  * Predicts the time that a request waits in the queue. Urgent requests that arrive later overtake a normal one, so with
  * enforced goals only the concurrency that urgent requests leave unused counts for it, and the result is twice the
- * mean. With a rate limit, the request also waits for its token. A refusal uses the predicted wait as the time to retry
- * after: under sustained overload, a caller that retries after the mean wait finds the queue full again.
+ * mean. With a rate limit, or if the target is cold, the request also waits for its token. A refusal uses the predicted
+ * wait as the time to retry after: under sustained overload, a caller that retries after the mean wait finds the queue
+ * full again.
  * @param state Admission.
  * @param before Requests that go before it.
  * @param urgent Whether it is urgent.
--- a/packages/decisions/src/admission/admission_func.h
+++ b/packages/decisions/src/admission/admission_func.h
@@ -3,6 +3,7 @@
 #define ADMISSION_FUNC_H
 
 #include "admission_base.h"
+#include "cold_limit_func.h"
 #include "rate_limit_func.h"
 
 namespace quetzalspool {
@@ -131,16 +132,18 @@
  * @param state Admission.
  * @param now Present time.
  * @return Requests in flight and queued, divided by the concurrency that the target or its rate limit sustains; can
- *         exceed 1. At least 1 while the rate limit allows no request.
+ *         exceed 1. At least 1 while the rate limit, or that of a cold target, allows no request.
  */
 double loadPerSlot(const admission_state &state, steady_time now);
 
 /**
  * Returns the speed of the target, by which keys are placed.
  * @param state Admission.
- * @return Requests per second that one slot of its concurrency completes, as far as its rate limit allows.
+ * @param now Present time.
+ * @return Requests per second that one slot of its concurrency completes, as far as its rate limit and that of a cold
+ *         target allow.
  */
-double speedPerSlot(const admission_state &state);
+double speedPerSlot(const admission_state &state, steady_time now);
 
 /**
  * Lets the next suspect run: a response to this one has begun.
--- a/packages/tables/src/row_codec.cpp
+++ b/packages/tables/src/row_codec.cpp
@@ -36,14 +36,18 @@
     for (const auto &home : row.homes) {
         homes.push_back({{"cell", home.cell.value}, {"weight", home.weight}});
     }
-    return {{"name", row.name.value},
-            {"keyed", row.keyed},
-            {"slots", row.slots},
-            {"homes", homes},
-            {"weighs_churn", row.weighsChurn},
-            {"moves_at_once", row.movesAtOnce},
-            {"queue", row.queue},
-            {"takeover_grace_ms", row.takeoverGrace.count()}};
+    json out{{"name", row.name.value},
+             {"keyed", row.keyed},
+             {"slots", row.slots},
+             {"homes", homes},
+             {"weighs_churn", row.weighsChurn},
+             {"moves_at_once", row.movesAtOnce},
+             {"queue", row.queue},
+             {"takeover_grace_ms", row.takeoverGrace.count()}};
+    if (row.coldPerSecond > 0) {
+        out["cold_per_s"] = row.coldPerSecond;
+    }
+    return out;
 }
 
 json toJson(const rules_row &row)
@@ -92,6 +96,7 @@
     row.movesAtOnce = from.at("moves_at_once");
     row.queue = from.at("queue");
     row.takeoverGrace = milliseconds(from.at("takeover_grace_ms").get<std::int64_t>());
+    row.coldPerSecond = from.value("cold_per_s", 0.0);
     return row;
 }
 
--- a/packages/tables/src/row_toml.cpp
+++ b/packages/tables/src/row_toml.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t maxDeadlineMs = 600000; ///< Ten minutes.
 constexpr std::int64_t maxBodyBytes =
     1048576; ///< Request bodies are buffered in memory until they are sent to the target.
+constexpr std::int64_t maxColdPerSecond = 1000000; ///< Maximum requests per second of a cold target.
 constexpr std::int64_t maxSlots = 1048576; ///< Maximum slots of one pool.
 
 key_source readKeySource(toml_reader &reader)
@@ -89,6 +90,7 @@
     row.movesAtOnce = static_cast<std::uint32_t>(readNumber(reader, "moves_at_once", 1, 1000, row.movesAtOnce));
     row.queue = static_cast<std::uint32_t>(readNumber(reader, "queue", 0, 100000, row.queue));
     row.takeoverGrace = milliseconds(readNumber(reader, "takeover_grace_ms", 0, maxDeadlineMs, 0));
+    row.coldPerSecond = static_cast<double>(readNumber(reader, "cold_per_s", 0, maxColdPerSecond, 0));
     return row;
 }
 
--- a/packages/tables/src/row_type.h
+++ b/packages/tables/src/row_type.h
@@ -79,6 +79,7 @@
     std::uint32_t queue = 16; ///< Maximum requests queued at the daemon beside one target.
     milliseconds takeoverGrace{0}; ///< Delay before a new owner's first request, for targets that check no grants.
     bool numeric = false; ///< Whether keys are numbers and slots are ranges of numbers.
+    double coldPerSecond = 0; ///< Requests per second that a cold target tolerates; 0 for no limit.
 
     bool operator==(const pool_row &) const = default;
 };
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -4,6 +4,7 @@
 #include "elapsed_clock.h"
 #include "http_convert.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <charconv>
 #include <cmath>
@@ -45,6 +46,7 @@
     std::set<std::string> refusedIds; ///< Ids of the requests that were refused on this connection.
     bool headOnly = false; ///< Whether the response has no body because of the request's method.
     bool reused = false; ///< Whether the connection has carried an earlier request.
+    bool showsRestart = false; ///< Whether the target may have restarted.
     bool complete = false; ///< Whether the response was read completely.
     steady_time idleSince{}; ///< When the connection became idle.
 };
@@ -95,6 +97,23 @@
     return nullptr;
 }
 
+/** Whether there are idle connections to a target and it has closed all of them, as the end of its process does. */
+bool allClosed(target_client &client, const endpoint &address)
+{
+    auto &idleConnections = client.idleConnections[address];
+    return !idleConnections.empty()
+        && std::none_of(idleConnections.begin(), idleConnections.end(),
+                        [](const auto &exchange) { return isStillOpen(*exchange); });
+}
+
+/** Whether the connection failed because the other end closed or reset it. */
+bool isClosedByTarget(const error_code &code)
+{
+    return code == asio::error::eof || code == asio::error::connection_reset || code == asio::error::connection_aborted
+        || code == asio::error::broken_pipe || code == http::error::end_of_stream
+        || code == http::error::partial_message;
+}
+
 /**
  * Whether a response certainly belongs to the current request: it names the request's id, or the connection has carried
  * no other request whose late response it could be. Targets that echo no ids are trusted to respond in order.
@@ -115,12 +134,22 @@
     return valid ? std::optional(rate) : std::nullopt;
 }
 
+/** Parses a time in whole milliseconds; anything else says nothing. */
+milliseconds parseColdTime(std::string_view text)
+{
+    std::uint32_t time = 0;
+    const auto *end = text.data() + text.size();
+    const auto [parsedTo, error] = std::from_chars(text.data(), end, time);
+    return milliseconds(error == std::errc() && parsedTo == end ? time : 0);
+}
+
 /** Reads what the head of a response says about its target. */
 target_notice readNotice(const target_rules &rules, const target_head &head, const http::response_header<> &message)
 {
     target_notice notice;
     notice.succeeded = head.notRun.empty() && head.status < firstServerFailure;
     notice.leaving = !rules.leaving.empty() && findHeader(head.headers, rules.leaving) == "1";
+    notice.coldFor = rules.cold.empty() ? milliseconds(0) : parseColdTime(findHeader(head.headers, rules.cold));
     if (rules.limit.empty() || message.find(rules.limit) == message.end()) {
         return notice;
     }
@@ -132,6 +161,11 @@
 
 } // namespace
 
+bool showsRestart(const target_exchange &exchange)
+{
+    return exchange.showsRestart;
+}
+
 std::shared_ptr<target_client> makeTargetClient(target_rules rules)
 {
     auto client = std::make_shared<target_client>();
@@ -143,6 +177,7 @@
                                                              std::string requestId, milliseconds maxIdleTime,
                                                              milliseconds timeout, last_reason &why)
 {
+    const bool wereClosed = allClosed(*client, address);
     auto exchange = takeIdleConnection(*client, address, requestId, maxIdleTime);
     if (exchange) {
         exchange->complete = false;
@@ -151,6 +186,7 @@
     }
     exchange = std::make_shared<target_exchange>(co_await asio::this_coro::executor);
     exchange->address = address;
+    exchange->showsRestart = wereClosed;
     exchange->rules = client->rules;
     exchange->stream.expires_after(timeout);
     error_code code;
@@ -184,6 +220,7 @@
     exchange->stream.expires_at(elapsed_clock::forTimers(deadline));
     error_code code;
     co_await http::async_write(exchange->stream, message, redirectError(code));
+    exchange->showsRestart = exchange->showsRestart || isClosedByTarget(code);
     if (code) {
         failed(why, "send to the target", toString(exchange->address), code.message());
     }
@@ -199,6 +236,7 @@
     exchange->stream.expires_at(elapsed_clock::forTimers(deadline));
     error_code code;
     co_await http::async_read_header(exchange->stream, exchange->buffer, parser, redirectError(code));
+    exchange->showsRestart = exchange->showsRestart || isClosedByTarget(code);
     if (code) {
         co_return failed(why, "read the target's response", toString(exchange->address), code.message());
     }
@@ -253,6 +291,7 @@
         exchange->stream.expires_at(elapsed_clock::forTimers(deadline));
         error_code code;
         co_await http::async_read_some(exchange->stream, exchange->buffer, parser, redirectError(code));
+        exchange->showsRestart = exchange->showsRestart || isClosedByTarget(code);
         if (code && code != http::error::need_buffer) {
             co_return failed(why, "read the target's response", toString(exchange->address), code.message());
         }
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -24,6 +24,7 @@
     bool unframed = false; ///< Whether a response without a length may end when its connection closes.
     std::string limit; ///< Header with the requests per second that the target takes; empty if there is none.
     std::string leaving; ///< Header by which the target says that it is leaving; empty if there is none.
+    std::string cold; ///< Header with the milliseconds for which the target is still cold; empty if there is none.
 };
 
 /** Status and headers of a target's response. */
@@ -36,6 +37,14 @@
     target_notice notice; ///< What the response says about the target, also if it may belong to an earlier request.
 };
 
+/**
+ * Returns whether the connection shows that the target may have restarted: it was refused or reset, or it ended before
+ * a response was complete, or all idle connections to the target had been closed.
+ * @param exchange Exchange.
+ * @return True if it may have restarted.
+ */
+bool showsRestart(const target_exchange &exchange);
+
 /**
  * Creates a client without connections.
  * @param rules How the targets' responses are interpreted.
