Add: learned speeds of targets, and the choice by least expected completion

Cause: targets of a pool differ in speed and change it within tenths of a second. The choice by load alone sends a target that has become four times slower as much as before until its slots are full, and its requests are late.

Change: decisions/src/speed holds the estimate beside the target (a slowly learned base for urgent and normal requests, a pace common to both that follows within a second or two, the age of requests in progress, the pace that a target states) and the choice (least expected completion of five random targets and the local one). Admission uses the estimate where `admission_state::speed` is set; nothing sets it yet, so nothing changes.

--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -2,6 +2,7 @@
 #include "admission_func.h"
 
 #include "admission_estimate_func.h"
+#include "speed_estimate_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -105,6 +106,9 @@
     takeToken(state.rate, isUrgent(request), now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
+    if (state.speed) {
+        beginWork(*state.speed, request.id, isUrgent(request), now);
+    }
     if (request.suspect) {
         state.suspectsInFlight.insert(request.id);
     }
@@ -241,6 +245,9 @@
     if (request.slot) {
         ++state.demand[request.slot->slot];
     }
+    if (state.speed) {
+        updateOverrun(*state.speed, now);
+    }
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
     const auto next = nextToStart(state);
     const bool first = next == state.queue.end() || precedes(request, next->request);
@@ -277,6 +284,9 @@
 {
     assert(!request.transferring);
     request.transferring = true;
+    if (state.speed) {
+        endWork(*state.speed, request.id);
+    }
     request.serviceTime = serviceTime;
     request.transfersAhead = state.normalTransfers;
     ++state.transferring;
@@ -291,6 +301,9 @@
     assert(state.inFlight > 0);
     --state.inFlight;
     state.suspectsInFlight.erase(request.id);
+    if (state.speed) {
+        endWork(*state.speed, request.id);
+    }
     if (request.transferring) {
         --state.transferring;
         state.normalTransfers -= isUrgent(request) ? 0 : 1;
@@ -303,7 +316,7 @@
         }
     }
     if (progress) {
-        recordServiceTime(state, request, request.transferring ? request.serviceTime : took);
+        recordServiceTime(state, request, request.transferring ? request.serviceTime : took, now);
         recordTransfer(state, request, took);
         state.lastProgress = now;
         state.probing = false;
@@ -320,6 +333,9 @@
         decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
     }
     state.displaced.clear();
+    if (state.speed) {
+        updateOverrun(*state.speed, now);
+    }
     std::size_t before = 0;
     std::erase_if(state.queue, [&](const queued_request &waiting) {
         auto reason = checkRequest(state, waiting.request, now);
@@ -371,6 +387,7 @@
     // The first target of this run may have named a limit to the previous run of this daemon.
     state.heard = state.hasTarget;
     state.hasTarget = true;
+    state.speed = state.speed ? std::optional(speed_estimate()) : std::nullopt;
     state.announcedAt = now;
     state.rate = {};
     state.saysLeaving = false;
@@ -419,7 +436,9 @@
 
 double speedPerSlot(const admission_state &state)
 {
-    const std::chrono::duration<double, std::milli> service(std::max(state.serviceMs, minSpeedServiceMs));
+    const auto learned = state.speed ? learnedMeanServiceMs(*state.speed) : 0;
+    const std::chrono::duration<double, std::milli> service(
+        std::max(learned > 0 ? learned : state.serviceMs, minSpeedServiceMs));
     const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
     const auto busy = sustainedConcurrency(state.rate, service, slots);
     return busy / slots / std::chrono::duration<double>(service).count();
--- a/packages/decisions/src/admission/admission_estimate.cpp
+++ b/packages/decisions/src/admission/admission_estimate.cpp
@@ -2,6 +2,7 @@
 #include "admission_estimate_func.h"
 
 #include "rate_limit_func.h"
+#include "speed_estimate_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -60,16 +61,22 @@
 
 double expectedServiceMs(const admission_state &state, bool urgent)
 {
+    if (const auto learned = state.speed ? learnedServiceMs(*state.speed, urgent) : 0; learned > 0) {
+        return learned;
+    }
     const auto known = urgent ? state.urgentServiceMs : state.normalServiceMs;
     return state.enforceGoals && known > 0 ? known : state.serviceMs;
 }
 
-void recordServiceTime(admission_state &state, const admission_request &request, milliseconds service)
+void recordServiceTime(admission_state &state, const admission_request &request, milliseconds service, steady_time now)
 {
     const auto newest = static_cast<double>(service.count());
     updateMeanService(state.serviceMs, newest);
     state.serviceMs = std::max(state.serviceMs, minServiceMs);
     updateMeanService(isUrgent(request) ? state.urgentServiceMs : state.normalServiceMs, newest);
+    if (state.speed) {
+        learnService(*state.speed, isUrgent(request), service, now);
+    }
 }
 
 void recordTransfer(admission_state &state, const admission_request &request, milliseconds took)
--- a/packages/decisions/src/admission/admission_estimate_func.h
+++ b/packages/decisions/src/admission/admission_estimate_func.h
@@ -16,7 +16,8 @@
 bool isUrgent(const admission_request &request);
 
 /**
- * Returns the expected service time of a request: with enforced goals that of its urgency if known, else that of all.
+ * Returns the expected service time of a request: with learned speeds or enforced goals that of its urgency if known,
+ * else that of all.
  * @param state Admission.
  * @param urgent Whether the request is urgent.
  * @return Service time in milliseconds.
@@ -28,8 +29,9 @@
  * @param state Admission.
  * @param request Request.
  * @param service Its service time.
+ * @param now Present time.
  */
-void recordServiceTime(admission_state &state, const admission_request &request, milliseconds service);
+void recordServiceTime(admission_state &state, const admission_request &request, milliseconds service, steady_time now);
 
 /**
  * Updates the estimate of the transfer time. Responses of a target are transferred in the order in which they were
--- a/packages/decisions/src/routing/balance_base.h
+++ b/packages/decisions/src/routing/balance_base.h
@@ -3,6 +3,7 @@
 #define BALANCE_BASE_H
 
 #include "base_type.h"
+#include "completion_choice_base.h"
 
 #include <map>
 
@@ -19,6 +20,7 @@
     double latencyMs = 0; ///< Moving average of the response time in milliseconds.
     double loadPerSlot = 0; ///< Last reported load: admitted and queued requests per slot.
     steady_time loadReportedAt{}; ///< When that report was received.
+    target_pace pace; ///< Last report of its speed.
 };
 
 /** Limits of outlier ejection. */
@@ -34,6 +36,7 @@
 {
     balance_limits limits; ///< Limits of outlier ejection.
     std::map<instance_id, target_stats> targets; ///< Observations by instance.
+    std::map<pool_id, pool_pace> pools; ///< Mean speeds and loads by pool; empty unless speeds are learned.
 };
 
 } // namespace quetzalspool
--- a/packages/decisions/src/routing/balance_cmd.cpp
+++ b/packages/decisions/src/routing/balance_cmd.cpp
@@ -29,19 +29,6 @@
     return found == state.targets.end() ? unknown : found->second;
 }
 
-/** Returns the load penalty for the distance to a target. The slow link to another region pays off only if the targets
- * of this one are overloaded. */
-double distancePenalty(const cell_member &member, const balancer_location &location)
-{
-    if (member.region != location.region) {
-        return otherRegionPenalty;
-    }
-    if (member.id == location.instance) {
-        return 0;
-    }
-    return member.domain == location.domain ? sameDomainPenalty : otherDomainPenalty;
-}
-
 /** Returns the requests per slot of a target: the load it reported, if recent, but at least the requests that this
  * thread has in flight there. */
 double currentLoad(const balance_state &state, const cell_member &member, steady_time now)
@@ -53,6 +40,17 @@
 
 } // namespace
 
+double distancePenalty(const cell_member &member, const balancer_location &location)
+{
+    if (member.region != location.region) {
+        return otherRegionPenalty;
+    }
+    if (member.id == location.instance) {
+        return 0;
+    }
+    return member.domain == location.domain ? sameDomainPenalty : otherDomainPenalty;
+}
+
 const cell_member *chooseTarget(const balance_state &state, const std::vector<const cell_member *> &members,
                                 const std::set<instance_id> &tried, const balancer_location &location,
                                 std::mt19937_64 &random, steady_time now)
@@ -94,7 +92,9 @@
 
 void recordStart(balance_state &state, const instance_id &target)
 {
-    ++state.targets[target].inFlight;
+    auto &stats = state.targets[target];
+    ++stats.inFlight;
+    ++stats.pace.sentSinceReport;
 }
 
 void recordResult(balance_state &state, const instance_id &target, bool succeeded, milliseconds duration,
--- a/packages/decisions/src/routing/balance_func.h
+++ b/packages/decisions/src/routing/balance_func.h
@@ -18,6 +18,15 @@
     domain_id domain; ///< Failure domain.
 };
 
+/**
+ * Returns the load penalty for the distance to a target. The slow link to another region pays off only if the targets
+ * of this one are overloaded.
+ * @param member Target.
+ * @param location Location of this daemon.
+ * @return Load by which the target at this daemon may exceed it.
+ */
+double distancePenalty(const cell_member &member, const balancer_location &location);
+
 /**
  * Chooses the target with the lowest load, with distance added as a penalty: the local target is preferred, then one of
  * the same failure domain, then one of the same region, until it is clearly more loaded than a more distant one.
--- /dev/null
+++ b/packages/decisions/src/speed/speed_estimate_base.h
@@ -0,0 +1,51 @@
+/** @file speed_estimate_base.h State of the learned speed of the local target. */
+#ifndef SPEED_ESTIMATE_BASE_H
+#define SPEED_ESTIMATE_BASE_H
+
+#include "base_type.h"
+
+#include <optional>
+#include <vector>
+
+namespace quetzalspool {
+
+/** A request that the target is working on. */
+struct running_work
+{
+    std::uint64_t id = 0; ///< Id of the request, unique within this daemon.
+    bool urgent = false; ///< Whether it is urgent.
+    steady_time since{}; ///< When it was handed over.
+};
+
+/** Load that a target states in a response. */
+struct stated_load
+{
+    std::uint32_t running = 0; ///< Requests that it processes.
+    std::uint32_t waiting = 0; ///< Requests that wait in it.
+    std::uint32_t slots = 0; ///< Requests that it processes at once.
+    std::optional<std::uint32_t> workPercent; ///< Time that work takes at this moment, in percent of the usual time.
+};
+
+/**
+ * Learned speed of the local target. The expected service time of a kind of request is its base, which changes slowly,
+ * times a pace common to all kinds, which changes quickly. A response of either kind therefore updates the expectation
+ * for both.
+ */
+struct speed_estimate
+{
+    double urgentBaseMs = 0; ///< Base of urgent requests in milliseconds; 0 if there were none.
+    double normalBaseMs = 0; ///< Base of normal requests in milliseconds; 0 if there were none.
+    double meanBaseMs = 0; ///< Mean of the bases over all requests in milliseconds; 0 if there were none.
+    double pace = 1; ///< Service time relative to the base, without the share that the target states.
+    double overrun = 0; ///< Least pace by the age of the requests in progress; 0 if there are too few.
+    double statedPace = 1; ///< Service time relative to the usual, as the target states it; 1 if it does not.
+    steady_time statedSince{}; ///< When that value last changed by more than the tolerance.
+    steady_time updatedAt{}; ///< When the pace was last updated.
+    std::optional<stated_load> stated; ///< Last stated load.
+    steady_time statedAt{}; ///< When it was stated.
+    std::vector<running_work> running; ///< Requests that the target is working on.
+};
+
+} // namespace quetzalspool
+
+#endif // SPEED_ESTIMATE_BASE_H
--- /dev/null
+++ b/packages/decisions/src/speed/speed_estimate_cmd.cpp
@@ -0,0 +1,150 @@
+/** @file speed_estimate_cmd.cpp Learned speed of the local target. */
+#include "speed_estimate_func.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr double baseSmoothing = 0.02; ///< Weight of a response in the base of its kind: about 50 responses.
+constexpr double meanSmoothing = 0.05; ///< Weight of a request in the mean over the kinds.
+constexpr milliseconds paceTime{400}; ///< Time constant of the pace.
+constexpr double minPaceWeight = 0.1; ///< Least weight of a response in the pace: single responses vary.
+constexpr double maxPaceWeight = 0.6; ///< Most weight, of the first response after a pause.
+constexpr double minPace = 0.02; ///< Lower bound of the pace.
+constexpr double maxPace = 50; ///< Upper bound of the pace.
+constexpr double minServiceMs = 0.1; ///< Lower bound of service times.
+constexpr std::size_t minRunning = 3; ///< With fewer requests in progress, their age proves nothing.
+constexpr double statedTolerance = 0.2; ///< Relative change of the stated pace that counts as a change of speed.
+constexpr std::size_t minStatedFields = 3; ///< Least number of fields of a stated load.
+constexpr std::size_t maxStatedFields = 4; ///< Largest number of fields of a stated load.
+constexpr std::uint32_t maxStatedCount = 1000000; ///< A larger number in a stated load is not believed.
+
+double &baseOf(speed_estimate &estimate, bool urgent)
+{
+    return urgent ? estimate.urgentBaseMs : estimate.normalBaseMs;
+}
+
+double baseOf(const speed_estimate &estimate, bool urgent)
+{
+    return urgent ? estimate.urgentBaseMs : estimate.normalBaseMs;
+}
+
+double effectivePace(const speed_estimate &estimate)
+{
+    return std::max(estimate.pace * estimate.statedPace, estimate.overrun);
+}
+
+bool isSeparator(char character)
+{
+    return character == ',' || character == ' ' || character == ';';
+}
+
+} // namespace
+
+void beginWork(speed_estimate &estimate, std::uint64_t id, bool urgent, steady_time now)
+{
+    estimate.running.push_back({id, urgent, now});
+}
+
+void endWork(speed_estimate &estimate, std::uint64_t id)
+{
+    std::erase_if(estimate.running, [id](const auto &work) { return work.id == id; });
+}
+
+void learnService(speed_estimate &estimate, bool urgent, milliseconds service, steady_time now)
+{
+    const auto measured = std::max(static_cast<double>(service.count()), minServiceMs);
+    auto &base = baseOf(estimate, urgent);
+    const auto usual = measured / (estimate.pace * estimate.statedPace);
+    base = base == 0 ? usual : base;
+    // A response that was begun before the target stated another pace shows the pace before.
+    if (now - service >= estimate.statedSince) {
+        const auto elapsed = std::chrono::duration<double>(now - estimate.updatedAt) / paceTime;
+        const auto weight = std::clamp(1 - std::exp(-elapsed), minPaceWeight, maxPaceWeight);
+        const auto observed = measured / (base * estimate.statedPace);
+        estimate.pace = std::clamp(estimate.pace + weight * (observed - estimate.pace), minPace, maxPace);
+        estimate.updatedAt = now;
+    }
+    base += baseSmoothing * (measured / (estimate.pace * estimate.statedPace) - base);
+    auto &mean = estimate.meanBaseMs;
+    mean = mean == 0 ? base : mean + meanSmoothing * (base - mean);
+}
+
+void updateOverrun(speed_estimate &estimate, steady_time now)
+{
+    estimate.overrun = 0;
+    if (estimate.running.size() < minRunning) {
+        return;
+    }
+    std::chrono::duration<double, std::milli> age{0};
+    double usual = 0;
+    for (const auto &work : estimate.running) {
+        const auto base = baseOf(estimate, work.urgent);
+        if (base > 0) {
+            age += now - work.since;
+            usual += base;
+        }
+    }
+    estimate.overrun = usual > 0 ? std::min(age.count() / usual, maxPace) : 0;
+}
+
+void applyStatedLoad(speed_estimate &estimate, const stated_load &stated, steady_time now)
+{
+    estimate.stated = stated;
+    estimate.statedAt = now;
+    const auto percent = static_cast<double>(stated.workPercent.value_or(100));
+    const auto pace = std::clamp(percent / 100, minPace, maxPace);
+    if (std::abs(pace - estimate.statedPace) > statedTolerance * estimate.statedPace) {
+        estimate.statedSince = now;
+    }
+    estimate.statedPace = pace;
+}
+
+double learnedServiceMs(const speed_estimate &estimate, bool urgent)
+{
+    return baseOf(estimate, urgent) * effectivePace(estimate);
+}
+
+double learnedMeanServiceMs(const speed_estimate &estimate)
+{
+    return estimate.meanBaseMs * effectivePace(estimate);
+}
+
+double learnedSpeed(const speed_estimate &estimate)
+{
+    return 1 / effectivePace(estimate);
+}
+
+std::optional<stated_load> parseStatedLoad(std::string_view text)
+{
+    std::array<std::uint32_t, maxStatedFields> fields{};
+    std::size_t count = 0;
+    const auto *at = text.data();
+    const auto *const end = text.data() + text.size();
+    while (at != end) {
+        if (count == maxStatedFields) {
+            return std::nullopt;
+        }
+        const auto [next, error] = std::from_chars(at, end, fields.at(count));
+        if (error != std::errc() || fields.at(count) > maxStatedCount || (next != end && !isSeparator(*next))) {
+            return std::nullopt;
+        }
+        ++count;
+        at = std::find_if_not(next, end, isSeparator);
+    }
+    if (count < minStatedFields || fields[2] == 0 || (count == maxStatedFields && fields[3] == 0)) {
+        return std::nullopt;
+    }
+    stated_load stated{fields[0], fields[1], fields[2], std::nullopt};
+    if (count == maxStatedFields) {
+        stated.workPercent = fields[3];
+    }
+    return stated;
+}
+
+} // namespace quetzalspool
