Add: slots stay within allowed regions, and failure domains can be drained

Slots of a keyed pool are placed within the intersection of the regions that its routes name; the planner marks ranges of owners elsewhere to be moved. Contradicting routes do not restrict placement.

Where the bound "evacuate" is set, daemons mirror op/ in place of op/config and treat each key op/evacuate/ZONE as a drain: no target there is chosen, admission refuses requests without keys at once and keyed ones after 3/4 of the bound, and owners hand over with tokens as leaving targets do. If no target outside may receive the slots, the owners stay. The time of a drain counts from when the daemon last knew that there was none, so one that was cut off or has just started serves no keys for longer. admission_state::drainEndedAt says when a drain ended.

After a return, rebalancing found no move, since slots lie in blocks of 16 and it wants larger windows; receivers with less than 0.3 of their share now get blocks up to 0.9 of it, only where domains can be drained.

Route rows of the product's tables have the field regions.

The tests with real daemons have not run yet.

--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -4,6 +4,9 @@
 #include "admission_func.h"
 #include "crash_sync.h"
 #include "datagrams.h"
+#include "drain_admission_func.h"
+#include "drain_sync.h"
+#include "drained_domains_func.h"
 #include "elapsed_clock.h"
 #include "exchange_func.h"
 #include "http_server.h"
@@ -83,6 +86,7 @@
     }
     view->cells[rosterCell] = std::move(cell);
     view->table = control.tables;
+    view->drained = control.state.drained;
     if (control.tables) {
         for (const auto &row : control.tables->rows.pools) {
             auto &pool = view->pools[row.name];
@@ -118,6 +122,7 @@
     auto &admission = admissionControl.admission;
     admission.leaseUntil = target.servesUntil;
     setLeaving(admission, target.leaving || target.left || admission.saysLeaving, now);
+    setDrained(admission, ownDomainDrainedSince(control), control.state.drained.keyedLimit, now);
     if (granted != control.publishedRanges) {
         setServed(admission, {expandSlots(granted), {}}, target.servesUntil, milliseconds(0), now);
         control.publishedRanges = std::move(granted);
@@ -211,6 +216,7 @@
 asio::awaitable<void> tickLoop(roster_control &control)
 {
     for (;;) {
+        recordDrainsKnown(control, clock::now());
         setRenewalRate(control.exchange.state, control.state, clock::now());
         advance(control);
         reportLoad(control, clock::now());
@@ -328,6 +334,7 @@
     timing.holdPeriod = roster.holdPeriod;
     timing.confirmInterval = std::min(timing.confirmInterval, timing.leasePeriod / confirmsPerLease);
     control.state = startRoster({describeSelf(*control.shared), {}}, timing, clock::now());
+    control.state.drained.keyedLimit = keyedLimitFor(control.port.drainTime.value_or(milliseconds(0)));
     if (!bindDatagrams(control.socket, control.shared->settings, why) || !startListeners(control, why)) {
         return false;
     }
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -69,6 +69,7 @@
     std::uint64_t crashesPublished = 0; ///< Crashes that were written in this run.
     std::set<revision_number> observedRevisions; ///< Revisions of changes received under any mirrored prefix.
     steady_time nextLoadReport{}; ///< When the next load report is due.
+    steady_time drainsKnownAt{}; ///< Until when no drain of a failure domain can have begun unnoticed.
     bool storeReachable = true; ///< Whether the store responded to the last call.
     steady_time nextGauges{}; ///< When the gauges are updated next.
     bool targetResponsive = false; ///< Whether the target beside this daemon reported lately.
--- a/packages/daemon/src/roster/roster_metrics.cpp
+++ b/packages/daemon/src/roster/roster_metrics.cpp
@@ -69,6 +69,7 @@
     setGauge(numbers, "right_seconds_left", std::max(left, 0.0));
     setGauge(numbers, "nodes_known", static_cast<double>(control.state.nodes.size()));
     setGauge(numbers, "store_heard", control.storeReachable ? 1 : 0);
+    setGauge(numbers, "drained_domains", static_cast<double>(control.state.drained.since.size()));
     setGauge(numbers, "store_era", static_cast<double>(control.state.era.value));
     setGauge(numbers, "tables_version", control.tables ? static_cast<double>(control.tables->rows.version) : 0);
     setGauge(numbers, "crash_suspects", static_cast<double>(countSuspects(control.shared->crashRegistry)));
--- a/packages/daemon/src/roster/roster_port.h
+++ b/packages/daemon/src/roster/roster_port.h
@@ -29,6 +29,10 @@
     std::optional<milliseconds>
         leaveTime; ///< Time a target serves after its leave was acknowledged; empty for the default.
     std::string tablesKey; ///< Key of the tables in the store.
+    std::optional<milliseconds>
+        drainTime; ///< Time after which no request may reach a drained domain; empty if domains can't be drained.
+    std::string drainsPrefix; ///< Prefix of the keys that name drained domains; empty if domains can't be drained.
+    std::string tablesPrefix; ///< Common prefix of tables and drained domains; empty to mirror the tables alone.
     std::function<std::optional<tables_snapshot>(std::string_view text, last_reason &why)>
         readTables; ///< Parses the tables.
     std::function<http_response(const http_request &, const target_events &)>
--- a/packages/daemon/src/roster/roster_sync.cpp
+++ b/packages/daemon/src/roster/roster_sync.cpp
@@ -1,7 +1,9 @@
 /** @file roster_sync.cpp Calls to the store for the roster. */
 #include "roster_sync.h"
 
+#include "allowed_regions_func.h"
 #include "crash_sync.h"
+#include "drain_sync.h"
 #include "elapsed_clock.h"
 #include "exchange_func.h"
 #include "log_func.h"
@@ -139,6 +141,7 @@
             control.state.keyedPools.insert(pool.name);
         }
     }
+    control.state.regions = findPlacementRegions(control.tables->rows);
     control.state.dirty = true;
     for (const auto &route : control.tables->rows.routes) {
         logEvent(log_level::debug, "route-taken",
@@ -149,6 +152,7 @@
                   {"rank", std::to_string(route.rank)},
                   {"idempotent", route.idempotent ? "1" : "0"},
                   {"targets", std::to_string(route.targetsPerRequest)},
+                  {"regions", std::to_string(route.regions.size())},
                   {"goal_ms", std::to_string(route.latencyGoal.count())},
                   {"deadline_ms", std::to_string(route.deadline.count())}});
     }
@@ -342,10 +346,14 @@
 {
     const auto key = control.port.tablesKey;
     auto mirrored = std::make_shared<mirrored_prefix>();
-    mirrored->mirror.prefix = key;
+    const auto prefix = control.port.tablesPrefix.empty() ? key : control.port.tablesPrefix;
+    mirrored->mirror.prefix = prefix;
     // The roster is watched first, since it names the upstream daemons for both.
     mirrored->initialWatchDelay = control.exchange.initialWatchDelay * 2;
-    mirrored->readAll = [&control, key](last_reason &why) -> asio::awaitable<std::optional<range_result>> {
+    mirrored->readAll = [&control, key, prefix](last_reason &why) -> asio::awaitable<std::optional<range_result>> {
+        if (prefix != key) {
+            co_return co_await control.port.store.list(prefix, why);
+        }
         auto read = co_await control.port.store.read(key, why);
         if (!read) {
             co_return std::nullopt;
@@ -360,7 +368,9 @@
         if (!event.removed && event.value.key == key) {
             applyTables(control, event.value);
         }
+        applyDrainChange(control, event);
     };
+    mirrored->onListed = [&control] { control.drainsKnownAt = clock::now(); };
     co_await mirrorPrefix(control, mirrored, onChange);
 }
 
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -2,6 +2,7 @@
 #include "admission_func.h"
 
 #include "admission_estimate_func.h"
+#include "drain_admission_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -75,7 +76,7 @@
         return refusal::deadline_passed;
     }
     // Keyed requests are refused slot by slot as slots are released; others as soon as the target is leaving.
-    if ((state.leaving && !request.slot) || leaveLimitPassed(state, now)) {
+    if ((state.leaving && !request.slot) || leaveLimitPassed(state, now) || isRefusedByDrain(state, request, now)) {
         return refusal::leaving;
     }
     return isStalled(state, now) ? refusal::stalled : refusal::none;
@@ -259,7 +260,7 @@
     if (!matchesPool(state, request)) {
         return refusal::no_target;
     }
-    if (leaveLimitPassed(state, now)) {
+    if (leaveLimitPassed(state, now) || isRefusedByDrain(state, request, now)) {
         return refusal::leaving;
     }
     if (!request.slot) {
--- a/packages/decisions/src/roster/roster_cmd.cpp
+++ b/packages/decisions/src/roster/roster_cmd.cpp
@@ -2,6 +2,7 @@
 #include "roster_departure_func.h"
 #include "roster_era_func.h"
 #include "roster_func.h"
+#include "slot_scope_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -446,8 +447,9 @@
     }
     target_grant grant;
     grant.duration = duration;
-    // A draining target must release all slots, so that other targets can serve its keys.
-    const auto served = target.leaving ? std::vector<std::pair<pool_id, slot_range>>() : grantableRanges(state);
+    // A draining target, or one in a drained domain, must release all slots, so that other targets can serve its keys.
+    const bool releasesAll = target.leaving || mustLeaveDomain(state);
+    const auto served = releasesAll ? std::vector<std::pair<pool_id, slot_range>>() : grantableRanges(state);
     recordRevocations(state, served);
     dropStaleTokens(state);
     for (const auto &row : served) {
--- a/packages/decisions/src/roster/roster_load_func.h
+++ b/packages/decisions/src/roster/roster_load_func.h
@@ -6,6 +6,12 @@
 
 namespace quetzalspool {
 
+/**
+ * Maximum number of adjacent slots that are assigned together. Busy keys are close to each other, and which keys are
+ * busy is unknown before the first requests: small blocks distribute them over several owners from the start.
+ */
+constexpr std::uint32_t slotsPerBlock = 16;
+
 /** Load of one candidate's ranges and its fair share. */
 struct candidate_load
 {
--- a/packages/decisions/src/roster/roster_plan.cpp
+++ b/packages/decisions/src/roster/roster_plan.cpp
@@ -2,6 +2,7 @@
 #include "roster_era_func.h"
 #include "roster_func.h"
 #include "roster_load_func.h"
+#include "slot_scope_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -13,11 +14,6 @@
 namespace {
 
 constexpr milliseconds balanceInterval{500}; ///< Between two checks for a rebalance.
-/**
- * Maximum number of adjacent slots that are assigned together. Busy keys are close to each other, and which keys are
- * busy is unknown before the first requests: small blocks distribute them over several owners from the start.
- */
-constexpr std::uint32_t blockSlots = 16;
 
 /** Draft of the next owners of a pool. */
 struct ownership_draft
@@ -29,25 +25,6 @@
     bool changed = false; ///< Whether the copy differs from the current owners.
 };
 
-bool acceptsSlots(const roster_state &state, const known_node &seen, const pool_id &pool)
-{
-    const bool self = seen.node && seen.node->member.id == state.self.member.id;
-    const auto &node = self ? state.self : *seen.node;
-    return !node.targetIncarnation.id.empty() && node.member.target.pool == pool && !node.member.leaving;
-}
-
-/** Nodes that may become owners of slots of a pool. */
-std::vector<const roster_node *> eligibleNodes(const roster_state &state, const pool_id &pool)
-{
-    std::vector<const roster_node *> candidates;
-    for (const auto &[id, seen] : state.nodes) {
-        if (seen.present && seen.node && acceptsSlots(state, seen, pool)) {
-            candidates.push_back(id == state.self.member.id ? &state.self : &*seen.node);
-        }
-    }
-    return candidates;
-}
-
 const roster_node *findCandidate(const std::vector<const roster_node *> &candidates, const instance_id &id)
 {
     const auto found = std::find_if(candidates.begin(), candidates.end(),
@@ -92,11 +69,26 @@
     draft.changed = true;
 }
 
+/** Nodes that a plan may use. */
+struct plan_nodes
+{
+    std::vector<const roster_node *> accepting; ///< Nodes whose target belongs to the pool and accepts slots.
+    std::vector<const roster_node *> receivers; ///< Those of them that may receive slots.
+};
+
+/** Node that a new incarnation of the local target gets its slots as; null if other targets must receive them. */
+const roster_node *findSuccessor(const roster_state &state, const plan_nodes &nodes)
+{
+    return findCandidate(nodes.receivers.empty() ? nodes.accepting : nodes.receivers, state.self.member.id);
+}
+
 /** Plans the ranges of the local target: a new incarnation takes over, or a released range goes to its next owner. */
-void planOwnRanges(const roster_state &state, ownership_draft &draft,
-                   const std::vector<const roster_node *> &candidates, steady_time now)
+void planOwnRanges(const roster_state &state, ownership_draft &draft, const plan_nodes &nodes, steady_time now)
 {
     const auto &target = state.target;
+    // Slots that no other target may receive stay: they are served as soon as one of these domains is in service again.
+    const bool stays = nodes.receivers.empty() && !nodes.accepting.empty();
+    const bool leavesDomain = mustLeaveDomain(state);
     const auto &pool = draft.record.pool;
     for (auto &range : draft.record.ranges) {
         if (range.owner != state.self.member.id || !isEntitled(state, pool, range)) {
@@ -105,16 +97,20 @@
         const bool otherIncarnation = !target.incarnation.id.empty() && range.incarnation != target.incarnation;
         if (otherIncarnation && range.incarnation.startedUnixMs < target.incarnation.startedUnixMs) {
             // The owning incarnation has ended, since a newer one has started at its address.
-            const auto *self = findCandidate(candidates, state.self.member.id);
-            reassign(draft, range, self, "");
+            reassign(draft, range, findSuccessor(state, nodes), "");
             continue;
         }
-        const auto *next = range.nextOwner.value.empty() ? nullptr : findCandidate(candidates, range.nextOwner);
-        const bool unresponsive = now - std::max(target.lastReportAt, state.startedAt) >= state.timing.holdPeriod;
         // Other nodes must know that this target is leaving before they see it without slots, or they would assign it
         // some.
         const bool targetLeaving = (target.leaving || target.left) && state.lease.writtenEntry.member.leaving;
-        const bool mustRelease = !range.nextOwner.value.empty() || targetLeaving;
+        if (stays && !targetLeaving) {
+            draft.changed = draft.changed || !range.nextOwner.value.empty();
+            range.nextOwner = {};
+            continue;
+        }
+        const auto *next = range.nextOwner.value.empty() ? nullptr : findCandidate(nodes.receivers, range.nextOwner);
+        const bool unresponsive = now - std::max(target.lastReportAt, state.startedAt) >= state.timing.holdPeriod;
+        const bool mustRelease = !range.nextOwner.value.empty() || targetLeaving || leavesDomain;
         if ((unresponsive || mustRelease) && isReleased(state, pool, range, now)) {
             draft.transferred.push_back(range);
             reassign(draft, range, next, handoverToken(target, range));
@@ -180,7 +176,7 @@
 /** Last slot of the block that contains a slot. */
 std::uint32_t blockEnd(std::uint32_t slot)
 {
-    return (slot / blockSlots + 1) * blockSlots - 1;
+    return (slot / slotsPerBlock + 1) * slotsPerBlock - 1;
 }
 
 /** Whether the first owners of a pool may be chosen: the set of nodes has not changed for the settle time. */
@@ -208,15 +204,14 @@
  * Plans the owners of a pool that are not confirmed in the era of the store. Until the grants of the lost era have
  * ended, they change only where this daemon hands over its own ranges, and by what it knows of the lost era.
  */
-void planUnconfirmed(const roster_state &state, ownership_draft &draft,
-                     const std::vector<const roster_node *> &candidates, steady_time now)
+void planUnconfirmed(const roster_state &state, ownership_draft &draft, const plan_nodes &nodes, steady_time now)
 {
     const auto &pool = draft.record.pool;
     const auto lost = state.lostOwners.find(pool);
     const bool isBehind = requiredRevision(state, state.records.at(pool)) == revision_number{}
         || (lost != state.lostOwners.end() && !lost->second.unwritten.empty());
     const bool isConcerned = isPlanner(state) || lacksOwnRanges(state, draft.record);
-    planOwnRanges(state, draft, candidates, now);
+    planOwnRanges(state, draft, nodes, now);
     if (now >= state.lostGrantsEnd && isConcerned) {
         draft.record.era = state.era;
         draft.changed = true;
@@ -289,31 +284,34 @@
 namespace {
 
 /** Plans the owners of a pool that are confirmed, or the first ones. Returns false if these can't be chosen yet. */
-bool planConfirmed(roster_state &state, ownership_draft &draft, const std::vector<const roster_node *> &candidates,
-                   steady_time now)
+bool planConfirmed(roster_state &state, ownership_draft &draft, const plan_nodes &nodes, steady_time now)
 {
     const bool isPlanning = isPlanner(state);
     draft.record.era = state.era;
     if (draft.record.ranges.empty()) {
-        if (!isPlanning || candidates.empty() || !isSettled(state, now)) {
+        if (!isPlanning || nodes.receivers.empty() || !isSettled(state, now)) {
             return false;
         }
         draft.record.ranges.push_back({0, numericSlots - 1, {}, {}, {}, "", {}});
     }
     const auto observedLoad = state.loads.find(draft.record.pool);
     const auto *load = observedLoad == state.loads.end() ? nullptr : &observedLoad->second;
-    planOwnRanges(state, draft, candidates, now);
+    planOwnRanges(state, draft, nodes, now);
     if (isPlanning) {
         reclaimAbsent(state, draft, now);
     }
     if (isPlanning || draft.changed) {
-        draft.changed = assignUnowned(draft.record, candidates, load, draft.fence) || draft.changed;
+        draft.changed = assignUnowned(draft.record, nodes.receivers, load, draft.fence) || draft.changed;
+    }
+    if (isPlanning) {
+        draft.changed = planRegionMoves(state, draft.record, nodes.receivers) || draft.changed;
     }
     const bool moving = std::any_of(draft.record.ranges.begin(), draft.record.ranges.end(),
                                     [](const auto &range) { return !range.nextOwner.value.empty(); });
     if (isPlanning && !draft.changed && !moving && now >= state.nextBalance) {
         state.nextBalance = now + balanceInterval;
-        draft.changed = planRebalance(draft.record, candidates, load);
+        draft.changed =
+            planReturnMoves(state, draft.record, nodes.receivers) || planRebalance(draft.record, nodes.receivers, load);
     }
     return true;
 }
@@ -326,7 +324,9 @@
         return std::nullopt;
     }
     const auto &stored = state.records[pool];
-    const auto candidates = eligibleNodes(state, pool);
+    auto accepting = acceptingNodes(state, pool);
+    auto receivers = receivingNodes(state, pool, accepting);
+    const plan_nodes nodes{std::move(accepting), std::move(receivers)};
     const bool isFirst = stored.record.ranges.empty();
     if (isFirst && state.lostEra && now < state.lostGrantsEnd) {
         return std::nullopt; // Owners of a lost era may hold keys.
@@ -334,8 +334,8 @@
     ownership_draft draft{stored.record, nextFence(state, stored), {}, {}, false};
     draft.record.pool = pool;
     if (!isFirst && !isConfirmed(state, stored)) {
-        planUnconfirmed(state, draft, candidates, now);
-    } else if (!planConfirmed(state, draft, candidates, now)) {
+        planUnconfirmed(state, draft, nodes, now);
+    } else if (!planConfirmed(state, draft, nodes, now)) {
         return std::nullopt;
     }
     // If an earlier write got no answer, write again even without changes: only one write on the condition of this
--- a/packages/tables/src/row_codec.cpp
+++ b/packages/tables/src/row_codec.cpp
@@ -16,6 +16,10 @@
 
 json toJson(const route_row &row)
 {
+    auto regions = json::array();
+    for (const auto &region : row.regions) {
+        regions.push_back(region.value);
+    }
     static const char *const sources[] = {"none", "path", "header"};
     return {{"name", row.name},
             {"prefix", row.prefix},
@@ -27,7 +31,8 @@
             {"idempotent_methods", row.idempotentMethods},
             {"deadline_ms", row.deadline.count()},
             {"max_body", row.maxBody},
-            {"callers", row.callers}};
+            {"callers", row.callers},
+            {"regions", regions}};
 }
 
 json toJson(const pool_row &row)
@@ -76,6 +81,9 @@
     row.deadline = milliseconds(from.at("deadline_ms").get<std::int64_t>());
     row.maxBody = from.at("max_body");
     row.callers = from.at("callers").get<std::vector<std::string>>();
+    for (const auto &region : from.value("regions", json::array())) { // Absent in rows of earlier versions.
+        row.regions.push_back({region.get<std::string>()});
+    }
     return row;
 }
 
--- a/packages/tables/src/row_toml.cpp
+++ b/packages/tables/src/row_toml.cpp
@@ -52,6 +52,9 @@
     row.maxBody = static_cast<std::uint64_t>(
         readNumber(reader, "max_body", 0, maxBodyBytes, static_cast<std::int64_t>(row.maxBody)));
     row.callers = readStrings(reader, "callers");
+    for (auto &region : readStrings(reader, "regions")) {
+        row.regions.push_back({std::move(region)});
+    }
     return row;
 }
 
@@ -188,6 +191,8 @@
         text = "a route's prefix must start with /";
     } else if (row.keyFrom == key_source::header && row.keyHeader.empty()) {
         text = "key_header is required with key_from = \"header\"";
+    } else if (std::find(row.regions.begin(), row.regions.end(), region_id{}) != row.regions.end()) {
+        text = "a region of a route needs a name";
     }
     if (text != nullptr) {
         failed(why, "check", "routes/" + row.name, text);
--- a/packages/tables/tests/edit_test.cpp
+++ b/packages/tables/tests/edit_test.cpp
@@ -172,4 +172,40 @@
     EXPECT_NE(parseFailure("[[route]\n").find("file:1"), std::string::npos);
 }
 
+// A restriction that is lost on the way from the file to the daemons would let bodies leave their regions.
+TEST(tables, aRouteKeepsItsRegions)
+{
+    last_reason why;
+    const std::string text = "[[route]]\nname = \"r\"\nprefix = \"/r\"\npool = \"p\"\nregions = [\"r1\", \"r2\"]\n";
+    const auto rows = parseTables(text, "file", why);
+    ASSERT_TRUE(rows.has_value()) << describe(why);
+    const auto &row = std::get<route_row>(rows->front().row);
+    EXPECT_EQ(row.regions, (std::vector<region_id>{{"r1"}, {"r2"}}));
+    const auto stored = parseRow("routes/r", formatRow(row), why);
+    ASSERT_TRUE(stored.has_value()) << describe(why);
+    EXPECT_EQ(std::get<route_row>(*stored), row);
+}
+
+// Rows that an earlier version stored have no such field and must stay readable.
+TEST(tables, aStoredRouteWithoutRegionsAllowsAll)
+{
+    last_reason why;
+    auto text = formatRow(makeRoute("look", "desk"));
+    const std::string field = R"("regions":[])";
+    const auto at = text.find(field);
+    ASSERT_NE(at, std::string::npos);
+    text.erase(at, field.size());
+    text.erase(text[at] == ',' ? at : at - 1, 1);
+    const auto stored = parseRow("routes/look", text, why);
+    ASSERT_TRUE(stored.has_value()) << describe(why);
+    EXPECT_EQ(std::get<route_row>(*stored), makeRoute("look", "desk"));
+}
+
+// An empty name would restrict the route to no region at all.
+TEST(tables, aRegionOfARouteNeedsAName)
+{
+    const std::string text = "[[route]]\nname = \"r\"\nprefix = \"/r\"\npool = \"p\"\nregions = [\"\"]\n";
+    EXPECT_NE(parseFailure(text).find("a region of a route needs a name"), std::string::npos);
+}
+
 } // namespace quetzalspool::test
