Add: hot slots are placed on fast owners, and their neighbours leave

Cause: a slot with more load than its owner's share stays where it is: no window of the rebalance contains it, and with it the owner stays the most loaded, so nothing else is balanced either.

Ruled out: moving the hot slot to the least loaded owner (a slow one ends up as busy as the one before, and the slot comes back).

Change: where `roster_state::placesBySpeed` is set (the daemon sets it with `learn_speeds`), planning moves a hot slot to an owner that is faster by a third and ends up less utilized by that factor than the giver was; its neighbours leave; the other owners share the remaining load. A window moves only if the receiver ends up less utilized than the giver was. With the switch off, planRebalance decides as before; its search for windows is shared.

--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -328,6 +328,7 @@
     timing.holdPeriod = roster.holdPeriod;
     timing.confirmInterval = std::min(timing.confirmInterval, timing.leasePeriod / confirmsPerLease);
     control.state = startRoster({describeSelf(*control.shared), {}}, timing, clock::now());
+    control.state.placesBySpeed = control.shared->settings.learnSpeeds;
     if (!bindDatagrams(control.socket, control.shared->settings, why) || !startListeners(control, why)) {
         return false;
     }
--- a/packages/decisions/src/roster/roster_load.cpp
+++ b/packages/decisions/src/roster/roster_load.cpp
@@ -15,6 +15,8 @@
 constexpr milliseconds decayInterval{1000}; ///< Between two decay steps.
 constexpr double decayFactor = 0.7; ///< Remaining fraction of a load after one step: a time constant of about 3 s.
 
+} // namespace
+
 double capacityOf(const roster_node &node, const pool_load *load)
 {
     const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
@@ -32,8 +34,6 @@
     return slots * std::max(sum / static_cast<double>(load->speed.size()), minSpeed);
 }
 
-} // namespace
-
 double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
 {
     double sum = (last - first + 1) * baselineLoad;
--- a/packages/decisions/src/roster/roster_load_func.h
+++ b/packages/decisions/src/roster/roster_load_func.h
@@ -24,6 +24,14 @@
  */
 double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last);
 
+/**
+ * Returns the capacity of a target: its slots by its speed, or by the mean speed while its own is unknown.
+ * @param node Node.
+ * @param load Observed load; null if there is none.
+ * @return Requests per second; slots if no speed is known.
+ */
+double capacityOf(const roster_node &node, const pool_load *load);
+
 /**
  * Returns the loads of candidates and their fair shares.
  * @param record Owners.
--- a/packages/decisions/src/roster/roster_plan.cpp
+++ b/packages/decisions/src/roster/roster_plan.cpp
@@ -1,4 +1,5 @@
 /** @file roster_plan.cpp Plans the next owners of a pool. Each step checks its conditions, then changes a draft. */
+#include "hot_slot_func.h"
 #include "roster_era_func.h"
 #include "roster_func.h"
 #include "roster_load_func.h"
@@ -313,7 +314,8 @@
                                     [](const auto &range) { return !range.nextOwner.value.empty(); });
     if (isPlanning && !draft.changed && !moving && now >= state.nextBalance) {
         state.nextBalance = now + balanceInterval;
-        draft.changed = planRebalance(draft.record, candidates, load);
+        const auto plan = state.placesBySpeed ? planBySpeed : planRebalance;
+        draft.changed = plan(draft.record, candidates, load);
     }
     return true;
 }
--- a/packages/decisions/src/roster/roster_rebalance.cpp
+++ b/packages/decisions/src/roster/roster_rebalance.cpp
@@ -1,6 +1,7 @@
 /** @file roster_rebalance.cpp Plans moves of slots from overloaded to underloaded targets. */
 #include "roster_func.h"
 #include "roster_load_func.h"
+#include "roster_window_func.h"
 
 #include <algorithm>
 
@@ -17,21 +18,6 @@
 constexpr double maxMoveFraction = 1.1; ///< Maximum share of the wanted load that one move transfers.
 constexpr std::size_t maxMovesPerWrite = 8; ///< Maximum slot windows that one write marks to be moved.
 
-/** Adjacent slots of one owner. */
-struct slot_window
-{
-    std::uint32_t first = 0; ///< First slot.
-    std::uint32_t last = 0; ///< Last slot, inclusive.
-    double load = 0; ///< Their load.
-};
-
-/** Load that a move should transfer, and the least that makes it worth a move. */
-struct wanted_load
-{
-    double load = 0; ///< Load that should move.
-    double least = 0; ///< A window with less is not moved.
-};
-
 /**
  * Whether a window is a better move than another one: the fewest slots with about the wanted load, since moving few
  * keys is cheapest, or else the most load.
@@ -68,6 +54,8 @@
     }
 }
 
+} // namespace
+
 std::optional<slot_window> findMove(const ownership_record &record, const instance_id &owner, const pool_load *load,
                                     const wanted_load &wanted)
 {
@@ -80,7 +68,6 @@
     return best;
 }
 
-/** Splits a window off its range and sets the window's next owner. */
 void markForMove(ownership_record &record, const slot_window &window, const instance_id &next)
 {
     std::vector<slot_range> ranges;
@@ -108,8 +95,6 @@
     record.ranges = std::move(ranges);
 }
 
-} // namespace
-
 bool planRebalance(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
 {
     bool changed = false;
--- /dev/null
+++ b/packages/decisions/src/speed/hot_slot_cmd.cpp
@@ -0,0 +1,219 @@
+/** @file hot_slot_cmd.cpp Placement of slots that alone exceed the share of an owner. */
+#include "hot_slot_func.h"
+
+#include "roster_load_func.h"
+#include "roster_window_func.h"
+
+#include <algorithm>
+
+namespace quetzalspool {
+
+namespace {
+
+constexpr double overloadRatio = 1.2; ///< An owner from this ratio of load to share may count as overloaded.
+constexpr double minUtilization = 0.6; ///< An owner counts as overloaded only from this share of its capacity.
+constexpr double hotRatio = 1.15; ///< A slot from this ratio of its load to its owner's share is hot. Above the largest
+                                  ///< part of the wanted load that a window has, so that no window contains it.
+constexpr double fasterRatio = 1.33; ///< A hot slot moves only to an owner that is faster by this factor, and only if
+                                     ///< the utilization falls by it: learned speeds vary by some percent.
+constexpr double minMoveFraction = 0.7; ///< Share of the wanted load from which a move between other owners is enough.
+constexpr double minPartFraction = 0.1; ///< The same for the neighbours of a hot slot and for large imbalances.
+constexpr double severalMovesRatio = 2; ///< From this ratio of load to share, several moves may transfer the load.
+constexpr double minNeighbourLoad = 0.1; ///< Least load of a hot slot's neighbours that is worth moves, as a share of
+                                         ///< the hot slot's load.
+constexpr std::size_t maxMovesPerWrite = 8; ///< Maximum slot windows that one write marks to be moved.
+
+/** An owner and its busiest slot. */
+struct owner_load
+{
+    candidate_load entry; ///< Load, and share of the load that is not on hot slots.
+    double capacity = 0; ///< Requests per second.
+    slot_window busiest; ///< Slot with the most load among those that may move.
+    bool hot = false; ///< Whether that slot is hot.
+};
+
+double utilization(const owner_load &owner)
+{
+    return owner.entry.load / owner.capacity;
+}
+
+double ratio(const owner_load &owner)
+{
+    return owner.entry.load / owner.entry.fairShare;
+}
+
+/** Plan in progress. */
+struct speed_plan
+{
+    ownership_record &record; ///< Owners; changed.
+    const pool_load *load; ///< Observed load.
+    std::vector<owner_load> owners; ///< Owners.
+    std::size_t moves = 0; ///< Moves marked.
+};
+
+void findBusiest(speed_plan &plan)
+{
+    for (const auto &range : plan.record.ranges) {
+        const auto owner = std::find_if(plan.owners.begin(), plan.owners.end(), [&](const auto &entry) {
+            return range.nextOwner.value.empty() && entry.entry.node->member.id == range.owner;
+        });
+        for (auto slot = range.first; owner != plan.owners.end() && slot <= range.last; ++slot) {
+            const auto slotLoad = loadBetween(plan.load, slot, slot);
+            if (slotLoad > owner->busiest.load) {
+                owner->busiest = {slot, slot, slotLoad};
+            }
+        }
+    }
+}
+
+/** Divides the load that is not on hot owners among the others. Owners that become hot by that reduce the shares of the
+ * rest, so it is repeated until none does. */
+void divideShares(std::vector<owner_load> &owners)
+{
+    for (bool changed = true; changed;) {
+        double load = 0;
+        double capacity = 0;
+        for (const auto &owner : owners) {
+            load += owner.hot ? owner.entry.load - owner.busiest.load : owner.entry.load;
+            capacity += owner.hot ? 0 : owner.capacity;
+        }
+        changed = false;
+        for (auto &owner : owners) {
+            owner.entry.fairShare = owner.hot ? owner.busiest.load : load * owner.capacity / capacity;
+        }
+        for (auto &owner : owners) {
+            const bool becomesHot = !owner.hot && owner.busiest.load > hotRatio * owner.entry.fairShare;
+            changed = changed || becomesHot;
+            owner.hot = owner.hot || becomesHot;
+        }
+        if (std::all_of(owners.begin(), owners.end(), [](const auto &owner) { return owner.hot; })) {
+            return;
+        }
+    }
+}
+
+void move(speed_plan &plan, owner_load &giver, owner_load &receiver, const slot_window &window)
+{
+    markForMove(plan.record, window, receiver.entry.node->member.id);
+    giver.entry.load -= window.load;
+    receiver.entry.load += window.load;
+    ++plan.moves;
+}
+
+/** Whether the receiver of a window ends up less utilized than the giver is now. */
+bool relieves(const owner_load &giver, const owner_load &receiver, const slot_window &window)
+{
+    return (receiver.entry.load + window.load) / receiver.capacity < utilization(giver);
+}
+
+/** Moves hot slots of overloaded owners to clearly faster ones. */
+void moveHotSlots(speed_plan &plan)
+{
+    for (auto &giver : plan.owners) {
+        if (!giver.hot || utilization(giver) < minUtilization || plan.moves >= maxMovesPerWrite) {
+            continue;
+        }
+        const auto after = [&](const owner_load &owner) {
+            return (owner.entry.load + giver.busiest.load) / owner.capacity;
+        };
+        owner_load *best = nullptr;
+        for (auto &receiver : plan.owners) {
+            const bool faster = !receiver.hot && receiver.capacity >= giver.capacity * fasterRatio;
+            if (faster && (best == nullptr || after(receiver) < after(*best))) {
+                best = &receiver;
+            }
+        }
+        if (best != nullptr && after(*best) * fasterRatio <= utilization(giver)) {
+            move(plan, giver, *best, giver.busiest);
+            best->busiest = giver.busiest;
+            best->hot = true;
+            giver.hot = false;
+            giver.busiest = {};
+        }
+    }
+}
+
+/** Owner with the lowest ratio among those without a hot slot; null if there is none. */
+owner_load *leastLoaded(speed_plan &plan)
+{
+    owner_load *best = nullptr;
+    for (auto &owner : plan.owners) {
+        if (!owner.hot && (best == nullptr || ratio(owner) < ratio(*best))) {
+            best = &owner;
+        }
+    }
+    return best;
+}
+
+/** Moves one window from an owner to the least loaded one. Returns whether there was a suitable one. */
+bool moveWindow(speed_plan &plan, owner_load &giver, double leastFraction)
+{
+    auto *receiver = leastLoaded(plan);
+    if (receiver == nullptr || receiver == &giver) {
+        return false;
+    }
+    const auto wanted =
+        std::min(giver.entry.load - giver.entry.fairShare, receiver->entry.fairShare - receiver->entry.load);
+    if (wanted <= 0) {
+        return false;
+    }
+    const auto window = findMove(plan.record, giver.entry.node->member.id, plan.load, {wanted, wanted * leastFraction});
+    if (!window || !relieves(giver, *receiver, *window)) {
+        return false;
+    }
+    move(plan, giver, *receiver, *window);
+    return true;
+}
+
+/** Moves the neighbours of hot slots away from overloaded owners. */
+void moveNeighbours(speed_plan &plan)
+{
+    for (auto &owner : plan.owners) {
+        const auto isWorthIt = [&] {
+            return owner.hot && utilization(owner) >= minUtilization && plan.moves < maxMovesPerWrite
+                && owner.entry.load - owner.busiest.load > minNeighbourLoad * owner.busiest.load;
+        };
+        while (isWorthIt() && moveWindow(plan, owner, minPartFraction)) { }
+    }
+}
+
+/** Balances the other owners. */
+void balanceRest(speed_plan &plan)
+{
+    while (plan.moves < maxMovesPerWrite) {
+        owner_load *most = nullptr;
+        for (auto &owner : plan.owners) {
+            if (!owner.hot && (most == nullptr || ratio(owner) > ratio(*most))) {
+                most = &owner;
+            }
+        }
+        const bool overloaded =
+            most != nullptr && ratio(*most) >= overloadRatio && utilization(*most) >= minUtilization;
+        if (!overloaded
+            || !moveWindow(plan, *most, ratio(*most) >= severalMovesRatio ? minPartFraction : minMoveFraction)) {
+            return;
+        }
+    }
+}
+
+} // namespace
+
+bool planBySpeed(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
+{
+    if (candidates.size() < 2) {
+        return false;
+    }
+    speed_plan plan{record, load, {}};
+    for (const auto &entry : candidateLoads(record, candidates, load)) {
+        plan.owners.push_back({entry, capacityOf(*entry.node, load), {}});
+    }
+    findBusiest(plan);
+    divideShares(plan.owners);
+    moveHotSlots(plan);
+    divideShares(plan.owners);
+    moveNeighbours(plan);
+    balanceRest(plan);
+    return plan.moves > 0;
+}
+
+} // namespace quetzalspool
--- /dev/null
+++ b/packages/decisions/src/speed/hot_slot_func.h
@@ -0,0 +1,22 @@
+/** @file hot_slot_func.h Placement of slots that alone exceed the share of an owner. */
+#ifndef HOT_SLOT_FUNC_H
+#define HOT_SLOT_FUNC_H
+
+#include "roster_base.h"
+
+namespace quetzalspool {
+
+/**
+ * Marks ranges to be moved where speeds are learned. A hot slot, which alone exceeds its owner's share, moves to a
+ * clearly faster owner; the other slots of its owner move away; the remaining owners share the remaining load. A window
+ * moves only if the receiver ends up less utilized than the giver was before.
+ * @param record Owners; changed.
+ * @param candidates Nodes whose target belongs to the pool and accepts slots.
+ * @param load Observed load, or null.
+ * @return Whether anything changed.
+ */
+bool planBySpeed(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load);
+
+} // namespace quetzalspool
+
+#endif // HOT_SLOT_FUNC_H
