Add: daemons report the service time of their target, and learn speeds if the settings say so

Cause: a forwarding daemon knows the load beside a target, not its speed, and takes the time of the network and of the queue for it.

Ruled out: messages of their own; the service time travels with responses and refusals (`qs-service-ms` beside `qs-busy`), and the speed for placement in the load datagram that exists.

The speed for placement is a mean of about a second, since moves of slots cost more than a brief slowdown. Log lines `choice` and `target-speed`, gauge `target_speed`.

--- a/packages/base/src/target_notice.h
+++ b/packages/base/src/target_notice.h
@@ -2,6 +2,9 @@
 #ifndef TARGET_NOTICE_H
 #define TARGET_NOTICE_H
 
+#include <cstdint>
+#include <optional>
+
 namespace quetzalspool {
 
 /** What a response says about the target's rate limit. */
@@ -12,6 +15,15 @@
     unreadable, ///< Something that is no limit.
 };
 
+/** Load that a target states in a response. */
+struct stated_load
+{
+    std::uint32_t running = 0; ///< Requests that it processes.
+    std::uint32_t waiting = 0; ///< Requests that wait in it.
+    std::uint32_t slots = 0; ///< Requests that it processes at once.
+    std::optional<std::uint32_t> workPercent; ///< Time that work takes at this moment, in percent of the usual time.
+};
+
 /** What a response says about its target, besides the result of the request. */
 struct target_notice
 {
@@ -20,6 +32,7 @@
     bool leaving = false; ///< Whether the target says that it is leaving.
     bool succeeded = false; ///< Whether the response certainly belongs to the current request, which the target
                             ///< executed without failing. Only such a one shows by naming no limit that there is none.
+    std::optional<stated_load> load; ///< Load that it states; unset if there is none or it can't be read.
 };
 
 } // namespace quetzalspool
--- a/packages/daemon/src/requests/outcome_type.h
+++ b/packages/daemon/src/requests/outcome_type.h
@@ -43,6 +43,7 @@
     milliseconds retryAfter{0}; ///< When to retry, if it did not run.
     bool reachedOwner = true; ///< Whether the daemon beside the target could be reached.
     std::optional<double> loadPerSlot; ///< Load of the target, if the daemon beside it reported it.
+    std::optional<double> serviceMs; ///< Expected service time at the target, if the daemon beside it reported it.
     std::uint32_t attempts = 0; ///< Attempts made, once the request is over.
     bool handedOver = false; ///< Whether it was sent to a target, which may have refused it.
     std::uint64_t responseBytes = 0; ///< Bytes of the response body received from another daemon.
--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -1,12 +1,12 @@
 /** @file peer_handler.cpp Handlers of requests from other daemons. */
 #include "peer_handler.h"
 
-#include "admission_func.h"
 #include "document_wire.h"
 #include "elapsed_clock.h"
 #include "local_attempt.h"
 #include "mirror_func.h"
 #include "peer_wire.h"
+#include "speed_exchange.h"
 
 #include <sstream>
 
@@ -20,12 +20,6 @@
 constexpr std::uint64_t bulkThreshold =
     16384; ///< Bytes of a body that are sent without the flow control of bulk responses.
 
-double currentLoad(daemon_shared &shared)
-{
-    const std::lock_guard lock(shared.admissionControl.mutex);
-    return loadPerSlot(shared.admissionControl.admission, clock::now());
-}
-
 /** Adds the header that tells that the local target is leaving, if it is. */
 void addLeavingHeader(daemon_shared &shared, std::vector<http_header> &headers)
 {
@@ -37,16 +31,18 @@
 /** Makes a sink that sends a response to another daemon. A body of unknown length becomes a bulk response once it
  * exceeds the threshold.
  */
-std::shared_ptr<response_sink> makePeerSink(daemon_shared &shared, const std::shared_ptr<peer_responder> &responder)
+std::shared_ptr<response_sink> makePeerSink(daemon_shared &shared, std::shared_ptr<const routed_request> request,
+                                            const std::shared_ptr<peer_responder> &responder)
 {
     auto sink = std::make_shared<response_sink>();
     const auto bytes = std::make_shared<std::uint64_t>(0);
-    sink->writeHead = [&shared, responder](unsigned status, std::vector<http_header> headers,
-                                           std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
+    sink->writeHead = [&shared, request, responder](unsigned status, std::vector<http_header> headers,
+                                                    std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
         if (length.value_or(0) > bulkThreshold) {
             sendAsBulk(*responder);
         }
-        auto encoded = encodeResponseHeaders(headers, length, currentLoad(shared));
+        const auto speed = currentSpeed(shared, *request);
+        auto encoded = encodeResponseHeaders(headers, length, speed.loadPerSlot, speed.serviceMs);
         addLeavingHeader(shared, encoded);
         sendResponseHead(*responder, status, std::move(encoded));
         co_return !isCancelled(*responder);
@@ -95,15 +91,18 @@
     applyReminder(*thread.shared, message);
     auto request = decodeRequest(std::move(message), clock::now());
     request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
-    if (request) {
-        const auto held = std::make_shared<routed_request>(std::move(*request));
+    const bool decoded = request.has_value();
+    const auto held = std::make_shared<routed_request>(decoded ? std::move(*request) : routed_request());
+    if (decoded) {
         held->fingerprint = fingerprintOf(*held, thread.shared->names);
         recordNews(thread.shared->crashRegistry, {held->fingerprint, held->crashes}, clock::now());
-        outcome =
-            co_await attemptLocally(*thread.shared, thread.targetClient, held, makePeerSink(*thread.shared, responder));
+        const auto sink = makePeerSink(*thread.shared, held, responder);
+        outcome = co_await attemptLocally(*thread.shared, thread.targetClient, held, sink);
     }
     if (outcome.result != attempt_result::answered) {
-        outcome.loadPerSlot = currentLoad(*thread.shared);
+        const auto speed = currentSpeed(*thread.shared, *held);
+        outcome.loadPerSlot = speed.loadPerSlot;
+        outcome.serviceMs = speed.serviceMs;
         auto encoded = encodeOutcome(outcome);
         addLeavingHeader(*thread.shared, encoded);
         sendResponseHead(*responder, 200, std::move(encoded));
--- a/packages/daemon/src/requests/peer_wire.cpp
+++ b/packages/daemon/src/requests/peer_wire.cpp
@@ -12,6 +12,8 @@
 constexpr std::string_view protocolPrefix =
     "qs-"; ///< Prefix of this protocol's headers; all others are the caller's or the target's.
 constexpr const char *loadHeader = "qs-busy"; ///< Load of the target, in hundredths of its slots.
+constexpr const char *serviceHeader = "qs-service-ms"; ///< Expected service time at the target.
+constexpr double maxServiceMs = 3600000; ///< A longer service time is not believed.
 constexpr const char *callerPrefix =
     "qs-h-"; ///< Prefix added to a caller's headers, so that none is taken for a protocol header.
 
@@ -49,6 +51,20 @@
     return std::to_string(std::lround(loadPerSlot * 100));
 }
 
+void addService(std::vector<http_header> &headers, std::optional<double> serviceMs)
+{
+    if (serviceMs) {
+        headers.emplace_back(serviceHeader, std::to_string(std::max(std::lround(*serviceMs), 1L)));
+    }
+}
+
+/** Expected service time that the other daemon reports; nothing if it reports none or no usable number. */
+std::optional<double> parseService(const std::vector<http_header> &headers)
+{
+    const auto milliseconds = static_cast<double>(parseNumber(headers, serviceHeader));
+    return milliseconds > 0 && milliseconds <= maxServiceMs ? std::optional(milliseconds) : std::nullopt;
+}
+
 std::vector<http_header> callerHeaders(const std::vector<http_header> &headers)
 {
     std::vector<http_header> callerHeaders;
@@ -152,6 +168,7 @@
     if (outcome.loadPerSlot) {
         headers.emplace_back(loadHeader, formatLoad(*outcome.loadPerSlot));
     }
+    addService(headers, outcome.serviceMs);
     return headers;
 }
 
@@ -174,13 +191,16 @@
     if (!loadPerSlot.empty()) {
         outcome.loadPerSlot = std::atof(loadPerSlot.c_str()) / 100;
     }
+    outcome.serviceMs = parseService(headers);
     return outcome;
 }
 
 std::vector<http_header> encodeResponseHeaders(const std::vector<http_header> &headers,
-                                               std::optional<std::uint64_t> length, double loadPerSlot)
+                                               std::optional<std::uint64_t> length, double loadPerSlot,
+                                               std::optional<double> serviceMs)
 {
     std::vector<http_header> encoded{{"qs-outcome", "answered"}, {loadHeader, formatLoad(loadPerSlot)}};
+    addService(encoded, serviceMs);
     if (length) {
         encoded.emplace_back("qs-length", std::to_string(*length));
     }
--- a/packages/daemon/src/requests/peer_wire.h
+++ b/packages/daemon/src/requests/peer_wire.h
@@ -69,10 +69,12 @@
  * @param headers Headers.
  * @param length Bytes of the body, if known.
  * @param loadPerSlot Load of the target.
+ * @param serviceMs Expected service time at the target in milliseconds, if it is learned.
  * @return Headers, names in lower case.
  */
 std::vector<http_header> encodeResponseHeaders(const std::vector<http_header> &headers,
-                                               std::optional<std::uint64_t> length, double loadPerSlot);
+                                               std::optional<std::uint64_t> length, double loadPerSlot,
+                                               std::optional<double> serviceMs = std::nullopt);
 
 /**
  * Encodes the headers of a store's response that is passed on to another daemon.
--- a/packages/daemon/src/requests/request_log.cpp
+++ b/packages/daemon/src/requests/request_log.cpp
@@ -3,6 +3,8 @@
 
 #include "reason_func.h"
 
+#include <algorithm>
+
 namespace quetzalspool {
 
 namespace {
@@ -55,6 +57,18 @@
     return std::exchange(budget.dropped, 0);
 }
 
+/** Logs what a target was chosen by, and what its daemon reported then. */
+void logChoice(const request_trace &trace, const attempt_trace &attempt)
+{
+    logEvent(log_level::info, "choice",
+             {{"id", trace.id},
+              {"attempt", attempt.attempt},
+              {"owner", attempt.owner.value},
+              {"expected", formatRate(*attempt.expected)},
+              {"load", attempt.outcome.loadPerSlot ? formatRate(*attempt.outcome.loadPerSlot) : ""},
+              {"service_ms", attempt.outcome.serviceMs ? formatRate(*attempt.outcome.serviceMs) : ""}});
+}
+
 void logAttempt(const request_trace &trace, const attempt_trace &attempt, std::size_t number)
 {
     logEvent(log_level::info, "attempt",
@@ -72,6 +86,9 @@
               {"outcome", nameOf(attempt.outcome.result)},
               {"reason", reasonWord(attempt.outcome.reasonText)},
               {"detail", attempt.outcome.logDetail.empty() ? attempt.outcome.reasonText : attempt.outcome.logDetail}});
+    if (attempt.expected) {
+        logChoice(trace, attempt);
+    }
 }
 
 } // namespace
@@ -79,7 +96,9 @@
 void logRequest(request_log_budget &requestBudget, const request_trace &trace, const request_outcome &outcome,
                 steady_time now)
 {
-    const auto count = static_cast<std::uint32_t>(trace.attempts.size() + 1);
+    const auto choices = std::count_if(trace.attempts.begin(), trace.attempts.end(),
+                                       [](const auto &attempt) { return attempt.expected.has_value(); });
+    const auto count = static_cast<std::uint32_t>(trace.attempts.size() + 1 + static_cast<std::size_t>(choices));
     const auto dropped = reserveLines(requestBudget, trace.id, isFailure(outcome, trace.goal, now), count, now);
     if (!dropped) {
         return;
--- a/packages/daemon/src/requests/request_log.h
+++ b/packages/daemon/src/requests/request_log.h
@@ -29,6 +29,8 @@
     revision_number owners; ///< Revision of the ownership record it was routed by.
     milliseconds startOffset{0}; ///< Time from the request's arrival to the start of the attempt.
     milliseconds duration{0}; ///< Duration of the attempt.
+    std::optional<double> expected; ///< Expected completion time by which the target was chosen, relative to the mean
+                                    ///< service time of the pool; unset unless speeds are learned.
     request_outcome outcome; ///< How it ended.
 };
 
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -2,12 +2,14 @@
 #include "request_router.h"
 
 #include "balance_func.h"
+#include "completion_choice_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
 #include "leaving_target_func.h"
 #include "local_attempt.h"
 #include "peer_wire.h"
 #include "routing_func.h"
+#include "speed_exchange.h"
 
 #include <set>
 
@@ -44,6 +46,7 @@
     const cell_member *member = nullptr; ///< Daemon beside the target; null if there is none.
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
     revision_number ownersRevision; ///< Revision of the ownership record that named the daemon, for keyed pools.
+    std::optional<double> expected; ///< Expected completion time by which it was chosen, if speeds are learned.
     bool poolKnown = false; ///< Whether the pool is in the tables.
     bool hasAlternative = false; ///< Whether another target remains to be tried after this one.
 };
@@ -78,10 +81,11 @@
         }
         return choice;
     }
-    const auto &settings = thread.shared->settings;
     const auto members = membersOf(*choice.view, request.pool);
-    choice.member = chooseTarget(thread.balance, members, state.tried,
-                                 {settings.instance, settings.region, settings.domain}, thread.random, clock::now());
+    choice.member = chooseMemberOf(thread, members, state.tried);
+    if (choice.member != nullptr && thread.shared->settings.learnSpeeds) {
+        choice.expected = expectedCompletion(thread.balance, *choice.member, clock::now());
+    }
     choice.hasAlternative = members.size() > state.tried.size() + 1;
     return choice;
 }
@@ -255,9 +259,7 @@
         }
     }
     const auto now = clock::now();
-    if (outcome.loadPerSlot) {
-        recordLoad(thread.balance, member.id, *outcome.loadPerSlot, now);
-    }
+    recordReport(thread, member, *request, outcome, now);
     recordResult(thread.balance, member.id, outcome.result == attempt_result::answered,
                  std::chrono::duration_cast<milliseconds>(now - startedAt), now);
     co_return outcome;
@@ -304,6 +306,7 @@
     }
     trace.startOffset = std::chrono::duration_cast<milliseconds>(startedAt - arrivedAt);
     trace.duration = std::chrono::duration_cast<milliseconds>(clock::now() - startedAt);
+    trace.expected = choice.expected;
     trace.outcome = outcome;
     return trace;
 }
--- /dev/null
+++ b/packages/daemon/src/requests/speed_exchange.cpp
@@ -0,0 +1,67 @@
+/** @file speed_exchange.cpp Exchange of the speeds and loads of targets between daemons, and the choice of a target. */
+#include "speed_exchange.h"
+
+#include "admission_estimate_func.h"
+#include "admission_func.h"
+#include "completion_choice_func.h"
+#include "elapsed_clock.h"
+#include "speed_estimate_func.h"
+
+namespace quetzalspool {
+
+namespace {
+
+using clock = elapsed_clock;
+
+bool isUrgentRequest(const routed_request &request)
+{
+    return request.kind == request_class::order || request.rank < normalRank;
+}
+
+} // namespace
+
+local_speed currentSpeed(daemon_shared &shared, const routed_request &request)
+{
+    const std::lock_guard lock(shared.admissionControl.mutex);
+    const auto now = clock::now();
+    auto &admission = shared.admissionControl.admission;
+    local_speed speed{loadPerSlot(admission, now), std::nullopt};
+    if (admission.speed.enabled) {
+        updateOverrun(admission.speed, now);
+        const auto expected = learnedServiceMs(admission.speed, isUrgentRequest(request));
+        speed.serviceMs = expected > 0 ? std::optional(expected) : std::nullopt;
+    }
+    return speed;
+}
+
+const cell_member *chooseMemberOf(traffic_thread &thread, const std::vector<const cell_member *> &members,
+                                  const std::set<instance_id> &tried)
+{
+    const auto &settings = thread.shared->settings;
+    const balancer_location location{settings.instance, settings.region, settings.domain};
+    const auto choose = settings.learnSpeeds ? chooseByCompletion : chooseTarget;
+    return choose(thread.balance, members, tried, location, thread.random, clock::now());
+}
+
+void recordReport(traffic_thread &thread, const cell_member &member, const routed_request &request,
+                  const request_outcome &outcome, steady_time now)
+{
+    const auto &settings = thread.shared->settings;
+    if (!settings.learnSpeeds) {
+        if (outcome.loadPerSlot) {
+            recordLoad(thread.balance, member.id, *outcome.loadPerSlot, now);
+        }
+        return;
+    }
+    local_speed speed{outcome.loadPerSlot.value_or(0), outcome.serviceMs};
+    const bool isLocal = member.id == settings.instance;
+    if (isLocal) {
+        speed = currentSpeed(*thread.shared, request);
+    }
+    if (isLocal || outcome.loadPerSlot) {
+        const speed_report report{speed.serviceMs.value_or(0), speed.loadPerSlot, isUrgentRequest(request)};
+        recordSpeed(thread.balance, member.target.pool, member.id, report, now);
+    }
+}
+
+} // namespace quetzalspool
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -70,6 +70,7 @@
     std::set<revision_number> observedRevisions; ///< Revisions of changes received under any mirrored prefix.
     steady_time nextLoadReport{}; ///< When the next load report is due.
     bool storeReachable = true; ///< Whether the store responded to the last call.
+    double loggedSpeed = 1; ///< Learned speed of the target in the last log line about it.
     steady_time nextGauges{}; ///< When the gauges are updated next.
     bool targetResponsive = false; ///< Whether the target beside this daemon reported lately.
     bool leaseValid = false; ///< Whether the right to grant keys was valid at the last check.
--- a/packages/daemon/src/roster/roster_metrics.cpp
+++ b/packages/daemon/src/roster/roster_metrics.cpp
@@ -3,6 +3,7 @@
 
 #include "log_func.h"
 #include "roster_func.h"
+#include "speed_estimate_func.h"
 
 #include <algorithm>
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr double unlimited = -1; ///< Value of the gauge while the target names no rate limit.
+constexpr double loggedSpeedFactor = 1.5; ///< A change of the target's speed by more than this factor is logged.
 constexpr milliseconds gaugeInterval{1000}; ///< Interval between updates of the gauges.
 constexpr milliseconds unresponsiveAfter{
     3000}; ///< A target without a report for this time, three normal report intervals, is unresponsive.
@@ -44,6 +46,27 @@
     return control.shared->admissionControl.admission.rate.perSecond;
 }
 
+/** Shows the learned speed of the target, and logs it when it has changed by more than the factor. */
+void showSpeed(roster_control &control, metrics &numbers)
+{
+    double speed = 0;
+    double serviceMs = 0;
+    {
+        const std::lock_guard lock(control.shared->admissionControl.mutex);
+        const auto &estimate = control.shared->admissionControl.admission.speed;
+        speed = learnedSpeed(estimate);
+        serviceMs = learnedMeanServiceMs(estimate);
+    }
+    setGauge(numbers, "target_speed", speed);
+    if (speed > control.loggedSpeed * loggedSpeedFactor || speed * loggedSpeedFactor < control.loggedSpeed) {
+        logEvent(log_level::info, "target-speed",
+                 {{"from", std::to_string(control.loggedSpeed)},
+                  {"to", std::to_string(speed)},
+                  {"service_ms", std::to_string(serviceMs)}});
+        control.loggedSpeed = speed;
+    }
+}
+
 } // namespace
 
 void countCall(metrics &numbers, const store_call &call)
@@ -64,6 +87,9 @@
     control.nextGauges = now + gaugeInterval;
     const auto left = std::chrono::duration<double>(control.state.lease.validUntil - now).count();
     setGauge(numbers, "target_limit_per_second", targetLimit(control).value_or(unlimited));
+    if (control.shared->settings.learnSpeeds) {
+        showSpeed(control, numbers);
+    }
     setGauge(numbers, "slots_granted", static_cast<double>(countSlots(control.publishedRanges)));
     setGauge(numbers, "slots_without_owner", static_cast<double>(countUnservedSlots(control, now)));
     setGauge(numbers, "right_seconds_left", std::max(left, 0.0));
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -107,6 +107,7 @@
 {
     const auto &settings = shared.settings;
     const auto &names = shared.names;
+    shared.admissionControl.admission.speed.enabled = settings.learnSpeeds;
     for (std::uint32_t index = 0; index < settings.trafficThreads; ++index) {
         auto thread = std::make_unique<traffic_thread>();
         thread->shared = &shared;
@@ -123,9 +124,9 @@
         }
         auto &at = *thread;
         thread->callerAcceptor = std::make_shared<tcp::acceptor>(std::move(*callerAcceptor));
-        thread->targetClient =
-            makeTargetClient({names.notRun, names.composeRequestIds ? "" : names.requestId,
-                              names.acceptUnframedResponses, names.targetLimit, names.targetLeaving});
+        thread->targetClient = makeTargetClient({names.notRun, names.composeRequestIds ? "" : names.requestId,
+                                                 names.acceptUnframedResponses, names.targetLimit, names.targetLeaving,
+                                                 settings.learnSpeeds ? names.targetLoad : ""});
         thread->peerClient = makePeerClient(thread->context.get_executor());
         thread->peerServer = startPeerServer(std::move(*peerAcceptor),
                                              [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -125,6 +125,24 @@
     EXPECT_EQ(back.retryAfter, milliseconds(50));
 }
 
+// The speed of a target travels beside its load. What can't be a service time, and daemons that report none, must leave
+// the choice by load as it is.
+TEST(peerWire, theServiceTimeTravelsWithResponsesAndRefusals)
+{
+    const auto answered = decodeOutcome(encodeResponseHeaders({}, std::nullopt, 0.5, 41.6));
+    EXPECT_EQ(answered.loadPerSlot, 0.5);
+    EXPECT_EQ(answered.serviceMs, 42);
+    EXPECT_EQ(decodeOutcome(encodeResponseHeaders({}, std::nullopt, 0.5, 0.2)).serviceMs, 1);
+    EXPECT_FALSE(decodeOutcome(encodeResponseHeaders({}, std::nullopt, 0.5)).serviceMs);
+    request_outcome refused{attempt_result::not_run, refusal::overloaded, "overloaded", milliseconds(50)};
+    EXPECT_FALSE(decodeOutcome(encodeOutcome(refused)).serviceMs);
+    refused.serviceMs = 800;
+    EXPECT_EQ(decodeOutcome(encodeOutcome(refused)).serviceMs, 800);
+    for (const std::string text : {"", "x", "-5", "0", "99999999999999"}) {
+        EXPECT_FALSE(decodeOutcome({{"qs-service-ms", text}}).serviceMs) << text;
+    }
+}
+
 TEST(documents, damagedRequestsAndResponsesAreRejected)
 {
     catalog_state catalog;
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -138,7 +138,7 @@
     double serviceMs = 5.0; ///< Exponential average of the service time of all requests, in milliseconds.
     double urgentServiceMs = 0; ///< The same for urgent requests; 0 if there were none.
     double normalServiceMs = 0; ///< The same for normal requests; 0 if there were none.
-    std::optional<speed_estimate> speed; ///< Learned speed of the target; unset unless speeds are learned.
+    speed_estimate speed; ///< Learned speed of the target, where speeds are learned.
     transfer_estimate transfer; ///< Transfer time of normal responses.
     std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since the counts were last collected.
     std::map<refusal, std::uint64_t> refusals; ///< Number of refusals by reason, for metrics.
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -106,9 +106,7 @@
     takeToken(state.rate, isUrgent(request), now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
-    if (state.speed) {
-        beginWork(*state.speed, request.id, isUrgent(request), now);
-    }
+    beginWork(state.speed, request.id, isUrgent(request), now);
     if (request.suspect) {
         state.suspectsInFlight.insert(request.id);
     }
@@ -245,9 +243,7 @@
     if (request.slot) {
         ++state.demand[request.slot->slot];
     }
-    if (state.speed) {
-        updateOverrun(*state.speed, now);
-    }
+    updateOverrun(state.speed, now);
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
     const auto next = nextToStart(state);
     const bool first = next == state.queue.end() || precedes(request, next->request);
@@ -284,9 +280,7 @@
 {
     assert(!request.transferring);
     request.transferring = true;
-    if (state.speed) {
-        endWork(*state.speed, request.id);
-    }
+    endWork(state.speed, request.id);
     request.serviceTime = serviceTime;
     request.transfersAhead = state.normalTransfers;
     ++state.transferring;
@@ -301,9 +295,7 @@
     assert(state.inFlight > 0);
     --state.inFlight;
     state.suspectsInFlight.erase(request.id);
-    if (state.speed) {
-        endWork(*state.speed, request.id);
-    }
+    endWork(state.speed, request.id);
     if (request.transferring) {
         --state.transferring;
         state.normalTransfers -= isUrgent(request) ? 0 : 1;
@@ -333,9 +325,7 @@
         decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
     }
     state.displaced.clear();
-    if (state.speed) {
-        updateOverrun(*state.speed, now);
-    }
+    updateOverrun(state.speed, now);
     std::size_t before = 0;
     std::erase_if(state.queue, [&](const queued_request &waiting) {
         auto reason = checkRequest(state, waiting.request, now);
@@ -387,7 +377,6 @@
     // The first target of this run may have named a limit to the previous run of this daemon.
     state.heard = state.hasTarget;
     state.hasTarget = true;
-    state.speed = state.speed ? std::optional(speed_estimate()) : std::nullopt;
     state.announcedAt = now;
     state.rate = {};
     state.saysLeaving = false;
@@ -407,6 +396,9 @@
         state.leavingSince = state.heard ? state.leavingSince : steady_time{};
     }
     state.heard = true;
+    if (notice.load) {
+        applyStatedLoad(state.speed, *notice.load, now);
+    }
     return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
 }
 
@@ -430,13 +422,14 @@
     const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
     const std::chrono::duration<double, std::milli> service(state.serviceMs);
     const auto sustained = std::max(sustainedConcurrency(state.rate, service, slots), minSustainedConcurrency);
-    const auto load = static_cast<double>(state.inFlight + state.queue.size()) / sustained;
+    const auto own = static_cast<double>(state.inFlight + state.queue.size()) / sustained;
+    const auto load = std::max(own, statedLoadPerSlot(state.speed, now));
     return hasToken(state.rate, now) ? load : std::max(load, 1.0);
 }
 
 double speedPerSlot(const admission_state &state)
 {
-    const auto learned = state.speed ? learnedMeanServiceMs(*state.speed) : 0;
+    const auto learned = learnedMeanServiceMs(state.speed);
     const std::chrono::duration<double, std::milli> service(
         std::max(learned > 0 ? learned : state.serviceMs, minSpeedServiceMs));
     const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
--- a/packages/decisions/src/admission/admission_estimate.cpp
+++ b/packages/decisions/src/admission/admission_estimate.cpp
@@ -61,7 +61,7 @@
 
 double expectedServiceMs(const admission_state &state, bool urgent)
 {
-    if (const auto learned = state.speed ? learnedServiceMs(*state.speed, urgent) : 0; learned > 0) {
+    if (const auto learned = learnedServiceMs(state.speed, urgent); learned > 0) {
         return learned;
     }
     const auto known = urgent ? state.urgentServiceMs : state.normalServiceMs;
@@ -74,9 +74,7 @@
     updateMeanService(state.serviceMs, newest);
     state.serviceMs = std::max(state.serviceMs, minServiceMs);
     updateMeanService(isUrgent(request) ? state.urgentServiceMs : state.normalServiceMs, newest);
-    if (state.speed) {
-        learnService(*state.speed, isUrgent(request), service, now);
-    }
+    learnService(state.speed, isUrgent(request), service, now);
 }
 
 void recordTransfer(admission_state &state, const admission_request &request, milliseconds took)
--- a/packages/decisions/src/speed/speed_estimate_base.h
+++ b/packages/decisions/src/speed/speed_estimate_base.h
@@ -3,6 +3,7 @@
 #define SPEED_ESTIMATE_BASE_H
 
 #include "base_type.h"
+#include "target_notice.h"
 
 #include <optional>
 #include <vector>
@@ -17,15 +18,6 @@
     steady_time since{}; ///< When it was handed over.
 };
 
-/** Load that a target states in a response. */
-struct stated_load
-{
-    std::uint32_t running = 0; ///< Requests that it processes.
-    std::uint32_t waiting = 0; ///< Requests that wait in it.
-    std::uint32_t slots = 0; ///< Requests that it processes at once.
-    std::optional<std::uint32_t> workPercent; ///< Time that work takes at this moment, in percent of the usual time.
-};
-
 /**
  * Learned speed of the local target. The expected service time of a kind of request is its base, which changes slowly,
  * times a pace common to all kinds, which changes quickly. A response of either kind therefore updates the expectation
@@ -33,10 +25,14 @@
  */
 struct speed_estimate
 {
+    bool enabled = false; ///< Whether speeds are learned; otherwise nothing is recorded.
     double urgentBaseMs = 0; ///< Base of urgent requests in milliseconds; 0 if there were none.
     double normalBaseMs = 0; ///< Base of normal requests in milliseconds; 0 if there were none.
     double meanBaseMs = 0; ///< Mean of the bases over all requests in milliseconds; 0 if there were none.
     double pace = 1; ///< Service time relative to the base, without the share that the target states.
+    double meanPace = 1; ///< Mean of the effective pace over about a second, for the placement of keys: moves of slots
+                         ///< cost more than a brief slowdown.
+    steady_time meanUpdatedAt{}; ///< When that mean was last updated.
     double overrun = 0; ///< Least pace by the age of the requests in progress; 0 if there are too few.
     double statedPace = 1; ///< Service time relative to the usual, as the target states it; 1 if it does not.
     steady_time statedSince{}; ///< When that value last changed by more than the tolerance.
--- a/packages/decisions/src/speed/speed_estimate_cmd.cpp
+++ b/packages/decisions/src/speed/speed_estimate_cmd.cpp
@@ -2,8 +2,6 @@
 #include "speed_estimate_func.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <cmath>
 
 namespace quetzalspool {
@@ -19,10 +17,10 @@
 constexpr double maxPace = 50; ///< Upper bound of the pace.
 constexpr double minServiceMs = 0.1; ///< Lower bound of service times.
 constexpr std::size_t minRunning = 3; ///< With fewer requests in progress, their age proves nothing.
+constexpr milliseconds meanPaceTime{1000}; ///< Time constant of the mean pace.
+constexpr milliseconds statedMemory{2000}; ///< A stated pace applies for this long.
+constexpr milliseconds statedLoadMemory{500}; ///< Stated numbers of requests apply for this long.
 constexpr double statedTolerance = 0.2; ///< Relative change of the stated pace that counts as a change of speed.
-constexpr std::size_t minStatedFields = 3; ///< Least number of fields of a stated load.
-constexpr std::size_t maxStatedFields = 4; ///< Largest number of fields of a stated load.
-constexpr std::uint32_t maxStatedCount = 1000000; ///< A larger number in a stated load is not believed.
 
 double &baseOf(speed_estimate &estimate, bool urgent)
 {
@@ -39,15 +37,20 @@
     return std::max(estimate.pace * estimate.statedPace, estimate.overrun);
 }
 
-bool isSeparator(char character)
+void updateMeanPace(speed_estimate &estimate, steady_time now)
 {
-    return character == ',' || character == ' ' || character == ';';
+    const auto elapsed = std::chrono::duration<double>(now - estimate.meanUpdatedAt) / meanPaceTime;
+    estimate.meanPace += (1 - std::exp(-elapsed)) * (effectivePace(estimate) - estimate.meanPace);
+    estimate.meanUpdatedAt = now;
 }
 
 } // namespace
 
 void beginWork(speed_estimate &estimate, std::uint64_t id, bool urgent, steady_time now)
 {
+    if (!estimate.enabled) {
+        return;
+    }
     estimate.running.push_back({id, urgent, now});
 }
 
@@ -58,6 +61,9 @@
 
 void learnService(speed_estimate &estimate, bool urgent, milliseconds service, steady_time now)
 {
+    if (!estimate.enabled) {
+        return;
+    }
     const auto measured = std::max(static_cast<double>(service.count()), minServiceMs);
     auto &base = baseOf(estimate, urgent);
     const auto usual = measured / (estimate.pace * estimate.statedPace);
@@ -77,8 +83,13 @@
 
 void updateOverrun(speed_estimate &estimate, steady_time now)
 {
+    if (now - estimate.statedAt > statedMemory) {
+        estimate.statedSince = estimate.statedPace == 1 ? estimate.statedSince : now;
+        estimate.statedPace = 1;
+    }
     estimate.overrun = 0;
     if (estimate.running.size() < minRunning) {
+        updateMeanPace(estimate, now);
         return;
     }
     std::chrono::duration<double, std::milli> age{0};
@@ -91,10 +102,14 @@
         }
     }
     estimate.overrun = usual > 0 ? std::min(age.count() / usual, maxPace) : 0;
+    updateMeanPace(estimate, now);
 }
 
 void applyStatedLoad(speed_estimate &estimate, const stated_load &stated, steady_time now)
 {
+    if (!estimate.enabled) {
+        return;
+    }
     estimate.stated = stated;
     estimate.statedAt = now;
     const auto percent = static_cast<double>(stated.workPercent.value_or(100));
@@ -105,6 +120,14 @@
     estimate.statedPace = pace;
 }
 
+double statedLoadPerSlot(const speed_estimate &estimate, steady_time now)
+{
+    if (!estimate.stated || estimate.stated->waiting == 0 || now - estimate.statedAt > statedLoadMemory) {
+        return 0;
+    }
+    return static_cast<double>(estimate.stated->running + estimate.stated->waiting) / estimate.stated->slots;
+}
+
 double learnedServiceMs(const speed_estimate &estimate, bool urgent)
 {
     return baseOf(estimate, urgent) * effectivePace(estimate);
@@ -112,7 +135,7 @@
 
 double learnedMeanServiceMs(const speed_estimate &estimate)
 {
-    return estimate.meanBaseMs * effectivePace(estimate);
+    return estimate.meanBaseMs * estimate.meanPace;
 }
 
 double learnedSpeed(const speed_estimate &estimate)
@@ -120,31 +143,4 @@
     return 1 / effectivePace(estimate);
 }
 
-std::optional<stated_load> parseStatedLoad(std::string_view text)
-{
-    std::array<std::uint32_t, maxStatedFields> fields{};
-    std::size_t count = 0;
-    const auto *at = text.data();
-    const auto *const end = text.data() + text.size();
-    while (at != end) {
-        if (count == maxStatedFields) {
-            return std::nullopt;
-        }
-        const auto [next, error] = std::from_chars(at, end, fields.at(count));
-        if (error != std::errc() || fields.at(count) > maxStatedCount || (next != end && !isSeparator(*next))) {
-            return std::nullopt;
-        }
-        ++count;
-        at = std::find_if_not(next, end, isSeparator);
-    }
-    if (count < minStatedFields || fields[2] == 0 || (count == maxStatedFields && fields[3] == 0)) {
-        return std::nullopt;
-    }
-    stated_load stated{fields[0], fields[1], fields[2], std::nullopt};
-    if (count == maxStatedFields) {
-        stated.workPercent = fields[3];
-    }
-    return stated;
-}
-
 } // namespace quetzalspool
--- a/packages/decisions/src/speed/speed_estimate_func.h
+++ b/packages/decisions/src/speed/speed_estimate_func.h
@@ -4,8 +4,6 @@
 
 #include "speed_estimate_base.h"
 
-#include <string_view>
-
 namespace quetzalspool {
 
 /**
@@ -34,8 +32,8 @@
 void learnService(speed_estimate &estimate, bool urgent, milliseconds service, steady_time now);
 
 /**
- * Updates the lower bound of the pace that the age of the requests in progress proves. A slowdown shows in it before
- * the first slow response.
+ * Updates what changes with time: the lower bound of the pace that the age of the requests in progress proves, in which
+ * a slowdown shows before the first slow response, the mean pace, and the age of what the target stated.
  * @param estimate Estimate.
  * @param now Present time.
  */
@@ -49,6 +47,14 @@
  */
 void applyStatedLoad(speed_estimate &estimate, const stated_load &stated, steady_time now);
 
+/**
+ * Returns the load that the target states while it has requests waiting: it may have work besides this daemon's.
+ * @param estimate Estimate.
+ * @param now Present time.
+ * @return Running and waiting requests per slot; 0 if none wait or nothing recent was stated.
+ */
+double statedLoadPerSlot(const speed_estimate &estimate, steady_time now);
+
 /**
  * Returns the expected service time.
  * @param estimate Estimate.
@@ -58,7 +64,8 @@
 double learnedServiceMs(const speed_estimate &estimate, bool urgent);
 
 /**
- * Returns the expected service time over all kinds of requests in their present mix.
+ * Returns the expected service time over all kinds of requests in their present mix, at the mean pace of about a
+ * second.
  * @param estimate Estimate.
  * @return Service time in milliseconds; 0 if there was no response.
  */
@@ -71,14 +78,6 @@
  */
 double learnedSpeed(const speed_estimate &estimate);
 
-/**
- * Parses a stated load: three or four decimal numbers separated by commas or spaces: running, waiting, slots, and the
- * time that work takes in percent of the usual.
- * @param text Value of the header.
- * @return The load, or nothing if the value is malformed.
- */
-std::optional<stated_load> parseStatedLoad(std::string_view text);
-
 } // namespace quetzalspool
 
 #endif // SPEED_ESTIMATE_FUNC_H
--- a/packages/decisions/tests/speed_simulation.cpp
+++ b/packages/decisions/tests/speed_simulation.cpp
@@ -34,9 +34,7 @@
         admission.limits.queue = 32;
         admission.serviceMs = 100;
         admission.announcedAt = now - std::chrono::seconds(60);
-        if (learns) {
-            admission.speed.emplace();
-        }
+        admission.speed.enabled = learns;
         members[index].id.value = "t" + std::to_string(index);
         members[index].region.value = "north";
         members[index].domain.value = "north-1";
--- a/packages/decisions/tests/speed_test.cpp
+++ b/packages/decisions/tests/speed_test.cpp
@@ -193,6 +193,7 @@
 TEST(speed, estimateFollowsAChangeWithinTwoSecondsInBothDirections)
 {
     speed_estimate estimate;
+    estimate.enabled = true;
     steady_time now{std::chrono::hours(1)};
     std::uint64_t id = 0;
     const auto respond = [&](milliseconds service, int count) {
@@ -218,6 +219,7 @@
 TEST(speed, requestsInProgressShowASlowdownBeforeTheFirstSlowResponse)
 {
     speed_estimate estimate;
+    estimate.enabled = true;
     steady_time now{std::chrono::hours(1)};
     for (int response = 0; response < 100; ++response) {
         now += milliseconds(50);
@@ -239,12 +241,14 @@
 TEST(speed, aStatedPaceAppliesAtOnceAndIsNotCountedTwice)
 {
     speed_estimate estimate;
+    estimate.enabled = true;
     steady_time now{std::chrono::hours(1)};
     for (int response = 0; response < 100; ++response) {
         now += milliseconds(50);
         learnService(estimate, true, milliseconds(40), now);
     }
     applyStatedLoad(estimate, {4, 0, 8, 300}, now);
+    const auto statedAt = now;
     EXPECT_NEAR(learnedServiceMs(estimate, true), 120, 6);
     learnService(estimate, true, milliseconds(40), now + milliseconds(20));
     EXPECT_NEAR(learnedServiceMs(estimate, true), 120, 6);
@@ -254,22 +258,8 @@
         learnService(estimate, true, milliseconds(120), now);
     }
     EXPECT_NEAR(learnedServiceMs(estimate, true), 120, 6);
-}
-
-// A value that is not understood must change nothing.
-TEST(speed, malformedStatedLoadsAreIgnored)
-{
-    for (const auto *text : {"", "1", "1,2", "1,2,0", "1,2,3,0", "1,2,3,4,5", "a,b,c", "1,2,-3", "1,2,3x", "1,2,3,4.5",
-                             "1,2,99999999999", "-1,2,3", ",1,2,3"}) {
-        EXPECT_FALSE(parseStatedLoad(text)) << text;
-    }
-    const auto plain = parseStatedLoad("3,1,8");
-    ASSERT_TRUE(plain);
-    EXPECT_EQ(plain->running, 3U);
-    EXPECT_FALSE(plain->workPercent);
-    const auto full = parseStatedLoad("3, 1, 8, 250");
-    ASSERT_TRUE(full);
-    EXPECT_EQ(full->workPercent, 250U);
+    updateOverrun(estimate, statedAt + seconds(3));
+    EXPECT_NEAR(learnedServiceMs(estimate, true), 40, 2) << "the target no longer states it";
 }
 
 } // namespace quetzalspool::test
--- a/packages/http/src/header_profile.h
+++ b/packages/http/src/header_profile.h
@@ -15,6 +15,8 @@
     std::string deadline = "Quetzalspool-Deadline-Ms"; ///< Time left until the deadline of the sender, in milliseconds.
     std::string notRun = "Quetzalspool-Not-Run"; ///< In a target's response: it did not execute the request.
     std::string targetLimit = "Quetzalspool-Limit"; ///< In a target's response: requests per second that it takes.
+    std::string targetLoad = "Quetzalspool-Load"; ///< In a target's response: its load, as requests running, waiting,
+                                                  ///< slots, and optionally the time of work in percent of the usual.
     std::string targetLeaving; ///< In a target's response: 1 if the target is leaving.
     std::string outcome = "Quetzalspool-Outcome"; ///< In a response: outcome of the request.
     std::string reason = "Quetzalspool-Reason"; ///< In a refusal: the reason.
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -123,6 +123,24 @@
     settings.roster = roster;
 }
 
+/** Reads the table about the choice of targets. */
+void readBalance(toml_reader &outer, daemon_settings &settings)
+{
+    outer.known.insert("balance");
+    const auto *node = outer.table.get("balance");
+    if (node == nullptr) {
+        return;
+    }
+    if (!node->is_table()) {
+        refuse(outer, node->source(), "\"balance\" must be a table");
+        return;
+    }
+    toml_reader reader{*node->as_table(), outer.file, outer.why};
+    settings.learnSpeeds = readBool(reader, "learn_speeds", settings.learnSpeeds);
+    refuseUnknown(reader);
+    outer.good = outer.good && reader.good;
+}
+
 } // namespace
 
 std::optional<endpoint> parseEndpoint(const std::string &text)
@@ -169,6 +187,7 @@
     settings.cell.value = readString(reader, "cell");
     settings.host = readString(reader, "host");
     readRoster(reader, settings);
+    readBalance(reader, settings);
     if (!settings.roster) {
         settings.callersPort = readPort(reader, "callers_port");
         settings.store = readEndpoint(reader, "store");
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -46,6 +46,8 @@
     std::string logLevel = "info"; ///< Minimum severity of logged events.
     log_format logFormat = log_format::text; ///< Format of the log.
     std::optional<roster_settings> roster; ///< Present if keys are assigned by leases in the store.
+    bool learnSpeeds = false; ///< Whether the speeds of targets are learned, for the choice of a target, admission and
+                              ///< the placement of keys.
     milliseconds drainLimit{30000}; ///< Maximum time that a planned stop waits for requests in flight.
 };
 
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -98,4 +98,16 @@
     EXPECT_NE(parseFailure(roster + "hold_s = 5\n").find("hold_s"), std::string::npos);
 }
 
+// A misspelt or mistyped switch must be refused, not ignored.
+TEST(settings, speedsAreLearnedOnlyIfTheBalanceTableSaysSo)
+{
+    last_reason why;
+    EXPECT_FALSE(parseSettings(validSettings, "file", why)->learnSpeeds);
+    EXPECT_FALSE(parseSettings(validSettings + "[balance]\n", "file", why)->learnSpeeds);
+    EXPECT_TRUE(parseSettings(validSettings + "[balance]\nlearn_speeds = true\n", "file", why)->learnSpeeds);
+    EXPECT_NE(parseFailure(validSettings + "[balance]\nlearn_speeds = 1\n").find("learn_speeds"), std::string::npos);
+    EXPECT_NE(parseFailure(validSettings + "[balance]\nlearn_speed = true\n").find("learn_speed"), std::string::npos);
+    EXPECT_NE(parseFailure("balance = 1\n" + validSettings).find("balance"), std::string::npos);
+}
+
 } // namespace quetzalspool::test
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -3,6 +3,7 @@
 
 #include "elapsed_clock.h"
 #include "http_convert.h"
+#include "stated_load.h"
 
 #include <boost/beast/core.hpp>
 #include <charconv>
@@ -121,6 +122,7 @@
     target_notice notice;
     notice.succeeded = head.notRun.empty() && head.status < firstServerFailure;
     notice.leaving = !rules.leaving.empty() && findHeader(head.headers, rules.leaving) == "1";
+    notice.load = rules.load.empty() ? std::nullopt : parseStatedLoad(findHeader(head.headers, rules.load));
     if (rules.limit.empty() || message.find(rules.limit) == message.end()) {
         return notice;
     }
--- a/packages/target/src/target_func.h
+++ b/packages/target/src/target_func.h
@@ -24,6 +24,7 @@
     bool unframed = false; ///< Whether a response without a length may end when its connection closes.
     std::string limit; ///< Header with the requests per second that the target takes; empty if there is none.
     std::string leaving; ///< Header by which the target says that it is leaving; empty if there is none.
+    std::string load; ///< Header by which the target states its load; empty if there is none.
 };
 
 /** Status and headers of a target's response. */
