Add: tests of admission and placement under learned speeds, and a measure of a choice's cost

Cause: admission and the speed for placement were tested only through the estimate, and the cost of a choice was not measured, although a process may have a tenth of a core.

--- a/packages/decisions/bench/decisions_bench.cpp
+++ b/packages/decisions/bench/decisions_bench.cpp
@@ -2,6 +2,7 @@
 #include "admission_func.h"
 #include "catalog_func.h"
 #include "cell_func.h"
+#include "completion_choice_func.h"
 #include "lease_func.h"
 #include "message_type.h"
 #include "placement_func.h"
@@ -202,6 +203,26 @@
 }
 BENCHMARK(BM_sizes)->Unit(benchmark::kMicrosecond);
 
+/** Choice of a target by expected completion, with recent reports of all targets. */
+void BM_choice(benchmark::State &state)
+{
+    const auto now = steady_time(std::chrono::hours(1));
+    const auto record = makeRecord(0, static_cast<std::uint32_t>(state.range(0)), 0);
+    balance_state balance;
+    std::vector<const cell_member *> members;
+    for (const auto &member : record.members) {
+        members.push_back(&member);
+        const auto count = static_cast<double>(members.size());
+        recordSpeed(balance, member.target.pool, member.id, {100 + count, 0.5, false}, now);
+    }
+    const balancer_location location{record.members.back().id, {"region-1"}, {"domain-1"}};
+    std::mt19937_64 random(1);
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(chooseByCompletion(balance, members, {}, location, random, now));
+    }
+}
+BENCHMARK(BM_choice)->Arg(24)->Arg(300)->Arg(2000);
+
 } // namespace
 
 } // namespace quetzalspool
--- a/packages/decisions/tests/speed_test.cpp
+++ b/packages/decisions/tests/speed_test.cpp
@@ -262,4 +262,60 @@
     EXPECT_NEAR(learnedServiceMs(estimate, true), 40, 2) << "the target no longer states it";
 }
 
+// Admission must expect the present speed for both kinds of requests, and placement must see it a second or two later.
+// A brief slowdown must not halve the speed for placement: slots would move away and back.
+TEST(speed, admissionAndPlacementFollowTheSpeedOfTheTarget)
+{
+    steady_time now{std::chrono::hours(1)};
+    admission_state admission;
+    admission.hasTarget = true;
+    admission.enforceGoals = true;
+    admission.speed.enabled = true;
+    admission.limits.concurrency = speed_simulation::slots;
+    admission.announcedAt = now - seconds(60);
+    std::uint64_t id = 0;
+    const auto respond = [&](double slowness, milliseconds span) {
+        for (const auto until = now + span; now < until; now += milliseconds(40)) {
+            admission_request request;
+            request.id = ++id;
+            request.rank = id % 2 == 0 ? 1 : 2;
+            request.goal = request.deadline = now + seconds(9);
+            const milliseconds service(std::llround((id % 2 == 0 ? 36 : 200) * slowness));
+            ASSERT_TRUE(admit(admission, request, now).admitted);
+            finishRequest(admission, request, true, service, now);
+        }
+    };
+    respond(1, seconds(10));
+    EXPECT_NEAR(expectedServiceMs(admission, true), 36, 4);
+    EXPECT_NEAR(expectedServiceMs(admission, false), 200, 20);
+    const auto usual = speedPerSlot(admission);
+    EXPECT_NEAR(usual, 1000.0 / 118, 1.5);
+    respond(4, milliseconds(1500));
+    EXPECT_NEAR(expectedServiceMs(admission, true), 144, 30);
+    EXPECT_NEAR(expectedServiceMs(admission, false), 800, 160);
+    respond(4, seconds(1));
+    EXPECT_NEAR(speedPerSlot(admission), usual / 4, usual / 8);
+    respond(1, seconds(3));
+    EXPECT_NEAR(expectedServiceMs(admission, false), 200, 30);
+    EXPECT_GE(speedPerSlot(admission), usual * 0.8);
+    respond(1, seconds(3));
+    respond(3, milliseconds(300));
+    EXPECT_GE(speedPerSlot(admission), usual * 0.5);
+}
+
+// With the switch off, nothing may be recorded: admission expects what it did before.
+TEST(speed, nothingIsLearnedUnlessEnabled)
+{
+    const steady_time now{std::chrono::hours(1)};
+    speed_estimate estimate;
+    beginWork(estimate, 1, true, now);
+    learnService(estimate, true, milliseconds(40), now);
+    applyStatedLoad(estimate, {9, 9, 8, 400}, now);
+    updateOverrun(estimate, now + seconds(1));
+    EXPECT_TRUE(estimate.running.empty());
+    EXPECT_EQ(learnedServiceMs(estimate, true), 0);
+    EXPECT_EQ(statedLoadPerSlot(estimate, now), 0);
+    EXPECT_EQ(learnedSpeed(estimate), 1);
+}
+
 } // namespace quetzalspool::test
