Fix: quick failures of a target do not count as speed

Ruled out: leaving it to outlier ejection, which counts a response with a server error as a success.

Change: the time of a response that is no success is not learned. A test also covers that the header of the stated load is read only where it is named, and that a malformed one spoils nothing else.

--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -294,6 +294,7 @@
         co_return lostOutcome;
     }
     responded = true;
+    admissionRequest.failed = !head->notice.succeeded;
     recordNotice(shared, head->notice, handedOverAt);
     endSuspectRun(shared, admissionRequest);
     if (!head->notRun.empty()) {
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -41,6 +41,7 @@
     std::uint32_t transfersAhead = 0; ///< Normal responses being transferred when its own was produced.
     std::optional<request_fingerprint> suspect; ///< Set if a target crashed while it ran this request: one such request
                                                 ///< runs at a time.
+    bool failed = false; ///< Whether the target refused it or failed: the time for that tells nothing of its speed.
 };
 
 /** Why a request was refused. Each of these guarantees that it did not run. */
--- a/packages/decisions/src/admission/admission_estimate.cpp
+++ b/packages/decisions/src/admission/admission_estimate.cpp
@@ -74,7 +74,9 @@
     updateMeanService(state.serviceMs, newest);
     state.serviceMs = std::max(state.serviceMs, minServiceMs);
     updateMeanService(isUrgent(request) ? state.urgentServiceMs : state.normalServiceMs, newest);
-    learnService(state.speed, isUrgent(request), service, now);
+    if (!request.failed) {
+        learnService(state.speed, isUrgent(request), service, now);
+    }
 }
 
 void recordTransfer(admission_state &state, const admission_request &request, milliseconds took)
--- a/packages/decisions/tests/speed_test.cpp
+++ b/packages/decisions/tests/speed_test.cpp
@@ -318,4 +318,28 @@
     EXPECT_EQ(learnedSpeed(estimate), 1);
 }
 
+// A target that fails or refuses at once would look like the fastest one and attract all requests.
+TEST(speed, quickFailuresDoNotMakeATargetLookFast)
+{
+    steady_time now{std::chrono::hours(1)};
+    admission_state admission;
+    admission.hasTarget = true;
+    admission.enforceGoals = true;
+    admission.speed.enabled = true;
+    admission.limits.concurrency = speed_simulation::slots;
+    const auto respond = [&](bool failed, milliseconds service, int count) {
+        for (int response = 0; response < count; ++response, now += milliseconds(40)) {
+            admission_request request;
+            request.id = static_cast<std::uint64_t>(response) + 1;
+            request.goal = request.deadline = now + seconds(9);
+            ASSERT_TRUE(admit(admission, request, now).admitted);
+            request.failed = failed;
+            finishRequest(admission, request, true, service, now);
+        }
+    };
+    respond(false, milliseconds(200), 100);
+    respond(true, milliseconds(1), 50);
+    EXPECT_NEAR(expectedServiceMs(admission, false), 200, 10);
+}
+
 } // namespace quetzalspool::test
--- a/packages/target/tests/refusal_test.cpp
+++ b/packages/target/tests/refusal_test.cpp
@@ -183,4 +183,22 @@
     }
 }
 
+// A load that can't be read must not spoil the rest of what a response says.
+TEST(notice, aStatedLoadIsReadOnlyIfTheRulesNameItsHeader)
+{
+    target_rules rules = echoing;
+    const auto noticeOf = [&](const std::string &headers) {
+        const auto head = lastHead(rules, {"one"}, {response("200", "X-Id: one\r\n" + headers)});
+        return head ? head->notice : target_notice{};
+    };
+    EXPECT_FALSE(noticeOf("X-Load: 3,1,8,250\r\n").load);
+    rules.load = "X-Load";
+    EXPECT_FALSE(noticeOf("").load);
+    EXPECT_FALSE(noticeOf("X-Load: busy\r\n").load);
+    EXPECT_TRUE(noticeOf("X-Load: busy\r\n").succeeded);
+    const auto stated = noticeOf("X-Load: 3,1,8,250\r\n").load;
+    ASSERT_TRUE(stated);
+    EXPECT_EQ(stated->workPercent, 250U);
+}
+
 } // namespace quetzalspool::test
