--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -341,6 +341,7 @@
     timing.confirmInterval = std::min(timing.confirmInterval, timing.leasePeriod / confirmsPerLease);
     control.state = startRoster({describeSelf(*control.shared), {}}, timing, clock::now());
     control.state.drained.keyedLimit = keyedLimitFor(control.port.drainTime.value_or(milliseconds(0)));
+    control.state.placesBySpeed = control.shared->settings.learnSpeeds;
     if (!bindDatagrams(control.socket, control.shared->settings, why) || !startListeners(control, why)) {
         return false;
     }
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -85,6 +85,7 @@
     steady_time nextLoadReport{}; ///< When the next load report is due.
     steady_time drainsKnownAt{}; ///< Until when no drain of a failure domain can have begun unnoticed.
     bool storeReachable = true; ///< Whether the store responded to the last call.
+    double loggedSpeed = 1; ///< Learned speed of the target in the last log line about it.
     steady_time nextGauges{}; ///< When the gauges are updated next.
     bool targetCold = false; ///< Whether the limit of a cold target was in force at the last check.
     log_budget coldLogBudget{1, 5, 5}; ///< Budget of log lines about the target becoming cold or warm.
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -42,6 +42,7 @@
     std::uint32_t transfersAhead = 0; ///< Normal responses being transferred when its own was produced.
     std::optional<request_fingerprint> suspect; ///< Set if a target crashed while it ran this request: one such request
                                                 ///< runs at a time.
+    bool failed = false; ///< Whether the target refused it or failed: the time for that tells nothing of its speed.
 };
 
 /** Why a request was refused. Each of these guarantees that it did not run. */
@@ -144,7 +145,7 @@
     double serviceMs = 5.0; ///< Exponential average of the service time of all requests, in milliseconds.
     double urgentServiceMs = 0; ///< The same for urgent requests; 0 if there were none.
     double normalServiceMs = 0; ///< The same for normal requests; 0 if there were none.
-    std::optional<speed_estimate> speed; ///< Learned speed of the target; unset unless speeds are learned.
+    speed_estimate speed; ///< Learned speed of the target, where speeds are learned.
     transfer_estimate transfer; ///< Transfer time of normal responses.
     std::map<slot_number, std::uint64_t> demand; ///< Requests for each slot since the counts were last collected.
     std::map<refusal, std::uint64_t> refusals; ///< Number of refusals by reason, for metrics.
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -109,9 +109,7 @@
     takeColdToken(state.cold, now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
-    if (state.speed) {
-        beginWork(*state.speed, request.id, isUrgent(request), now);
-    }
+    beginWork(state.speed, request.id, isUrgent(request), now);
     if (request.suspect) {
         state.suspectsInFlight.insert(request.id);
     }
@@ -250,9 +248,7 @@
     if (request.slot) {
         ++state.demand[request.slot->slot];
     }
-    if (state.speed) {
-        updateOverrun(*state.speed, now);
-    }
+    updateOverrun(state.speed, now);
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
     const auto next = nextToStart(state);
     const bool first = next == state.queue.end() || precedes(request, next->request);
@@ -289,9 +285,7 @@
 {
     assert(!request.transferring);
     request.transferring = true;
-    if (state.speed) {
-        endWork(*state.speed, request.id);
-    }
+    endWork(state.speed, request.id);
     request.serviceTime = serviceTime;
     request.transfersAhead = state.normalTransfers;
     ++state.transferring;
@@ -306,9 +300,7 @@
     assert(state.inFlight > 0);
     --state.inFlight;
     state.suspectsInFlight.erase(request.id);
-    if (state.speed) {
-        endWork(*state.speed, request.id);
-    }
+    endWork(state.speed, request.id);
     if (request.transferring) {
         --state.transferring;
         state.normalTransfers -= isUrgent(request) ? 0 : 1;
@@ -338,9 +330,7 @@
         decided.push_back({waiting.request.id, refuse(state, refusal::overloaded, wait)});
     }
     state.displaced.clear();
-    if (state.speed) {
-        updateOverrun(*state.speed, now);
-    }
+    updateOverrun(state.speed, now);
     std::size_t before = 0;
     std::erase_if(state.queue, [&](const queued_request &waiting) {
         auto reason = checkRequest(state, waiting.request, now);
@@ -397,7 +387,6 @@
     // The first target of this run may have named a limit to the previous run of this daemon.
     state.heard = state.hasTarget;
     state.hasTarget = true;
-    state.speed = state.speed ? std::optional(speed_estimate()) : std::nullopt;
     state.announcedAt = now;
     state.rate = {};
     state.saysLeaving = false;
@@ -418,6 +407,9 @@
     }
     state.heard = true;
     applyColdNotice(state.cold, notice.coldFor, now);
+    if (notice.load) {
+        applyStatedLoad(state.speed, *notice.load, now);
+    }
     return {applyLimitNotice(state.rate, notice, handedOverAt, now), beganLeaving};
 }
 
@@ -442,14 +434,15 @@
     const std::chrono::duration<double, std::milli> service(state.serviceMs);
     const auto limited =
         std::min(sustainedConcurrency(state.rate, service, slots), coldConcurrency(state.cold, service, slots, now));
-    const auto sustained = std::max(limited, minSustainedConcurrency);
-    const auto load = static_cast<double>(state.inFlight + state.queue.size()) / sustained;
+    const auto own =
+        static_cast<double>(state.inFlight + state.queue.size()) / std::max(limited, minSustainedConcurrency);
+    const auto load = std::max(own, statedLoadPerSlot(state.speed, now));
     return hasToken(state.rate, now) && hasColdToken(state.cold, now) ? load : std::max(load, 1.0);
 }
 
 double speedPerSlot(const admission_state &state, steady_time now)
 {
-    const auto learned = state.speed ? learnedMeanServiceMs(*state.speed) : 0;
+    const auto learned = learnedMeanServiceMs(state.speed);
     const std::chrono::duration<double, std::milli> service(
         std::max(learned > 0 ? learned : state.serviceMs, minSpeedServiceMs));
     const double slots = std::max<std::uint32_t>(state.limits.concurrency, 1);
--- a/packages/decisions/src/roster/roster_plan.cpp
+++ b/packages/decisions/src/roster/roster_plan.cpp
@@ -1,4 +1,5 @@
 /** @file roster_plan.cpp Plans the next owners of a pool. Each step checks its conditions, then changes a draft. */
+#include "hot_slot_func.h"
 #include "roster_era_func.h"
 #include "roster_func.h"
 #include "roster_load_func.h"
@@ -310,8 +311,9 @@
                                     [](const auto &range) { return !range.nextOwner.value.empty(); });
     if (isPlanning && !draft.changed && !moving && now >= state.nextBalance) {
         state.nextBalance = now + balanceInterval;
+        const auto plan = state.placesBySpeed ? planBySpeed : planRebalance;
         draft.changed =
-            planReturnMoves(state, draft.record, nodes.receivers) || planRebalance(draft.record, nodes.receivers, load);
+            planReturnMoves(state, draft.record, nodes.receivers) || plan(draft.record, nodes.receivers, load);
     }
     return true;
 }
--- a/packages/decisions/src/scope/drain_admission_cmd.cpp
+++ b/packages/decisions/src/scope/drain_admission_cmd.cpp
@@ -1,12 +1,15 @@
 /** @file drain_admission_cmd.cpp Admission beside a target whose failure domain is out of service. */
 #include "drain_admission_func.h"
 
+#include "cold_limit_func.h"
+
 namespace quetzalspool {
 
 void setDrained(admission_state &state, std::optional<steady_time> since, milliseconds limit, steady_time now)
 {
     if (state.drainedSince && !since) {
         state.drainEndedAt = now;
+        noteMayBeCold(state.cold, now);
     }
     state.drainedSince = since;
     state.drainLimit = limit;
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -3,6 +3,7 @@
 
 #include "elapsed_clock.h"
 #include "http_convert.h"
+#include "stated_load.h"
 
 #include <algorithm>
 #include <boost/beast/core.hpp>
@@ -150,6 +151,7 @@
     notice.succeeded = head.notRun.empty() && head.status < firstServerFailure;
     notice.leaving = !rules.leaving.empty() && findHeader(head.headers, rules.leaving) == "1";
     notice.coldFor = rules.cold.empty() ? milliseconds(0) : parseColdTime(findHeader(head.headers, rules.cold));
+    notice.load = rules.load.empty() ? std::nullopt : parseStatedLoad(findHeader(head.headers, rules.load));
     if (rules.limit.empty() || message.find(rules.limit) == message.end()) {
         return notice;
     }
