Add: decisions for goodput under overload: calls go first, and fresh requests whose calls fail are throttled

Cause: a target works on a request, one of its calls is refused by a full service, and the request fails after its work. A refused call wastes the work of the request around it, a refused fresh request wastes nothing, but admission treated both alike, and nothing told the calling side.

Change: a call goes before fresh requests of its rank, may use the slots reserved for urgent requests, and has an average of its own for service time and concurrency, so that fresh requests that calls would overtake are refused at once instead of being late. After the refusal of a call, fresh requests that are not more urgent are refused for one service time.

--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -3,6 +3,7 @@
 #ifndef ADMISSION_BASE_H
 #define ADMISSION_BASE_H
 
+#include "call_priority_base.h"
 #include "cell_base.h"
 #include "crash_suspect_base.h"
 #include "rate_limit_base.h"
@@ -40,6 +41,7 @@
     std::uint32_t transfersAhead = 0; ///< Normal responses being transferred when its own was produced.
     std::optional<request_fingerprint> suspect; ///< Set if a target crashed while it ran this request: one such request
                                                 ///< runs at a time.
+    bool call = false; ///< Whether a target makes it within another request.
 };
 
 /** Why a request was refused. Each of these guarantees that it did not run. */
@@ -133,6 +135,9 @@
     steady_time meanUrgentUpdatedAt{}; ///< When the average was last updated.
     steady_time lastProgress{}; ///< When a response was last produced or the target last became busy.
     bool probing = false; ///< Whether only one request at a time is admitted, after a stall.
+    ranks_in_progress ranks; ///< Requests in flight by rank.
+    call_estimate calls; ///< Calls in flight and their service time.
+    call_hold hold; ///< Fresh requests refused because calls were refused.
     bool enforceGoals = false; ///< Whether requests that would miss their goal are refused at once.
     double serviceMs = 5.0; ///< Exponential average of the service time of all requests, in milliseconds.
     double urgentServiceMs = 0; ///< The same for urgent requests; 0 if there were none.
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -2,6 +2,8 @@
 #include "admission_func.h"
 
 #include "admission_estimate_func.h"
+#include "call_admission_func.h"
+#include "call_priority_func.h"
 
 #include <algorithm>
 #include <cassert>
@@ -104,6 +106,7 @@
     }
     takeToken(state.rate, isUrgent(request), now);
     countUrgent(state, request, 1, now);
+    beginRank(state.ranks, request.rank);
     ++state.inFlight;
     if (request.suspect) {
         state.suspectsInFlight.insert(request.id);
@@ -113,23 +116,6 @@
     }
 }
 
-/** Priority by class and rank; smaller goes first. */
-std::tuple<int, std::uint32_t> urgencyOf(const admission_request &request)
-{
-    return {request.kind == request_class::order ? 0 : 1, request.rank};
-}
-
-/** Whether a request may displace another one from a full queue. An earlier deadline alone doesn't count. */
-bool isMoreUrgent(const admission_request &a, const admission_request &b)
-{
-    return urgencyOf(a) < urgencyOf(b);
-}
-
-bool precedes(const admission_request &a, const admission_request &b)
-{
-    return std::tuple(urgencyOf(a), a.deadline) < std::tuple(urgencyOf(b), b.deadline);
-}
-
 /**
  * Latest time at which the response to a request should be there. Under sustained overload, a queue bounded by the
  * deadlines makes all requests miss their goals; a queue bounded by the goals serves as many, and in time. Requests of
@@ -141,13 +127,15 @@
     if (!state.enforceGoals || request.goal >= request.deadline) {
         return request.deadline;
     }
-    return request.rank < normalRank ? request.goal + (request.deadline - request.goal) / 2 : request.goal;
+    return request.rank < normalRank || request.call ? request.goal + (request.deadline - request.goal) / 2
+                                                     : request.goal;
 }
 
 /** Whether a request that starts now can still end before its deadline. */
 bool canMeetDeadline(const admission_state &state, const admission_request &request, steady_time now)
 {
-    const auto least = state.enforceGoals ? expectedServiceMs(state, isUrgent(request)) * minServiceShare : 0;
+    const auto least =
+        state.enforceGoals ? expectedServiceMs(state, isUrgent(request), request.call) * minServiceShare : 0;
     return now + milliseconds(std::llround(least)) < request.deadline;
 }
 
@@ -162,7 +150,7 @@
     if (transfer == milliseconds(0)) {
         return true;
     }
-    const milliseconds service(std::llround(expectedServiceMs(state, isUrgent(request))));
+    const milliseconds service(std::llround(expectedServiceMs(state, isUrgent(request), request.call)));
     if (now >= request.goal) {
         return now + (service + transfer) * 2 <= request.deadline;
     }
@@ -204,8 +192,8 @@
                                  [&](const auto &other) { return precedes(request, other.request); });
     const auto before = countReady(state, at);
     const bool urgent = isUrgent(request);
-    const auto wait = predictedWait(state, before, urgent, now);
-    const milliseconds service(std::llround(expectedServiceMs(state, urgent)));
+    const auto wait = predictedWait(state, before, urgent, now, request.call);
+    const milliseconds service(std::llround(expectedServiceMs(state, urgent, request.call)));
     const auto transfer = predictedTransfer(state, before, request);
     const bool fits = now + wait + service + transfer <= latestResponse(state, request);
     const auto queued = request.suspect ? state.queue.size() : countReady(state, state.queue.end());
@@ -213,6 +201,7 @@
     const bool displaces = full && fits && !state.queue.empty() && isMoreUrgent(request, state.queue.back().request);
     if ((full && !displaces) || !fits) {
         const auto allWait = predictedWait(state, state.queue.size(), urgent, now);
+        preferCalls(state, request, now);
         const auto returnAfter = planReturn(state.rate, std::max(allWait, transfer), urgent, request.deadline, now);
         return refuse(state, refusal::overloaded, clampRetryAfter(returnAfter));
     }
@@ -242,6 +231,9 @@
         ++state.demand[request.slot->slot];
     }
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
+    if (const auto held = heldFor(state, request, now); held > milliseconds(0)) {
+        return refuse(state, refusal::overloaded, clampRetryAfter(held));
+    }
     const auto next = nextToStart(state);
     const bool first = next == state.queue.end() || precedes(request, next->request);
     if (first && hasRoom(state, request, now) && transferMeetsGoal(state, request, now)) {
@@ -296,6 +288,7 @@
         state.normalTransfers -= isUrgent(request) ? 0 : 1;
     }
     countUrgent(state, request, -1, now);
+    endRank(state.ranks, request.rank);
     if (request.slot) {
         const auto found = state.slots.find({request.slot->pool, request.slot->slot});
         if (found != state.slots.end() && found->second.inFlight > 0) {
--- a/packages/decisions/src/admission/admission_estimate.cpp
+++ b/packages/decisions/src/admission/admission_estimate.cpp
@@ -1,6 +1,7 @@
 /** @file admission_estimate.cpp Estimates for admission: concurrency, service time, queueing and transfer time. */
 #include "admission_estimate_func.h"
 
+#include "call_priority_func.h"
 #include "rate_limit_func.h"
 
 #include <algorithm>
@@ -58,8 +59,11 @@
     return request.kind == request_class::order || request.rank < normalRank;
 }
 
-double expectedServiceMs(const admission_state &state, bool urgent)
+double expectedServiceMs(const admission_state &state, bool urgent, bool call)
 {
+    if (call && state.calls.serviceMs > 0) {
+        return state.calls.serviceMs;
+    }
     const auto known = urgent ? state.urgentServiceMs : state.normalServiceMs;
     return state.enforceGoals && known > 0 ? known : state.serviceMs;
 }
@@ -69,7 +73,10 @@
     const auto newest = static_cast<double>(service.count());
     updateMeanService(state.serviceMs, newest);
     state.serviceMs = std::max(state.serviceMs, minServiceMs);
-    updateMeanService(isUrgent(request) ? state.urgentServiceMs : state.normalServiceMs, newest);
+    auto &kind = request.call ? state.calls.serviceMs
+        : isUrgent(request)   ? state.urgentServiceMs
+                              : state.normalServiceMs;
+    updateMeanService(kind, newest);
 }
 
 void recordTransfer(admission_state &state, const admission_request &request, milliseconds took)
@@ -111,17 +118,27 @@
         assert(change > 0 || state.urgentInFlight > 0);
         state.urgentInFlight += change;
     }
+    if (request.call) {
+        countCall(state.calls, isUrgent(request), change, now);
+    }
 }
 
-milliseconds predictedWait(const admission_state &state, std::size_t before, bool urgent, steady_time now)
+milliseconds predictedWait(const admission_state &state, std::size_t before, bool urgent, steady_time now, bool call)
 {
     const double concurrency = currentConcurrency(state, now);
     const bool yields = state.enforceGoals && !urgent;
-    const auto slots = yields ? std::max(concurrency - state.meanUrgentInFlight, minNormalSlots) : concurrency;
-    const auto forSlot = static_cast<double>(before + 1) / slots * expectedServiceMs(state, urgent);
+    const auto forUrgent = yields ? state.meanUrgentInFlight : 0;
+    // Urgent calls are among the urgent requests.
+    const auto forCalls =
+        call ? 0 : slotsOfCalls(state.calls, urgent, now) - (yields ? slotsOfCalls(state.calls, true, now) : 0);
+    const auto taken = forUrgent + forCalls;
+    const auto slots = taken > 0 ? std::max(concurrency - taken, minNormalSlots) : concurrency;
+    // A call waits for the requests of all kinds that run.
+    const auto service = call ? state.serviceMs : expectedServiceMs(state, urgent);
+    const auto forSlot = static_cast<double>(before + 1) / slots * service;
     const auto forToken = static_cast<double>(predictedTokenWait(state.rate, before, !yields, now).count());
     const auto mean = std::max(forSlot, forToken);
-    return milliseconds(std::llround(yields ? mean * waitMargin : mean));
+    return milliseconds(std::llround(yields && !call ? mean * waitMargin : mean));
 }
 
 std::uint32_t concurrencyFor(const admission_state &state, const admission_request &request, steady_time now)
@@ -133,7 +150,7 @@
     if (isUrgent(request)) {
         return slots + state.transferring;
     }
-    const bool yields = state.enforceGoals && request.rank >= normalRank && !request.slot
+    const bool yields = state.enforceGoals && request.rank >= normalRank && !request.slot && !request.call
         && now - state.lastUrgentAt < urgentReserveTime;
     const auto normal = yields ? std::max<std::uint32_t>(slots - slots / urgentReserveDivisor, 1) : slots;
     return state.enforceGoals ? normal + state.transferring : normal;
--- a/packages/decisions/src/admission/admission_estimate_func.h
+++ b/packages/decisions/src/admission/admission_estimate_func.h
@@ -19,9 +19,10 @@
  * Returns the expected service time of a request: with enforced goals that of its urgency if known, else that of all.
  * @param state Admission.
  * @param urgent Whether the request is urgent.
+ * @param call Whether it is a call; these have an average of their own.
  * @return Service time in milliseconds.
  */
-double expectedServiceMs(const admission_state &state, bool urgent);
+double expectedServiceMs(const admission_state &state, bool urgent, bool call = false);
 
 /**
  * Updates the averages of the service time.
@@ -69,9 +70,11 @@
  * @param before Requests that go before it.
  * @param urgent Whether it is urgent.
  * @param now Present time.
+ * @param call Whether it is a call. Calls that arrive later overtake a fresh request too.
  * @return Time until it is admitted.
  */
-milliseconds predictedWait(const admission_state &state, std::size_t before, bool urgent, steady_time now);
+milliseconds predictedWait(const admission_state &state, std::size_t before, bool urgent, steady_time now,
+                           bool call = false);
 
 /**
  * Returns the limit of requests in flight for a request. With enforced goals, unkeyed normal requests leave a reserve
