Add: daemons follow the calls of their target: rank, header qs-call, throttle of routes whose calls fail

Cause: the decisions for goodput under overload had no inputs: a daemon did not know which requests its target makes within others, nor which responses of the target failed because of them.

Change: with `[overload] follow_calls = true`, a request on the callers' port from the address of the local target, while that target works on a request, is a call. It gets the most urgent rank in progress, and the other daemon learns of it by `qs-call`. Its end (refused, lost, late) and the end of the target's own requests (5xx, lost, late) are counted under the lock of admission; a fresh request of a throttled route is refused there with the new reason `throttled`, which is not retried at another target. `qs-route` and `qs-returned` tell the daemon beside the target the route and whether the caller came back; they are sent only with the setting. Deadlines of calls no longer count as signs of a retry.

Ruled out: throttling at the daemon that accepts a caller's request, because it sees neither the calls nor the other requests of the target.

daemon_test: the loop over all refusals in reasons.theListHoldsEveryRefusal ends at the new last one; the round trip test checks the new headers too.

--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -1,6 +1,7 @@
 /** @file caller_server.cpp HTTP server for callers. */
 #include "caller_server.h"
 
+#include "call_follower.h"
 #include "caller_connection.h"
 #include "caller_request.h"
 #include "caller_response.h"
@@ -114,8 +115,11 @@
     const auto &settings = thread.shared->settings;
     const auto now = clock::now();
     const auto callerDeadline = requestedDeadline(request, thread.shared->names);
-    const auto retryAge =
-        callerDeadline ? estimateRetryAge(thread.callerRetries, route.name, *callerDeadline, now) : milliseconds(0);
+    // The deadlines of calls vary with the time that their target has left: a short one doesn't mean a retry.
+    const auto callRank = rankIfCall(*thread.shared, connection->address);
+    const auto retryAge = callerDeadline && !callRank
+        ? estimateRetryAge(thread.callerRetries, route.name, *callerDeadline, now)
+        : milliseconds(0);
     const request_origin origin{thread.shared->names,
                                 settings.roster ? settings.roster->pool : pool_id{},
                                 generatedId,
@@ -123,6 +127,7 @@
                                 retryAge,
                                 now};
     auto routed = makeRoutedRequest(route, std::move(request), std::move(*key), origin);
+    markCall(*thread.shared, routed, callRank, retryAge);
     // Requests that arrive during a planned stop must end before the process does. Late in the stop, those that might
     // not are refused: a caller on a persistent connection can retry on another one.
     const auto stopDeadline = thread.shared->stopDeadline.load();
@@ -140,7 +145,8 @@
     const auto now = clock::now();
     countRequest(*thread.shared->metricsRegistry, trace, outcome, now);
     logRequest(thread.logBudget, trace, outcome, now);
-    if (outcome.result != attempt_result::answered && !trace.route.empty()) {
+    recordCallEnd(*thread.shared, trace, outcome, now);
+    if (outcome.result != attempt_result::answered && !trace.route.empty() && !trace.call) {
         expectRetry(thread.callerRetries, trace.route, now);
     }
 }
@@ -172,6 +178,7 @@
     trace.route = request->route;
     trace.pool = request->pool;
     trace.goal = request->goal;
+    trace.call = request->call;
     const auto outcome = co_await routeRequest(thread, std::move(*request), sink, trace);
     trace.callerDisconnected = isDisconnected(*connection);
     if (outcome.result != attempt_result::answered && !connection->broken) {
--- a/packages/daemon/src/requests/admission_control.h
+++ b/packages/daemon/src/requests/admission_control.h
@@ -4,6 +4,7 @@
 #define ADMISSION_CONTROL_H
 
 #include "admission_base.h"
+#include "call_throttle_base.h"
 #include "dedup_base.h"
 #include "leaving_target_base.h"
 #include "request_log.h"
@@ -27,6 +28,8 @@
     target_incarnation targetIncarnation; ///< Incarnation of the target; its id is empty in deployments without ids.
     request_log_budget logBudget; ///< Budget of log lines about attempts at the local target.
     log_budget noticeLogBudget{1, 5, 5}; ///< Budget of log lines about what the target says about itself.
+    call_throttle throttle; ///< Throttle of routes whose requests fail because of calls of the target.
+    log_budget throttleLogBudget{1, 5, 5}; ///< Budget of log lines about throttled requests.
     bool targetChecksFences = false; ///< Whether the target itself refuses requests with an older fence.
 };
 
--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -4,6 +4,7 @@
 #include "admission_estimate_func.h"
 #include "admission_func.h"
 #include "async_condition.h"
+#include "call_follower.h"
 #include "dedup_func.h"
 #include "elapsed_clock.h"
 #include "request_log.h"
@@ -93,7 +94,8 @@
 }
 
 /** Submits a request to admission control. A queued request gets its result through `pending`. */
-admission_result requestAdmission(daemon_shared &shared, admission_request &admissionRequest,
+admission_result requestAdmission(daemon_shared &shared, const routed_request &request,
+                                  admission_request &admissionRequest,
                                   const std::shared_ptr<pending_admission> &pending, local_attempt_trace &trace)
 {
     const std::lock_guard lock(shared.admissionControl.mutex);
@@ -106,6 +108,9 @@
     trace.expectedService = milliseconds(std::llround(expectedServiceMs(admission, isUrgent(admissionRequest))));
     trace.limitPerSecond = admission.rate.perSecond;
     trace.leaseLeft = std::chrono::duration_cast<milliseconds>(grantUntil(admission) - now);
+    if (const auto throttled = throttleRequest(shared, request, now)) {
+        return *throttled;
+    }
     const auto result = admit(admission, admissionRequest, now);
     if (result.queued) {
         shared.admissionControl.waiters[admissionRequest.id] = [pending](const admission_result &decided) {
@@ -294,6 +299,7 @@
         co_return lostOutcome;
     }
     responded = true;
+    trace.status = head->status;
     recordNotice(shared, head->notice, handedOverAt);
     endSuspectRun(shared, admissionRequest);
     if (!head->notRun.empty()) {
@@ -385,6 +391,7 @@
         finishRequest(shared.admissionControl.admission, admissionRequest, responded,
                       std::chrono::duration_cast<milliseconds>(now - startedAt), now);
     }
+    recordTargetEnd(shared, *request, outcome, {trace.status, startedAt}, clock::now());
     decideQueued(shared.admissionControl, clock::now());
     tracker.applyEvent(finalEvent(outcome, tracker));
     co_return outcome;
@@ -397,6 +404,7 @@
 {
     admission_request admissionRequest{
         0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
+    admissionRequest.call = request->call && shared.settings.overload.followCalls;
     if (!request->idempotent) {
         auto ended = registerOrder(shared, *request);
         if (ended) {
@@ -408,7 +416,7 @@
         co_return *refused;
     }
     const auto pending = std::make_shared<pending_admission>(co_await asio::this_coro::executor);
-    auto result = requestAdmission(shared, admissionRequest, pending, trace);
+    auto result = requestAdmission(shared, *request, admissionRequest, pending, trace);
     if (result.queued) {
         decideQueued(shared.admissionControl, clock::now()); // Notifies requests that lost their place in the queue.
         result = co_await awaitAdmission(shared, admissionRequest, pending, sink);
--- a/packages/daemon/src/requests/outcome_type.h
+++ b/packages/daemon/src/requests/outcome_type.h
@@ -18,13 +18,15 @@
     http_request http; ///< Method, path, headers and complete body.
     std::string id; ///< Request id, the same for all attempts.
     std::string attempt; ///< Token of this attempt.
-    std::string route; ///< Name of the route; known only to the daemon that accepted the request from the caller.
+    std::string route; ///< Name of the route; empty if the daemon that accepted the request did not send it.
     pool_id pool; ///< Pool.
     std::string key; ///< Key, for keyed pools.
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
     request_class kind = request_class::lookup; ///< Class.
     bool idempotent = false; ///< Whether it may be executed more than once.
     std::uint32_t rank = 2; ///< Priority; smaller values are admitted first.
+    bool call = false; ///< Whether a target makes it within another request.
+    bool returned = false; ///< Whether the caller has presumably been refused before.
     std::uint32_t maxTargets = 6; ///< Maximum number of targets that it may be handed to.
     steady_time deadline{}; ///< When the caller stops waiting.
     steady_time goal = steady_time::max(); ///< Latency goal: a later response is of less use to the caller.
--- a/packages/daemon/src/requests/peer_wire.cpp
+++ b/packages/daemon/src/requests/peer_wire.cpp
@@ -17,6 +17,8 @@
 
 constexpr const char *crashesHeader =
     "qs-crashes"; ///< Crashes of targets of which the request is suspected, as far as the sender knows.
+constexpr const char *callHeader = "qs-call"; ///< Set if a target makes the request within another one.
+constexpr const char *returnedHeader = "qs-returned"; ///< Set if the caller has presumably been refused before.
 constexpr std::int64_t maxCrashes = 1000; ///< A larger number is not believed.
 constexpr milliseconds maxAge{60000}; ///< Longest time sent since which a target is leaving; its leave time is shorter.
 
@@ -86,6 +88,12 @@
         encoded.headers.emplace_back("qs-slot", std::to_string(request.slot->slot.value));
         encoded.headers.emplace_back("qs-fence", std::to_string(request.slot->fence.value));
     }
+    if (request.call) {
+        encoded.headers.emplace_back(callHeader, "1");
+    }
+    if (request.returned) {
+        encoded.headers.emplace_back(returnedHeader, "1");
+    }
     addCrashes(encoded.headers, request.crashes);
     for (const auto &[name, value] : request.http.headers) {
         encoded.headers.emplace_back(callerPrefix + toLower(name), value);
@@ -104,6 +112,9 @@
     decoded.kind = findHeader(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
     decoded.idempotent = findHeader(request.headers, "qs-idempotent") == "1";
     decoded.rank = static_cast<std::uint32_t>(parseNumber(request.headers, "qs-rank"));
+    decoded.route = findHeader(request.headers, routeHeader);
+    decoded.call = findHeader(request.headers, callHeader) == "1";
+    decoded.returned = findHeader(request.headers, returnedHeader) == "1";
     decoded.crashes = parseCrashes(request.headers);
     decoded.responseTimeout = milliseconds(parseNumber(request.headers, "qs-patience-ms"));
     decoded.goal = now + milliseconds(parseNumber(request.headers, "qs-goal-ms"));
@@ -163,7 +174,7 @@
         : name == "not-run"             ? attempt_result::not_run
                                         : attempt_result::unknown;
     const auto reason = parseNumber(headers, "qs-reason");
-    if (reason > 0 && reason <= static_cast<std::int64_t>(refusal::quarantined)) {
+    if (reason > 0 && reason <= static_cast<std::int64_t>(refusal::throttled)) {
         outcome.reason = static_cast<refusal>(reason);
     }
     outcome.reasonText = findHeader(headers, "qs-text");
--- a/packages/daemon/src/requests/request_log.cpp
+++ b/packages/daemon/src/requests/request_log.cpp
@@ -120,6 +120,7 @@
               {"fence", request.slot ? std::to_string(request.slot->fence.value) : ""},
               {"class", request.kind == request_class::order ? "order" : "lookup"},
               {"rank", std::to_string(request.rank)},
+              {"call", request.call ? "1" : "0"},
               {"in_flight", std::to_string(trace.inFlight)},
               {"queued", std::to_string(trace.queued)},
               {"service_ms", formatMs(trace.expectedService)},
--- a/packages/daemon/src/requests/request_log.h
+++ b/packages/daemon/src/requests/request_log.h
@@ -41,6 +41,7 @@
     steady_time arrivedAt{}; ///< When its headers had been read.
     std::uint64_t tables = 0; ///< Version of the tables by which its route was found, or by which it was refused.
     steady_time goal = steady_time::max(); ///< A response after this time is late.
+    bool call = false; ///< Whether the local target made it within another request.
     bool callerDisconnected = false; ///< Whether the caller closed its connection before the end.
     std::vector<attempt_trace> attempts; ///< Attempts, oldest first.
 };
@@ -56,6 +57,7 @@
     std::optional<double> limitPerSecond; ///< Rate limit of the target on its arrival; unset without one.
     milliseconds leaseLeft{0}; ///< Time left until the target's grant or lease ends.
     bool handedOver = false; ///< Whether it was handed to the target.
+    unsigned status = 0; ///< Status of the target's response; 0 without one.
     std::string detail; ///< Connection error, if the response is missing or incomplete.
 };
 
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -204,6 +204,9 @@
     const auto &settings = thread.shared->settings;
     message.headers.emplace_back(senderHeader, toString({settings.host, settings.peersPort}));
     addLeavingHeader(*thread.shared, *member, message.headers);
+    if (settings.overload.followCalls) {
+        message.headers.emplace_back(routeHeader, request->route);
+    }
     const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout);
     if (!opened.call) {
         request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetryAfter};
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -105,11 +105,18 @@
     request.kind = request_class::order;
     request.slot = fenced_slot{request.pool, {3}, {9}};
     request.deadline = now + milliseconds(500);
-    const auto back = decodeRequest(encodeRequest(request, now), now);
+    request.call = true;
+    request.returned = true;
+    auto message = encodeRequest(request, now);
+    message.headers.emplace_back(routeHeader, "all");
+    const auto back = decodeRequest(std::move(message), now);
     ASSERT_TRUE(back.has_value());
     EXPECT_EQ(back->http.body, "body");
     EXPECT_EQ(back->slot, request.slot);
     EXPECT_EQ(back->deadline, request.deadline);
+    EXPECT_EQ(back->route, "all");
+    EXPECT_TRUE(back->call);
+    EXPECT_TRUE(back->returned);
     EXPECT_EQ(findHeader(back->http.headers, "x-own"), "a");
     EXPECT_FALSE(decodeRequest({attemptPath, {}, ""}, now).has_value());
 }
@@ -177,8 +184,7 @@
 
 TEST(reasons, theListHoldsEveryRefusal)
 {
-    for (auto reason = static_cast<int>(refusal::not_owner); reason <= static_cast<int>(refusal::quarantined);
-         ++reason) {
+    for (auto reason = static_cast<int>(refusal::not_owner); reason <= static_cast<int>(refusal::throttled); ++reason) {
         const std::string word = nameOf(static_cast<refusal>(reason));
         EXPECT_NE(findReason(word), nullptr) << word;
         EXPECT_EQ(reasonWord(word), word);
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -58,6 +58,7 @@
     deadline_passed, ///< The deadline passed, or can't be met any more.
     cancelled, ///< The caller cancelled before the hand-over.
     quarantined, ///< Targets crashed one after another while they ran this request.
+    throttled, ///< Requests of its route fail at the target because their calls are refused.
 };
 
 /** Result of an admission decision. */
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -471,6 +471,8 @@
         return "cancelled";
     case refusal::quarantined:
         return "quarantined";
+    case refusal::throttled:
+        return "throttled";
     }
     return "unknown";
 }
--- a/packages/decisions/src/routing/retry_cmd.cpp
+++ b/packages/decisions/src/routing/retry_cmd.cpp
@@ -33,7 +33,7 @@
         context.result == attempt_result::not_run || (context.result == attempt_result::unknown && context.idempotent);
     if (!mayRepeat || context.attempts >= limits.maxAttempts * (isOwnershipTransient(context) ? 4 : 1)
         || now >= context.deadline || context.reason == refusal::deadline_passed || context.reason == refusal::cancelled
-        || context.reason == refusal::quarantined) {
+        || context.reason == refusal::quarantined || context.reason == refusal::throttled) {
         return {};
     }
     if (context.handOvers >= context.maxHandOvers) {
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -123,6 +123,23 @@
     settings.roster = roster;
 }
 
+void readOverload(toml_reader &outer, daemon_settings &settings)
+{
+    outer.known.insert("overload");
+    const auto *node = outer.table.get("overload");
+    if (node == nullptr) {
+        return;
+    }
+    if (!node->is_table()) {
+        refuse(outer, node->source(), "\"overload\" must be a table");
+        return;
+    }
+    toml_reader reader{*node->as_table(), outer.file, outer.why};
+    settings.overload.followCalls = readBool(reader, "follow_calls", false);
+    refuseUnknown(reader);
+    outer.good = outer.good && reader.good;
+}
+
 } // namespace
 
 std::optional<endpoint> parseEndpoint(const std::string &text)
@@ -177,6 +194,7 @@
     settings.adminPort = readPort(reader, "admin_port");
     settings.trafficThreads = static_cast<std::uint32_t>(readNumber(reader, "traffic_threads", 1, maxThreads, 1));
     settings.drainLimit = std::chrono::seconds(readNumber(reader, "drain_limit_s", 1, maxDurationSeconds, 30));
+    readOverload(reader, settings);
     readSeeds(reader, settings);
     readLog(reader, settings);
     refuseUnknown(reader);
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -29,6 +29,13 @@
     milliseconds stopNotice{2600}; ///< Time between announcing the stop and closing the port for callers.
 };
 
+/** Settings for overload. */
+struct overload_settings
+{
+    bool followCalls = false; ///< Whether requests from the address of the local target are treated as calls, and fresh
+                              ///< requests whose calls fail are throttled.
+};
+
 /** Settings of a daemon. */
 struct daemon_settings
 {
@@ -46,6 +53,7 @@
     std::string logLevel = "info"; ///< Minimum severity of logged events.
     log_format logFormat = log_format::text; ///< Format of the log.
     std::optional<roster_settings> roster; ///< Present if keys are assigned by leases in the store.
+    overload_settings overload; ///< Overload.
     milliseconds drainLimit{30000}; ///< Maximum time that a planned stop waits for requests in flight.
 };
 
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -42,6 +42,20 @@
     EXPECT_EQ(settings->seeds.size(), 1U);
 }
 
+// With nothing set, requests are treated as before: calls are followed only where a deployment asks for it.
+TEST(settings, callsAreFollowedOnlyIfSet)
+{
+    last_reason why;
+    const auto unset = parseSettings(validSettings, "file", why);
+    ASSERT_TRUE(unset.has_value()) << describe(why);
+    EXPECT_FALSE(unset->overload.followCalls);
+    const auto set = parseSettings(validSettings + "[overload]\nfollow_calls = true\n", "file", why);
+    ASSERT_TRUE(set.has_value()) << describe(why);
+    EXPECT_TRUE(set->overload.followCalls);
+    EXPECT_EQ(parseFailure(validSettings + "[overload]\nfollow = true\n"), "check: file:11: unknown key \"follow\"");
+    EXPECT_NE(parseFailure(validSettings + "overload = 1\n").find("must be a table"), std::string::npos);
+}
+
 TEST(settings, rejectsInvalidSettings)
 {
     EXPECT_EQ(parseFailure(validSettings + "colour = 1\n"), "check: file:10: unknown key \"colour\"");
