Fix: a throttled route without requests for 2 s is fully admitted again

Cause: the share of a throttled route grew only by one step for each request after a pause, so the first requests after it were refused by what had been learned before it. Ruled out: removing idle routes by a timer, since admission has none.

--- a/packages/decisions/src/overload/call_throttle_cmd.cpp
+++ b/packages/decisions/src/overload/call_throttle_cmd.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t minEnded = 4; ///< Requests in an interval below which it lasts longer: single failures of few
                                       ///< requests say little.
 constexpr milliseconds maxAdjustInterval{1000}; ///< Longest interval, whatever the number of requests.
+constexpr milliseconds idleReset{2000}; ///< A route without requests for this long is fully admitted again: what was
+                                        ///< learned of its calls is out of date.
 constexpr double failureLimit = 0.1; ///< Share of failed requests above which the admitted share decreases.
 constexpr double maxDecrease = 0.5; ///< Smallest factor on the share in one adjustment.
 constexpr double minShare = 0.05; ///< Smallest share, so that a recovery is noticed.
@@ -57,6 +59,9 @@
 bool adjustWhenDue(route_throttle &route, steady_time now)
 {
     const auto elapsed = now - route.adjustedAt;
+    if (elapsed >= idleReset) {
+        return true;
+    }
     const bool enough = route.failed == 0 || route.ended >= minEnded;
     if (elapsed >= maxAdjustInterval || (elapsed >= adjustInterval && enough)) {
         adjust(route);
--- a/packages/decisions/tests/overload_test.cpp
+++ b/packages/decisions/tests/overload_test.cpp
@@ -267,6 +267,19 @@
     EXPECT_TRUE(throttle.routes.empty()) << "no state is kept of a route that is fully admitted";
 }
 
+// A share that was learned before a pause would refuse the first requests after it.
+TEST(overload, aRouteIsFullyAdmittedAfterAPause)
+{
+    call_throttle throttle;
+    for (auto at = start; at < start + seconds(1); at += milliseconds(100)) {
+        failRequests(throttle, "r", 10, 6, at);
+    }
+    ASSERT_LT(admittedShare(throttle, "r"), 0.4);
+    for (int at = 0; at < 10; ++at) {
+        EXPECT_TRUE(throttleFresh(throttle, "r", firstAttempt, start + seconds(4)).admitted);
+    }
+}
+
 // A caller that came back is late if it is refused again, one at its first attempt can still come back.
 TEST(overload, callersThatCameBackGoFirst)
 {
