--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -3,6 +3,7 @@
 #ifndef ADMISSION_BASE_H
 #define ADMISSION_BASE_H
 
+#include "call_priority_base.h"
 #include "cell_base.h"
 #include "cold_limit_base.h"
 #include "crash_suspect_base.h"
@@ -43,6 +44,7 @@
     std::optional<request_fingerprint> suspect; ///< Set if a target crashed while it ran this request: one such request
                                                 ///< runs at a time.
     bool failed = false; ///< Whether the target refused it or failed: the time for that tells nothing of its speed.
+    bool call = false; ///< Whether a target makes it within another request.
 };
 
 /** Why a request was refused. Each of these guarantees that it did not run. */
@@ -59,6 +61,7 @@
     deadline_passed, ///< The deadline passed, or can't be met any more.
     cancelled, ///< The caller cancelled before the hand-over.
     quarantined, ///< Targets crashed one after another while they ran this request.
+    throttled, ///< Requests of its route fail at the target because their calls are refused.
 };
 
 /** Result of an admission decision. */
@@ -141,6 +144,8 @@
     steady_time meanUrgentUpdatedAt{}; ///< When the average was last updated.
     steady_time lastProgress{}; ///< When a response was last produced or the target last became busy.
     bool probing = false; ///< Whether only one request at a time is admitted, after a stall.
+    call_estimate calls; ///< Calls in flight and their service time.
+    call_hold hold; ///< Fresh requests refused because calls were refused.
     bool enforceGoals = false; ///< Whether requests that would miss their goal are refused at once.
     double serviceMs = 5.0; ///< Exponential average of the service time of all requests, in milliseconds.
     double urgentServiceMs = 0; ///< The same for urgent requests; 0 if there were none.
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -3,6 +3,8 @@
 
 #include "admission_cold_func.h"
 #include "admission_estimate_func.h"
+#include "call_admission_func.h"
+#include "call_priority_func.h"
 #include "drain_admission_func.h"
 #include "speed_estimate_func.h"
 
@@ -118,23 +120,6 @@
     }
 }
 
-/** Priority by class and rank; smaller goes first. */
-std::tuple<int, std::uint32_t> urgencyOf(const admission_request &request)
-{
-    return {request.kind == request_class::order ? 0 : 1, request.rank};
-}
-
-/** Whether a request may displace another one from a full queue. An earlier deadline alone doesn't count. */
-bool isMoreUrgent(const admission_request &a, const admission_request &b)
-{
-    return urgencyOf(a) < urgencyOf(b);
-}
-
-bool precedes(const admission_request &a, const admission_request &b)
-{
-    return std::tuple(urgencyOf(a), a.deadline) < std::tuple(urgencyOf(b), b.deadline);
-}
-
 /**
  * Latest time at which the response to a request should be there. Under sustained overload, a queue bounded by the
  * deadlines makes all requests miss their goals; a queue bounded by the goals serves as many, and in time. Requests of
@@ -146,13 +131,15 @@
     if (!state.enforceGoals || request.goal >= request.deadline) {
         return request.deadline;
     }
-    return request.rank < normalRank ? request.goal + (request.deadline - request.goal) / 2 : request.goal;
+    return request.rank < normalRank || request.call ? request.goal + (request.deadline - request.goal) / 2
+                                                     : request.goal;
 }
 
 /** Whether a request that starts now can still end before its deadline. */
 bool canMeetDeadline(const admission_state &state, const admission_request &request, steady_time now)
 {
-    const auto least = state.enforceGoals ? expectedServiceMs(state, isUrgent(request)) * minServiceShare : 0;
+    const auto least =
+        state.enforceGoals ? expectedServiceMs(state, isUrgent(request), request.call) * minServiceShare : 0;
     return now + milliseconds(std::llround(least)) < request.deadline;
 }
 
@@ -167,7 +154,7 @@
     if (transfer == milliseconds(0)) {
         return true;
     }
-    const milliseconds service(std::llround(expectedServiceMs(state, isUrgent(request))));
+    const milliseconds service(std::llround(expectedServiceMs(state, isUrgent(request), request.call)));
     if (now >= request.goal) {
         return now + (service + transfer) * 2 <= request.deadline;
     }
@@ -209,8 +196,8 @@
                                  [&](const auto &other) { return precedes(request, other.request); });
     const auto before = countReady(state, at);
     const bool urgent = isUrgent(request);
-    const auto wait = predictedWait(state, before, urgent, now);
-    const milliseconds service(std::llround(expectedServiceMs(state, urgent)));
+    const auto wait = predictedWait(state, before, urgent, now, request.call);
+    const milliseconds service(std::llround(expectedServiceMs(state, urgent, request.call)));
     const auto transfer = predictedTransfer(state, before, request);
     const auto latest = latestWhileCold(state, request, latestResponse(state, request), now);
     const bool fits = now + wait + service + transfer <= latest;
@@ -220,6 +207,7 @@
     if ((full && !displaces) || !fits) {
         countColdRefusal(state, now);
         const auto allWait = predictedWait(state, state.queue.size(), urgent, now);
+        preferCalls(state, request, now);
         const auto returnAfter = planReturn(state.rate, std::max(allWait, transfer), urgent, request.deadline, now);
         return refuse(state, refusal::overloaded, clampRetryAfter(returnAfter));
     }
@@ -250,6 +238,9 @@
     }
     updateOverrun(state.speed, now);
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
+    if (const auto held = heldFor(state, request, now); held > milliseconds(0)) {
+        return refuse(state, refusal::overloaded, clampRetryAfter(held));
+    }
     const auto next = nextToStart(state);
     const bool first = next == state.queue.end() || precedes(request, next->request);
     if (first && hasRoom(state, request, now) && transferMeetsGoal(state, request, now)) {
@@ -504,6 +495,8 @@
         return "cancelled";
     case refusal::quarantined:
         return "quarantined";
+    case refusal::throttled:
+        return "throttled";
     }
     return "unknown";
 }
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -29,6 +29,13 @@
     milliseconds stopNotice{2600}; ///< Time between announcing the stop and closing the port for callers.
 };
 
+/** Settings for overload. */
+struct overload_settings
+{
+    bool followCalls = false; ///< Whether requests from the address of the local target are treated as calls, and fresh
+                              ///< requests whose calls fail are throttled.
+};
+
 /** Settings of a daemon. */
 struct daemon_settings
 {
@@ -48,6 +55,7 @@
     std::optional<roster_settings> roster; ///< Present if keys are assigned by leases in the store.
     bool learnSpeeds = false; ///< Whether the speeds of targets are learned, for the choice of a target, admission and
                               ///< the placement of keys.
+    overload_settings overload; ///< Overload.
     milliseconds drainLimit{30000}; ///< Maximum time that a planned stop waits for requests in flight.
 };
 
