Add: an account of memory, shared bodies, and bounds on callers' connections

Bodies were read whole with no bound over all of them, copied for each attempt and each connection, and refused between daemons above 8 MiB; connections of callers could take all descriptors.

When that is full, the caller without progress for longest is closed, else the request is refused. Bodies are stored once, in blocks that all copies share.

--- a/packages/daemon/src/callers/caller_connection.cpp
+++ b/packages/daemon/src/callers/caller_connection.cpp
@@ -12,6 +12,30 @@
 
 namespace {
 
+constexpr milliseconds discardTime{500}; ///< Time in which bytes are dropped after a refusal.
+constexpr std::size_t discardedBytes = 1048576; ///< Most bytes dropped after a refusal.
+constexpr std::size_t discardPart = 4096; ///< Bytes per read.
+constexpr std::uint64_t unreadBytes = 131072; ///< Bytes that a response takes that its caller does not read.
+
+/** Marks a connection as one whose caller has to read, while a part of a response is written. */
+struct write_mark
+{
+    explicit write_mark(caller_connection &marked)
+        : connection(marked)
+    {
+        connection.held = unreadBytes;
+        connection.lastProgress = elapsed_clock::now();
+    }
+    ~write_mark()
+    {
+        connection.held = 0;
+    }
+    write_mark(const write_mark &) = delete;
+    write_mark &operator=(const write_mark &) = delete;
+
+    caller_connection &connection; ///< Connection.
+};
+
 asio::awaitable<bool> writeResponseHead(std::shared_ptr<caller_connection> connection, unsigned status,
                                         std::vector<http_header> headers, std::optional<std::uint64_t> length,
                                         steady_time deadline)
@@ -48,6 +72,7 @@
         co_return true;
     }
     error_code code;
+    const write_mark mark(*connection);
     connection->stream.expires_at(elapsed_clock::forTimers(deadline));
     if (connection->chunked) {
         co_await asio::async_write(connection->stream, http::make_chunk(asio::buffer(chunk)), redirectError(code));
@@ -116,6 +141,24 @@
     connection->broken = connection->broken || code;
 }
 
+asio::awaitable<void> discardUnread(std::shared_ptr<caller_connection> connection)
+{
+    if (connection->broken) {
+        co_return;
+    }
+    error_code code;
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, code);
+    connection->stream.expires_after(discardTime);
+    std::size_t left = discardedBytes;
+    code = {};
+    while (!code && left > 0) {
+        connection->buffer.clear();
+        const auto length = co_await connection->stream.async_read_some(
+            connection->buffer.prepare(std::min(left, discardPart)), redirectError(code));
+        left -= length;
+    }
+}
+
 void closeConnection(caller_connection &connection)
 {
     error_code ignored;
--- a/packages/daemon/src/callers/caller_connection.h
+++ b/packages/daemon/src/callers/caller_connection.h
@@ -28,6 +28,11 @@
     bool keepAlive = true; ///< Whether another request may follow.
     bool chunked = false; ///< Whether the current response is chunked.
     bool broken = false; ///< Whether a response was aborted or could not be written.
+    bool unread = false; ///< Whether the rest of a refused request was not read.
+    bool evicted = false; ///< Whether it was closed in favour of other callers.
+    std::uint64_t held = 0; ///< Bytes kept for it that its eviction releases; 0 while it can't be evicted.
+    steady_time lastProgress{}; ///< When bytes were last received from it or accepted by it.
+    memory_charge charge; ///< Bytes of its buffer and its state.
     bool awaitingRequest = false; ///< Whether it waits for the first byte of a request.
     bool headOnly = false; ///< Whether the current response has no body because of the request's method.
 };
@@ -69,6 +74,14 @@
  */
 void closeConnection(caller_connection &connection);
 
+/**
+ * Reads and drops what the caller still sends after a refusal, for a short time: closing a connection with unread bytes
+ * resets it, and the caller may lose the refusal.
+ * @param connection Connection.
+ * @return An awaitable.
+ */
+asio::awaitable<void> discardUnread(std::shared_ptr<caller_connection> connection);
+
 } // namespace quetzalspool
 
 #endif // CALLER_CONNECTION_H
--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -2,6 +2,7 @@
 #include "caller_server.h"
 
 #include "caller_connection.h"
+#include "caller_eviction.h"
 #include "caller_request.h"
 #include "caller_response.h"
 #include "caller_retry_func.h"
@@ -10,6 +11,7 @@
 #include "log_func.h"
 #include "request_router.h"
 #include "routing_func.h"
+#include "shared_body_http.h"
 
 #include <boost/beast/http.hpp>
 #include <limits>
@@ -25,16 +27,57 @@
 
 constexpr std::size_t readAhead = 4096; ///< Size of the first read, in bytes; most requests fit.
 constexpr std::uint32_t requestLineLimit = 8192; ///< Bytes of a request line, which the limit of headers doesn't count.
+constexpr std::size_t bodyReadAhead = 16384; ///< Bytes of a body per read.
+constexpr std::uint64_t requestBytes = 16384; ///< Bytes charged for a request beside its body.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum bytes buffered beyond the longest head.
 
-using caller_parser = http::request_parser<http::string_body>;
+using caller_parser = http::request_parser<shared_body_http>;
+
+/** Parses the bytes read ahead, as far as they are complete. */
+void parseReadAhead(caller_connection &connection, caller_parser &parser, error_code &code)
+{
+    auto &buffer = connection.buffer;
+    while (!code && !parser.is_done() && buffer.size() > 0) {
+        const auto used = parser.put(buffer.data(), code);
+        buffer.consume(used);
+        if (code == http::error::need_more || (!code && used == 0)) {
+            code = {};
+            return;
+        }
+    }
+}
+
+/** Reads the next bytes of a body, for which there must be room in the memory. */
+asio::awaitable<bool> readBodyPart(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                                   std::shared_ptr<caller_parser> parser, error_code &code, caller_refusal &rejection)
+{
+    auto &body = parser->get().body();
+    const auto total = body.size() + bodyReadAhead;
+    const bool room = co_await makeMemoryRoom(thread, bodyReadAhead, total);
+    if (!room) {
+        rejection = {serviceUnavailable, "memory-full"};
+        co_return false;
+    }
+    connection->held = total;
+    connection->lastProgress = clock::now();
+    const auto length =
+        co_await connection->stream.async_read_some(connection->buffer.prepare(bodyReadAhead), redirectError(code));
+    connection->held = 0;
+    connection->buffer.commit(length);
+    if (connection->evicted) {
+        rejection = {408, "stalled"};
+    }
+    co_return !connection->evicted;
+}
 
 /** Reads the body, up to the route's limit. */
-asio::awaitable<bool> readBody(std::shared_ptr<caller_connection> connection, std::shared_ptr<caller_parser> parser,
-                               std::uint64_t limit, caller_refusal &rejection)
+asio::awaitable<bool> readBody(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
+                               std::shared_ptr<caller_parser> parser, std::uint64_t limit, caller_refusal &rejection)
 {
     error_code code;
     parser->body_limit(limit);
+    parser->eager(true);
+    parser->get().body().chargeTo(thread.shared->memory);
     const auto length = parser->content_length();
     if (length && *length > limit) {
         rejection = {413, "body-too-large"};
@@ -44,10 +87,25 @@
         http::response<http::empty_body> go{http::status::continue_, 11};
         co_await http::async_write(connection->stream, go, redirectError(code));
     }
-    co_await http::async_read(connection->stream, connection->buffer, *parser, redirectError(code));
+    const memory_charge readAheadCharge(thread.shared->memory, parser->is_done() ? 0 : bodyReadAhead);
+    parseReadAhead(*connection, *parser, code);
+    while (!code && !parser->is_done()) {
+        const bool received = co_await readBodyPart(thread, connection, parser, code, rejection);
+        if (!received) {
+            parser->get().body() = {}; // The refusal may take long to write.
+            co_return false;
+        }
+        if (!code) {
+            parseReadAhead(*connection, *parser, code);
+        }
+    }
+    if (connection->buffer.size() == 0 && connection->buffer.capacity() > readAhead) {
+        connection->buffer.shrink_to_fit();
+    }
     if (code) {
         rejection =
             code == http::error::body_limit ? caller_refusal{413, "body-too-large"} : caller_refusal{400, "bad-body"};
+        parser->get().body() = {};
     }
     co_return !code;
 }
@@ -90,7 +148,7 @@
         rejection = {403, "caller-not-allowed"};
         co_return std::nullopt;
     }
-    const bool read = co_await readBody(connection, parser, route.maxBody, rejection);
+    const bool read = co_await readBody(thread, connection, parser, route.maxBody, rejection);
     if (!read) {
         connection->keepAlive = false;
         co_return std::nullopt;
@@ -155,7 +213,15 @@
     auto view = thread.shared->routing.load();
     trace.tables = tablesVersion(*view);
     caller_refusal rejection;
-    auto request = co_await acceptRequest(thread, std::move(view), connection, parser, rejection);
+    const memory_charge charge(thread.shared->memory, requestBytes);
+    std::optional<routed_request> request;
+    const bool room = co_await makeMemoryRoom(thread, 0, requestBytes);
+    if (room) {
+        request = co_await acceptRequest(thread, std::move(view), connection, parser, rejection);
+    } else {
+        connection->keepAlive = false;
+        rejection = {serviceUnavailable, "memory-full"};
+    }
     if (!request) {
         request_outcome outcome;
         outcome.reasonText = rejection.reason;
@@ -163,6 +229,7 @@
         auto response = refusalResponse(thread.shared->names, rejection);
         // The unread rest of the request would be parsed as the next one.
         connection->keepAlive = connection->keepAlive && parser->is_done();
+        connection->unread = !parser->is_done();
         co_await writeResponse(connection, std::move(response));
         co_return;
     }
@@ -184,8 +251,11 @@
 }
 
 /** Why a request whose headers could not be read is refused. */
-caller_refusal headRefusal(bool limitsUnknown, error_code code)
+caller_refusal headRefusal(bool evicted, bool limitsUnknown, error_code code)
 {
+    if (evicted) {
+        return {408, "stalled"};
+    }
     if (code != http::error::header_limit) {
         return {400, "bad-request: " + code.message()};
     }
@@ -199,7 +269,7 @@
                                       std::shared_ptr<const routing_view> view, error_code code)
 {
     connection->keepAlive = false;
-    const auto rejection = headRefusal(awaitsLimits(*thread.shared, *view), code);
+    const auto rejection = headRefusal(connection->evicted, awaitsLimits(*thread.shared, *view), code);
     request_trace trace;
     trace.arrivedAt = clock::now();
     trace.tables = tablesVersion(*view);
@@ -225,9 +295,11 @@
 {
     auto &stream = connection->stream;
     error_code code;
-    while (connection->buffer.size() == 0 && (!thread.callersClosing || stream.socket().available(code) > 0)) {
+    while (connection->buffer.size() == 0 && !connection->evicted
+           && (!thread.callersClosing || stream.socket().available(code) > 0)) {
         stream.expires_after(idleTime);
         connection->awaitingRequest = true;
+        connection->lastProgress = clock::now();
         const auto length = co_await stream.async_read_some(connection->buffer.prepare(readAhead), redirectError(code));
         connection->awaitingRequest = false;
         connection->buffer.commit(length);
@@ -235,7 +307,7 @@
             break;
         }
     }
-    co_return connection->buffer.size() > 0;
+    co_return connection->buffer.size() > 0 && !connection->evicted;
 }
 
 /** Bytes of the headers of a request, with their separators and line ends. */
@@ -262,8 +334,11 @@
         std::numeric_limits<std::uint64_t>::max()); // The route's limit is applied once the route is known.
     connection->buffer.max_size(headLimit + readAheadLimit);
     connection->stream.expires_after(limits.headerTime);
+    connection->held = connectionBytes;
+    connection->lastProgress = clock::now();
     error_code code;
     co_await http::async_read_header(connection->stream, connection->buffer, *parser, redirectError(code));
+    connection->held = 0;
     if (code == http::error::end_of_stream || (code && connection->buffer.size() == 0 && !parser->got_some())) {
         connection->keepAlive = false;
         co_return;
@@ -294,6 +369,9 @@
         co_await readAndServe(thread, connection);
         --thread.shared->requestsInFlight;
     }
+    if (connection->unread) {
+        co_await discardUnread(connection);
+    }
     closeConnection(*connection);
     thread.callers.erase(connection);
 }
@@ -303,6 +381,9 @@
 {
     auto connection = std::make_shared<caller_connection>(std::move(socket));
     connection->names = &thread.shared->names;
+    connection->lastProgress = clock::now();
+    connection->charge.chargeTo(thread.shared->memory);
+    connection->charge.add(connectionBytes);
     error_code code;
     connection->stream.socket().set_option(tcp::no_delay(true), code);
     const auto remote = connection->stream.socket().remote_endpoint(code);
@@ -319,7 +400,9 @@
     while (acceptor->is_open()) {
         error_code code;
         auto socket = co_await acceptor->async_accept(redirectError(code));
-        if (!code) {
+        if (!code && !makeConnectionRoom(thread)) {
+            socket.close(code);
+        } else if (!code) {
             startCaller(thread, std::move(socket));
         } else if (code == asio::error::operation_aborted) {
             break;
--- a/packages/daemon/src/requests/crash_registry.cpp
+++ b/packages/daemon/src/requests/crash_registry.cpp
@@ -57,7 +57,8 @@
 {
     const auto host = findHeader(request.http.headers, "Host");
     const auto callerPool = names.callerPool.empty() ? "" : findHeader(request.http.headers, names.callerPool);
-    return makeFingerprint({request.http.method, host, request.http.path, request.key, callerPool, request.http.body});
+    return makeFingerprint(
+        {request.http.method, host, request.http.path, request.key, callerPool, "", request.http.body.parts()});
 }
 
 request_suspicion suspicionOf(crash_registry &registry, const request_fingerprint &fingerprint, steady_time now)
--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -6,6 +6,7 @@
 #include "async_condition.h"
 #include "dedup_func.h"
 #include "elapsed_clock.h"
+#include "memory_budget_func.h"
 #include "request_log.h"
 #include "suspect_run.h"
 
@@ -23,6 +24,7 @@
 constexpr milliseconds maxOrderIdle{
     500}; ///< Maximum idle time of a connection reused for an order, which can't be retried: it must be shorter
           ///< than the idle time after which targets close connections.
+constexpr std::uint64_t exchangeBytes = 98304; ///< Bytes charged for a response: what is read ahead, and one part.
 constexpr milliseconds cancelCheckInterval{150}; ///< Interval of the checks whether the caller has cancelled.
 constexpr std::string_view staleGrantReason =
     "stale-grant"; ///< Reason by which a target refuses an invalid grant, as in its contract.
@@ -34,6 +36,35 @@
     return {attempt_result::not_run, reason, nameOf(reason), retryAfter};
 }
 
+/** Whether the memory of this process has room for another response, and that of the target for a body. */
+bool hasMemoryFor(const daemon_shared &shared, std::uint64_t heldByTarget, std::uint64_t bodyBytes)
+{
+    const auto &memory = *shared.memory;
+    const auto targetMemory = shared.settings.memoryBytes;
+    return admitsBytes({memory.limit, memory.reserved}, memory.used, 0, 0)
+        && (targetMemory == 0 || admitsAtTarget(heldByTarget, bodyBytes, targetMemory));
+}
+
+/** A body that the target holds, or will hold once the request is admitted. */
+struct target_body
+{
+    target_body(daemon_shared &of, std::uint64_t size)
+        : shared(of)
+        , bytes(size)
+        , admitted(hasMemoryFor(shared, shared.targetBodyBytes.fetch_add(bytes), bytes))
+    { }
+    ~target_body()
+    {
+        shared.targetBodyBytes -= bytes;
+    }
+    target_body(const target_body &) = delete;
+    target_body &operator=(const target_body &) = delete;
+
+    daemon_shared &shared; ///< Shared state.
+    std::uint64_t bytes; ///< Bytes of the body.
+    bool admitted; ///< Whether the target may hold it.
+};
+
 /** Result of a queued admission request, delivered by another thread to a waiting coroutine. */
 struct pending_admission
 {
@@ -275,6 +306,7 @@
                    admission_request &admissionRequest, bool &responded, local_attempt_trace &trace)
 {
     last_reason why;
+    const memory_charge charge(shared.memory, exchangeBytes);
     trace.handedOver = true;
     countMetric(*shared.metricsRegistry, "hand_overs_total");
     const auto handedOverAt = clock::now();
@@ -407,6 +439,11 @@
         recordOrderStage(shared, *request, dedup_stage::refused);
         co_return *refused;
     }
+    const target_body held(shared, request->http.body.size());
+    if (!held.admitted) {
+        recordOrderStage(shared, *request, dedup_stage::refused);
+        co_return notRun(refusal::overloaded, unreachableRetryAfter);
+    }
     const auto pending = std::make_shared<pending_admission>(co_await asio::this_coro::executor);
     auto result = requestAdmission(shared, admissionRequest, pending, trace);
     if (result.queued) {
--- a/packages/daemon/src/roster/roster_metrics.cpp
+++ b/packages/daemon/src/roster/roster_metrics.cpp
@@ -69,6 +69,8 @@
     setGauge(numbers, "right_seconds_left", std::max(left, 0.0));
     setGauge(numbers, "nodes_known", static_cast<double>(control.state.nodes.size()));
     setGauge(numbers, "store_heard", control.storeReachable ? 1 : 0);
+    setGauge(numbers, "memory_used_bytes", static_cast<double>(control.shared->memory->used));
+    setGauge(numbers, "memory_limit_bytes", static_cast<double>(control.shared->memory->limit));
     setGauge(numbers, "store_era", static_cast<double>(control.state.era.value));
     setGauge(numbers, "tables_version", control.tables ? static_cast<double>(control.tables->rows.version) : 0);
     setGauge(numbers, "crash_suspects", static_cast<double>(countSuspects(control.shared->crashRegistry)));
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -29,6 +29,9 @@
     std::atomic<std::shared_ptr<const routing_view>> routing; ///< Current routing view.
     std::atomic<catalog_snapshot> catalog; ///< Current documents.
     admission_control admissionControl; ///< Admission control of the local target.
+    std::shared_ptr<memory_meter> memory = std::make_shared<memory_meter>(); ///< Memory kept for others.
+    std::atomic<std::uint64_t> targetBodyBytes = 0; ///< Bytes of the bodies that the local target holds.
+    std::size_t maxCallers = std::numeric_limits<std::size_t>::max(); ///< Connections of callers for each thread.
     crash_registry crashRegistry; ///< Requests suspected of crashing targets.
     std::mutex leavingTargetsMutex; ///< Guards `leavingTargets`.
     leaving_targets
--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -5,6 +5,7 @@
 #include "balance_base.h"
 #include "caller_retry_base.h"
 #include "http_client.h"
+#include "log_func.h"
 #include "peer_client.h"
 #include "peer_server.h"
 #include "retry_type.h"
@@ -36,6 +37,7 @@
     retry_budget budget; ///< Budget of retries.
     std::shared_ptr<http_connection_pool> storePool =
         makeHttpConnectionPool(); ///< Connections to the store, for calls relayed for daemons that it rejects.
+    log_budget evictionLog{1, 5, 5}; ///< Budget of log lines about evicted callers.
     request_log_budget logBudget; ///< Budget of log lines about requests accepted by this thread.
     std::mt19937_64 random{std::random_device{}()}; ///< For load balancing and request ids.
 };
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -5,9 +5,13 @@
 #include "elapsed_clock.h"
 #include "http_server.h"
 #include "log_func.h"
+#include "memory_budget_func.h"
 #include "peer_handler.h"
 #include "peer_wire.h"
 
+#include <sys/resource.h>
+#include <sys/sysinfo.h>
+
 namespace quetzalspool {
 
 namespace {
@@ -43,6 +47,25 @@
     thread.budget.tokens = rosterRetryBudget;
 }
 
+/** Derives the limits of memory and connections from the settings and the machine. */
+void setLimits(daemon_shared &shared)
+{
+    struct sysinfo machine
+    { };
+    if (shared.settings.memoryBytes == 0 && sysinfo(&machine) == 0) {
+        shared.settings.memoryBytes = std::uint64_t{machine.totalram} * machine.mem_unit;
+    }
+    if (shared.settings.memoryBytes > 0) {
+        const auto budget = makeMemoryBudget(shared.settings.memoryBytes);
+        shared.memory->limit = budget.limit;
+        shared.memory->reserved = budget.reserved;
+    }
+    rlimit descriptors{};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
+        shared.maxCallers = maxCallerConnections(descriptors.rlim_cur, shared.settings.trafficThreads);
+    }
+}
+
 /** Closes the listening sockets, each on its own thread. Requests in progress continue. */
 void closeListeners(traffic_threads &traffic)
 {
@@ -107,6 +130,7 @@
 {
     const auto &settings = shared.settings;
     const auto &names = shared.names;
+    setLimits(shared);
     for (std::uint32_t index = 0; index < settings.trafficThreads; ++index) {
         auto thread = std::make_unique<traffic_thread>();
         thread->shared = &shared;
@@ -126,11 +150,12 @@
         thread->targetClient =
             makeTargetClient({names.notRun, names.composeRequestIds ? "" : names.requestId,
                               names.acceptUnframedResponses, names.targetLimit, names.targetLeaving});
-        thread->peerClient = makePeerClient(thread->context.get_executor());
+        thread->peerClient = makePeerClient(thread->context.get_executor(), shared.memory);
         thread->peerServer = startPeerServer(std::move(*peerAcceptor),
                                              [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
                                                  return handlePeerRequest(at, std::move(request), std::move(responder));
-                                             });
+                                             },
+                                             {shared.memory->limit, shared.memory});
         asio::co_spawn(thread->context, acceptCallers(*thread), asio::detached);
         traffic.states.push_back(std::move(thread));
     }
--- a/packages/decisions/src/targets/crash_suspect_cmd.cpp
+++ b/packages/decisions/src/targets/crash_suspect_cmd.cpp
@@ -69,6 +69,20 @@
     XXH3_128bits_update(state, text.data(), text.size());
 }
 
+/** Hashes the body like a text in one piece, however it is divided. */
+void hashBody(XXH3_state_t *state, const request_content &content)
+{
+    std::uint64_t size = content.body.size();
+    for (const auto part : content.moreBody) {
+        size += part.size();
+    }
+    XXH3_128bits_update(state, &size, sizeof size);
+    XXH3_128bits_update(state, content.body.data(), content.body.size());
+    for (const auto part : content.moreBody) {
+        XXH3_128bits_update(state, part.data(), part.size());
+    }
+}
+
 const suspect_record *findSuspect(const crash_suspects &suspects, const request_fingerprint &fingerprint,
                                   steady_time now)
 {
@@ -82,10 +96,10 @@
 {
     const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> state(XXH3_createState(), &XXH3_freeState);
     XXH3_128bits_reset(state.get());
-    for (const auto text :
-         {content.method, content.host, content.path, content.key, content.callerPool, content.body}) {
+    for (const auto text : {content.method, content.host, content.path, content.key, content.callerPool}) {
         hashText(state.get(), text);
     }
+    hashBody(state.get(), content);
     const auto hash = XXH3_128bits_digest(state.get());
     return {hash.high64, hash.low64};
 }
--- a/packages/decisions/src/targets/crash_suspect_func.h
+++ b/packages/decisions/src/targets/crash_suspect_func.h
@@ -24,6 +24,7 @@
     std::string_view key; ///< Key, for keyed pools.
     std::string_view callerPool; ///< Pool of the target on whose instance the request originated.
     std::string_view body; ///< Body.
+    std::vector<std::string_view> moreBody; ///< Rest of a body that is not stored in one piece.
 };
 
 /**
--- a/packages/http/src/http_type.h
+++ b/packages/http/src/http_type.h
@@ -3,6 +3,7 @@
 #define HTTP_TYPE_H
 
 #include "base_type.h"
+#include "shared_body.h"
 
 #include <string>
 #include <utility>
@@ -19,7 +20,7 @@
     std::string method = "GET"; ///< Method.
     std::string path; ///< Path and query.
     std::vector<http_header> headers; ///< Headers except hop-by-hop ones.
-    std::string body; ///< Body.
+    shared_body body; ///< Body.
 };
 
 /** An HTTP response with its whole body. */
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -3,6 +3,7 @@
 
 #include "bulk_sender.h"
 #include "elapsed_clock.h"
+#include "memory_budget_func.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -17,6 +18,7 @@
 constexpr std::int32_t sessionWindow = 16 * 1024 * 1024; ///< Flow-control window of a connection, in bytes.
 constexpr std::uint32_t maxStreams = 4096; ///< Most concurrent streams of a session.
 constexpr std::size_t readSize = 16384; ///< Most bytes of one read.
+constexpr std::size_t unreadResponseBytes = 65536; ///< A response with as many bytes kept is not being read.
 constexpr std::size_t writeBatch = 131072; ///< Target size of one write, in bytes.
 
 h2_session &sessionOf(void *user)
@@ -37,11 +39,50 @@
     if (session.server && frame->headers.cat == NGHTTP2_HCAT_REQUEST && accepted) {
         auto stream = std::make_shared<h2_stream>(session.socket.get_executor());
         stream->id = frame->hd.stream_id;
+        stream->request.chargeTo(session.memory);
         session.streams[stream->id] = std::move(stream);
     }
     return 0;
 }
 
+/** Whether the memory of the process has room for more bytes of a stream. */
+bool hasMemory(const h2_session &session, std::size_t length, std::size_t total)
+{
+    return !session.memory
+        || admitsBytes({session.memory->limit, session.memory->reserved}, session.memory->used, length, total);
+}
+
+/**
+ * Keeps body bytes of a request. A stream that is over a limit is refused: its request has not been passed to a handler
+ * and never will.
+ */
+void receiveRequestBody(h2_session &session, h2_stream &stream, const char *data, std::size_t length)
+{
+    // Requests are buffered whole, up to a limit; the window of a response grows as its reader consumes it.
+    nghttp2_session_consume_stream(session.session, stream.id, length);
+    if (stream.refused) {
+        return;
+    }
+    stream.refused =
+        stream.receivedTotal > session.requestBodyLimit || !hasMemory(session, length, stream.receivedTotal);
+    if (stream.refused) {
+        stream.request = {};
+        nghttp2_submit_rst_stream(session.session, NGHTTP2_FLAG_NONE, stream.id, NGHTTP2_REFUSED_STREAM);
+    } else {
+        stream.request.append(data, length);
+    }
+}
+
+/** Keeps body bytes of a response. One that is not read is given up when the memory is used up. */
+void receiveResponseBody(h2_session &session, h2_stream &stream, const char *data, std::size_t length)
+{
+    stream.received.append(data, length);
+    stream.charge.add(length);
+    if (stream.received.size() >= unreadResponseBytes && !hasMemory(session, 0, stream.receivedTotal)) {
+        nghttp2_submit_rst_stream(session.session, NGHTTP2_FLAG_NONE, stream.id, NGHTTP2_CANCEL);
+    }
+}
+
 int onHeader(nghttp2_session * /*session*/, const nghttp2_frame *frame, const std::uint8_t *name,
              std::size_t nameLength, const std::uint8_t *value, std::size_t valueLength, std::uint8_t /*flags*/,
              void *user)
@@ -84,7 +125,7 @@
     }
     if ((frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
         stream->endStreamReceived = true;
-        if (session.server && session.onRequest) {
+        if (session.server && session.onRequest && !stream->refused) {
             session.onRequest(stream);
         }
     }
@@ -101,15 +142,10 @@
     if (!stream) {
         return 0;
     }
-    stream->received.append(reinterpret_cast<const char *>(data), length);
     stream->receivedTotal += length;
-    if (session.server) {
-        // Requests are buffered whole, up to a limit; the window of a response grows as its reader consumes it.
-        nghttp2_session_consume_stream(raw, id, length);
-        if (stream->receivedTotal > maxRequestBodyBytes) {
-            nghttp2_submit_rst_stream(raw, NGHTTP2_FLAG_NONE, id, NGHTTP2_REFUSED_STREAM);
-        }
-    }
+    const auto *bytes = reinterpret_cast<const char *>(data);
+    session.server ? receiveRequestBody(session, *stream, bytes, length)
+                   : receiveResponseBody(session, *stream, bytes, length);
     stream->changed.notifyAll();
     return 0;
 }
@@ -128,10 +164,28 @@
     return 0;
 }
 
+/** Sends the next bytes of the parts of a request's body. */
+ssize_t readRequestBody(h2_stream &stream, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags)
+{
+    auto &part = stream.unsentParts[stream.sentParts];
+    const auto count = std::min(part.size(), length);
+    std::memcpy(buffer, part.data(), count);
+    part.remove_prefix(count);
+    stream.sentParts += part.empty() ? 1 : 0;
+    if (stream.sentParts == stream.unsentParts.size()) {
+        stream.request = {};
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    return static_cast<ssize_t>(count);
+}
+
 ssize_t readOutgoing(nghttp2_session * /*session*/, std::int32_t /*id*/, std::uint8_t *buffer, std::size_t length,
                      std::uint32_t *flags, nghttp2_data_source *source, void *user)
 {
     auto &stream = *static_cast<h2_stream *>(source->ptr);
+    if (stream.sentParts < stream.unsentParts.size()) {
+        return readRequestBody(stream, buffer, length, flags);
+    }
     const auto available = stream.outgoing.size() - stream.outgoingSent;
     const bool needsPermit = stream.bulkOrder != 0 && available > 0;
     if ((available == 0 && !stream.outgoingComplete) || (needsPermit && !acquirePermit(sessionOf(user), stream))) {
@@ -307,6 +361,7 @@
 {
     auto bytes = std::move(stream.received);
     stream.received.clear();
+    stream.charge.release(bytes.size());
     if (!session->transportClosed && !stream.closed && !bytes.empty()) {
         nghttp2_session_consume_stream(session->session, stream.id, bytes.size());
         flush(session);
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -18,6 +18,9 @@
 
 struct bulk_sender;
 
+/** Most bytes of a request body, unless the server names another limit. */
+constexpr std::size_t maxRequestBodyBytes = 8388608;
+
 /** A stream of a session: one request and its response. */
 struct h2_stream : std::enable_shared_from_this<h2_stream>
 {
@@ -25,10 +28,15 @@
     std::vector<http_header> headers; ///< Headers received.
     unsigned status = 0; ///< Status code received by the client.
     std::string path; ///< Path received by the server.
-    std::string received; ///< Body received and not yet read.
+    std::string received; ///< Body of a response received and not yet read.
+    shared_body request; ///< Body of a request: received by the server, or sent by the client.
+    std::vector<std::string_view> unsentParts; ///< Parts of it that the client has not sent completely.
+    std::size_t sentParts = 0; ///< Number of parts that were sent completely.
+    memory_charge charge; ///< Bytes of `received` and, at the server, of `outgoing`.
     std::size_t receivedTotal = 0; ///< Body bytes received in total.
     bool headersComplete = false; ///< Whether the header block was received.
     bool endStreamReceived = false; ///< Whether END_STREAM was received.
+    bool refused = false; ///< Whether the server refused the request because of its size.
     bool closed = false; ///< Whether the stream is closed.
     std::uint32_t errorCode = NGHTTP2_NO_ERROR; ///< HTTP/2 error code with which it was closed.
     std::string outgoing; ///< Buffered body to send.
@@ -66,6 +74,8 @@
     std::shared_ptr<bulk_sender> bulk; ///< Flow control of bulk responses; null at the client.
     bool unresponsive = false; ///< Whether a bulk frame expired: no permits until a ping is acknowledged.
     path_delay path; ///< Delay to the peer, measured by the delivery of bulk responses.
+    std::size_t requestBodyLimit = maxRequestBodyBytes; ///< Most bytes of a request body at the server.
+    std::shared_ptr<memory_meter> memory; ///< Memory that received bodies are charged to; null for none.
     std::uint64_t bytesReceived = 0; ///< Bytes received.
     std::uint64_t bytesSent = 0; ///< Bytes sent.
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams; ///< Open streams.
@@ -74,8 +84,6 @@
 
 /** Most buffered body bytes of a stream before its writer waits. */
 constexpr std::size_t maxOutgoingBytes = 65536;
-/** Most bytes of a request body. */
-constexpr std::size_t maxRequestBodyBytes = 8388608;
 
 /**
  * Starts a session on a connected socket.
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -42,6 +42,7 @@
     asio::any_io_executor executor; ///< Executor of the client.
     std::map<endpoint, std::shared_ptr<peer_connection>> connections; ///< Connections by peer port of the daemon.
     std::set<std::shared_ptr<h2_session>> sessions; ///< Open sessions, also those that were replaced after a GOAWAY.
+    std::shared_ptr<memory_meter> memory; ///< Memory that received bytes are charged to; null for none.
     std::uint64_t closedBytes = 0; ///< Bytes sent and received by closed sessions.
     steady_time nextIdleCheck{}; ///< Time of the next check for idle sessions.
     bool keepaliveRunning = false; ///< Whether the keepalive loop is running.
@@ -96,6 +97,7 @@
     } else {
         enableKeepalive(*socket);
         connection->session = std::make_shared<h2_session>(std::move(*socket));
+        connection->session->memory = client->memory;
         startSession(connection->session, false);
         asio::co_spawn(client->executor, runSession(client, connection->session), asio::detached);
     }
@@ -175,7 +177,9 @@
         {":method", "POST"}, {":scheme", "http"}, {":authority", to.host}, {":path", request.path}};
     headers.insert(headers.end(), request.headers.begin(), request.headers.end());
     const auto nameValues = toNameValues(headers);
-    call->stream->outgoing = request.body;
+    call->stream->charge.chargeTo(session->memory);
+    call->stream->request = request.body;
+    call->stream->unsentParts = request.body.parts();
     call->stream->outgoingComplete = true;
     const auto source = makeDataProvider(*call->stream);
     if (session->streams.empty()) {
@@ -193,9 +197,10 @@
 
 } // namespace
 
-std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor)
+std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor, std::shared_ptr<memory_meter> memory)
 {
     auto client = std::make_shared<peer_client>();
+    client->memory = std::move(memory);
     client->executor = std::move(executor);
     return client;
 }
--- a/packages/peer/src/peer_client.h
+++ b/packages/peer/src/peer_client.h
@@ -18,9 +18,11 @@
 /**
  * Makes a client. Sessions are opened when they are needed.
  * @param executor Executor of the client.
+ * @param memory Memory that received bytes are charged to; null for none.
  * @return The client.
  */
-std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor);
+std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor,
+                                            std::shared_ptr<memory_meter> memory = nullptr);
 
 /** Result of opening a call. */
 struct opened_call
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -36,6 +36,7 @@
     tcp::acceptor acceptor; ///< Listening socket.
     peer_handler handler; ///< Handles requests.
     std::set<std::shared_ptr<h2_session>> sessions; ///< Sessions of connected daemons.
+    peer_server_limits limits; ///< Limits of the requests.
     std::shared_ptr<bulk_sender> bulk; ///< Flow control of the bulk responses on all sessions.
 };
 
@@ -54,7 +55,7 @@
     auto responder = std::make_shared<peer_responder>();
     responder->session = session;
     responder->stream = stream;
-    peer_request request{stream->path, std::move(stream->headers), std::move(stream->received)};
+    peer_request request{stream->path, std::move(stream->headers), std::move(stream->request)};
     asio::co_spawn(session->socket.get_executor(), server->handler(std::move(request), responder), asio::detached);
 }
 
@@ -79,6 +80,8 @@
             }
         };
         session->bulk = server->bulk;
+        session->memory = server->limits.memory;
+        session->requestBodyLimit = server->limits.bodyBytes;
         startSession(session, true);
         server->sessions.insert(session);
         if (!server->acceptor.is_open()) {
@@ -90,9 +93,10 @@
 
 } // namespace
 
-std::shared_ptr<peer_server> startPeerServer(tcp::acceptor acceptor, peer_handler handler)
+std::shared_ptr<peer_server> startPeerServer(tcp::acceptor acceptor, peer_handler handler, peer_server_limits limits)
 {
     auto server = std::make_shared<peer_server>(std::move(acceptor));
+    server->limits = std::move(limits);
     server->handler = std::move(handler);
     asio::co_spawn(server->acceptor.get_executor(), acceptLoop(server), asio::detached);
     return server;
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -19,13 +19,22 @@
 /** Accepts connections from other daemons and serves them on one thread. */
 struct peer_server;
 
+/** Limits of the requests of other daemons. */
+struct peer_server_limits
+{
+    std::size_t bodyBytes = 8388608; ///< Most bytes of a body; a request with more is refused.
+    std::shared_ptr<memory_meter> memory; ///< Memory that received bodies are charged to; null for none.
+};
+
 /**
  * Makes a server and starts accepting connections.
  * @param acceptor Listening socket.
  * @param handler Handles requests.
+ * @param limits Limits of the requests.
  * @return The server.
  */
-std::shared_ptr<peer_server> startPeerServer(tcp::acceptor acceptor, peer_handler handler);
+std::shared_ptr<peer_server> startPeerServer(tcp::acceptor acceptor, peer_handler handler,
+                                             peer_server_limits limits = {});
 
 /** Connections of a server at the time at which it is drained. */
 struct drained_sessions
--- a/packages/peer/src/peer_type.h
+++ b/packages/peer/src/peer_type.h
@@ -14,7 +14,7 @@
 {
     std::string path; ///< Path: the operation.
     std::vector<http_header> headers; ///< Headers, names in lower case.
-    std::string body; ///< Body.
+    shared_body body; ///< Body.
 };
 
 /** Status and headers of a response, whose body is streamed. */
--- a/packages/settings/src/settings.cpp
+++ b/packages/settings/src/settings.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t maxPort = 65535;
 constexpr std::int64_t maxThreads = 64;
 constexpr std::int64_t maxDurationSeconds = 3600; ///< Upper limit of every duration in the settings.
+constexpr std::int64_t maxMemoryMb = 16777216; ///< 16 TiB.
+constexpr std::int64_t bytesPerMb = 1048576;
 constexpr std::int64_t maxStoreReads = 10000000; ///< Reads per second; more than any store can serve.
 
 bool isAddress(const std::string &host)
@@ -177,6 +179,7 @@
     settings.adminPort = readPort(reader, "admin_port");
     settings.trafficThreads = static_cast<std::uint32_t>(readNumber(reader, "traffic_threads", 1, maxThreads, 1));
     settings.drainLimit = std::chrono::seconds(readNumber(reader, "drain_limit_s", 1, maxDurationSeconds, 30));
+    settings.memoryBytes = static_cast<std::uint64_t>(readNumber(reader, "memory_mb", 0, maxMemoryMb, 0) * bytesPerMb);
     readSeeds(reader, settings);
     readLog(reader, settings);
     refuseUnknown(reader);
--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -46,6 +46,7 @@
     std::string logLevel = "info"; ///< Minimum severity of logged events.
     log_format logFormat = log_format::text; ///< Format of the log.
     std::optional<roster_settings> roster; ///< Present if keys are assigned by leases in the store.
+    std::uint64_t memoryBytes = 0; ///< Memory of the machine; 0 for what the machine itself states.
     milliseconds drainLimit{30000}; ///< Maximum time that a planned stop waits for requests in flight.
 };
 
--- a/packages/settings/tests/settings_test.cpp
+++ b/packages/settings/tests/settings_test.cpp
@@ -61,6 +61,15 @@
     EXPECT_NE(parseFailure("instance = \n").find("file:1"), std::string::npos);
 }
 
+// A daemon whose memory is not stated takes the machine's; one that is stated wrongly must not start.
+TEST(settings, readsTheMemoryOfTheMachine)
+{
+    last_reason why;
+    EXPECT_EQ(parseSettings(validSettings, "file", why).value().memoryBytes, 0U);
+    EXPECT_EQ(parseSettings(validSettings + "memory_mb = 160\n", "file", why).value().memoryBytes, 167772160U);
+    EXPECT_NE(parseFailure(validSettings + "memory_mb = -1\n").find("memory_mb"), std::string::npos);
+}
+
 TEST(settings, readsTheRosterTable)
 {
     const std::string roster = R"(instance = "one"
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -3,6 +3,7 @@
 
 #include "elapsed_clock.h"
 #include "http_convert.h"
+#include "shared_body_http.h"
 
 #include <boost/beast/core.hpp>
 #include <charconv>
@@ -166,7 +167,7 @@
 asio::awaitable<bool> sendToTarget(std::shared_ptr<target_exchange> exchange, http_request request,
                                    steady_time deadline, last_reason &why)
 {
-    http::request<http::string_body> message;
+    http::request<shared_body_http> message;
     message.method_string(request.method);
     message.target(request.path);
     message.version(11);
