--- a/packages/settings/src/settings_type.h
+++ b/packages/settings/src/settings_type.h
@@ -56,6 +56,7 @@
     bool learnSpeeds = false; ///< Whether the speeds of targets are learned, for the choice of a target, admission and
                               ///< the placement of keys.
     overload_settings overload; ///< Overload.
+    std::uint64_t memoryBytes = 0; ///< Memory of the machine; 0 for what the machine itself states.
     milliseconds drainLimit{30000}; ///< Maximum time that a planned stop waits for requests in flight.
 };
 
