Add: owners are planned by the cold rate of cold targets

Cause: the planner knew a cold target only by its speed while warm, or not at all before its first demand, so keys moved to it that it could not serve. Ruled out: the cold time in each entry or message (the entry would change with each report), and speeds of targets that may have restarted (a closed connection would move keys).

Change: a daemon reports its target's speed also without demand while the target is cold and for 5 s after. The node's entry has target_cold_ms, the cold time at the first report of an incarnation, absent if 0. A target whose capacity is at most cold_per_s gets load only up to that; the others share the rest.

Not run: daemon_test and the other tests with real daemons.

--- a/packages/daemon/src/roster/cold_control.cpp
+++ b/packages/daemon/src/roster/cold_control.cpp
@@ -3,6 +3,7 @@
 #include "cold_control.h"
 
 #include "cold_limit_func.h"
+#include "elapsed_clock.h"
 #include "log_func.h"
 
 #include <algorithm>
@@ -11,6 +12,9 @@
 
 namespace {
 
+constexpr milliseconds warmReportTime{5000}; ///< The speed is reported for this long after the target became warm, ten
+                                             ///< times, since datagrams may be lost.
+
 double coldRate(const roster_control &control, const pool_id &pool)
 {
     if (!control.tables) {
@@ -43,6 +47,11 @@
     }
 }
 
+bool reportsColdSpeed(const roster_control &control)
+{
+    return control.coldSeenAt != steady_time{} && elapsed_clock::now() - control.coldSeenAt < warmReportTime;
+}
+
 void updateColdLimit(roster_control &control, steady_time now)
 {
     cold_limit limit;
@@ -53,6 +62,9 @@
         limit = admissionControl.admission.cold;
     }
     const bool cold = isCold(limit, now);
+    // A restart that is only suspected changes no plan: its sign may be false, and the next report follows within a
+    // second.
+    control.coldSeenAt = cold && !limit.uncertain ? now : control.coldSeenAt;
     const bool changed = cold != control.targetCold;
     control.targetCold = cold;
     if (changed && consumeTokens(control.coldLogBudget, now)) {
--- a/packages/daemon/src/roster/cold_control.h
+++ b/packages/daemon/src/roster/cold_control.h
@@ -16,6 +16,14 @@
  */
 void applyColdness(roster_control &control, const target_report &report, bool restarted, steady_time now);
 
+/**
+ * Returns whether the planner is told the target's speed without demand: the target is cold or was until recently. The
+ * planner would otherwise keep the speed of the cold target.
+ * @param control Control thread.
+ * @return True if it is told.
+ */
+bool reportsColdSpeed(const roster_control &control);
+
 /**
  * Updates the limit from the present tables, logs when it takes effect or ends, and sets the gauges.
  * @param control Control thread.
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -164,7 +164,7 @@
     for (const auto &[slot, count] : admissionControl.admission.demand) {
         message.slots.emplace_back(slot.value, count);
     }
-    if (!admissionControl.admission.demand.empty()) {
+    if (!admissionControl.admission.demand.empty() || reportsColdSpeed(control)) {
         message.speed =
             static_cast<std::uint64_t>(speedPerSlot(admissionControl.admission, clock::now()) * speedUnitSeconds);
     }
@@ -180,7 +180,7 @@
     }
     control.nextLoadReport = now + loadReportInterval;
     const auto message = collectOwnLoad(control);
-    if (message.slots.empty()) {
+    if (message.slots.empty() && message.speed == 0) {
         return;
     }
     if (isPlanner(control.state)) {
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -73,6 +73,7 @@
     bool storeReachable = true; ///< Whether the store responded to the last call.
     steady_time nextGauges{}; ///< When the gauges are updated next.
     bool targetCold = false; ///< Whether the limit of a cold target was in force at the last check.
+    steady_time coldSeenAt{}; ///< When the target was last known to be cold.
     log_budget coldLogBudget{1, 5, 5}; ///< Budget of log lines about the target becoming cold or warm.
     bool targetResponsive = false; ///< Whether the target beside this daemon reported lately.
     bool leaseValid = false; ///< Whether the right to grant keys was valid at the last check.
--- a/packages/daemon/src/roster/roster_sync.cpp
+++ b/packages/daemon/src/roster/roster_sync.cpp
@@ -134,7 +134,11 @@
     control.tablesRevision = value.revision;
     control.tables = makeRouteTable(std::move(*rows));
     control.state.keyedPools.clear();
+    control.state.coldRates.clear();
     for (const auto &pool : control.tables->rows.pools) {
+        if (pool.coldPerSecond > 0) {
+            control.state.coldRates[pool.name] = pool.coldPerSecond;
+        }
         if (pool.keyed) {
             control.state.keyedPools.insert(pool.name);
         }
--- a/packages/decisions/src/roster/roster_base.h
+++ b/packages/decisions/src/roster/roster_base.h
@@ -84,6 +84,9 @@
         speed; ///< Requests per second that one concurrency slot of a daemon's target completes.
     steady_time decayedAt{}; ///< When the decay was last applied to the loads.
     double weight = 0; ///< Sum of the weights of the observations so far, up to 1; the loads are divided by it.
+    std::map<instance_id, steady_time>
+        coldUntil; ///< Targets that are cold according to their entry, until their first load message.
+    double coldPerSecond = 0; ///< Requests per second that a cold target takes; 0 for no limit.
 };
 
 /** What a daemon knows of a pool's owners in an era that the store has lost. */
@@ -106,6 +109,7 @@
     std::map<pool_id, revision_number> unreadableOwners; ///< Pools whose owners in the store can't be read, with the
                                                          ///< revision; the last readable ones are kept, and no write
                                                          ///< can take effect.
+    std::map<pool_id, double> coldRates; ///< Requests per second that a cold target takes, from the tables, by pool.
     std::set<pool_id> keyedPools; ///< Pools partitioned by numeric keys, from the tables.
     roster_lease lease; ///< Own lease.
     target_state target; ///< Local target.
--- a/packages/decisions/src/roster/roster_cmd.cpp
+++ b/packages/decisions/src/roster/roster_cmd.cpp
@@ -1,4 +1,5 @@
 /** @file roster_cmd.cpp Event handlers of the roster: the own lease, other nodes, ownership and target reports. */
+#include "roster_cold_func.h"
 #include "roster_departure_func.h"
 #include "roster_era_func.h"
 #include "roster_func.h"
@@ -122,6 +123,7 @@
     target.heldRanges = report.heldRanges;
     target.releasedRanges.insert(target.releasedRanges.end(), report.releasedRanges.begin(),
                                  report.releasedRanges.end());
+    noteOwnColdness(state, report);
     self.member.target = report.announcement;
     self.member.leaving = target.leaving || target.left || state.stopping;
     self.targetIncarnation = report.incarnation;
@@ -192,6 +194,7 @@
 {
     auto &seen = state.nodes[id];
     if (entry) {
+        noteEntryColdness(state, seen.node, *entry, now);
         if (!seen.present || seen.node != entry) {
             state.dirty = true;
             state.nodesChanged = now;
--- a/packages/decisions/src/roster/roster_codec.cpp
+++ b/packages/decisions/src/roster/roster_codec.cpp
@@ -30,6 +30,12 @@
     return {name.get<std::string>(), readNumber<std::int64_t>(startedUnixMs)};
 }
 
+/** Reads how long the target was cold. Entries of earlier versions, and of targets that were not cold, don't say. */
+milliseconds readColdTime(const json &value)
+{
+    return milliseconds(readNumberOr<std::uint32_t>(value, "target_cold_ms", 0));
+}
+
 bool isIpAddress(const std::string &text)
 {
     in6_addr ignored{};
@@ -91,6 +97,9 @@
     auto value = memberToJson(node.member);
     value["target_id"] = node.targetIncarnation.id;
     value["target_born"] = node.targetIncarnation.startedUnixMs;
+    if (node.targetColdFor > milliseconds(0)) {
+        value["target_cold_ms"] = node.targetColdFor.count();
+    }
     return value.dump();
 }
 
@@ -98,7 +107,8 @@
 {
     try {
         const auto value = parseJson(text);
-        roster_node node{memberFromJson(value), readIncarnation(value.at("target_id"), value.at("target_born"))};
+        roster_node node{memberFromJson(value), readIncarnation(value.at("target_id"), value.at("target_born")),
+                         readColdTime(value)};
         requireReachable(node);
         return node;
     } catch (const std::exception &error) {
--- a/packages/decisions/src/roster/roster_load.cpp
+++ b/packages/decisions/src/roster/roster_load.cpp
@@ -1,6 +1,7 @@
 /** @file roster_load.cpp Loads of the owners of a pool, and their shares by capacity. */
 #include "roster_load_func.h"
 
+#include "roster_cold_func.h"
 #include "roster_func.h"
 
 #include <algorithm>
@@ -15,7 +16,7 @@
 constexpr milliseconds decayInterval{1000}; ///< Between two decay steps.
 constexpr double decayFactor = 0.7; ///< Remaining fraction of a load after one step: a time constant of about 3 s.
 
-double capacityOf(const roster_node &node, const pool_load *load)
+double warmCapacity(const roster_node &node, const pool_load *load)
 {
     const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
     if (load == nullptr || load->speed.empty()) {
@@ -32,6 +33,11 @@
     return slots * std::max(sum / static_cast<double>(load->speed.size()), minSpeed);
 }
 
+double capacityOf(const roster_node &node, const pool_load *load)
+{
+    return coldCapacity(warmCapacity(node, load), node.member.id, load);
+}
+
 } // namespace
 
 double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
@@ -51,10 +57,8 @@
                                            const std::vector<const roster_node *> &candidates, const pool_load *load)
 {
     std::vector<candidate_load> loads;
-    double totalCapacity = 0;
     for (const auto *node : candidates) {
-        loads.push_back({node, 0, capacityOf(*node, load)});
-        totalCapacity += loads.back().fairShare;
+        loads.push_back({node, 0, capacityOf(*node, load), {}});
     }
     double total = 0;
     for (const auto &range : record.ranges) {
@@ -65,9 +69,7 @@
             entry.load += entry.node->member.id == holder ? rangeLoad : 0;
         }
     }
-    for (auto &entry : loads) {
-        entry.fairShare = total * entry.fairShare / totalCapacity;
-    }
+    shareLoad(loads, total, load);
     return loads;
 }
 
@@ -101,6 +103,7 @@
     }
     if (message.speed > 0) {
         load.speed[message.sender] = static_cast<double>(message.speed) / speedUnitSeconds;
+        load.coldUntil.erase(message.sender);
     }
 }
 
--- a/packages/decisions/src/roster/roster_load_func.h
+++ b/packages/decisions/src/roster/roster_load_func.h
@@ -12,6 +12,7 @@
     const roster_node *node = nullptr; ///< Candidate.
     double load = 0; ///< Load of its ranges.
     double fairShare = 0; ///< Load in proportion to its capacity.
+    std::optional<double> limit; ///< Load that a cold target can carry; empty for others.
 };
 
 /**
--- a/packages/decisions/src/roster/roster_plan.cpp
+++ b/packages/decisions/src/roster/roster_plan.cpp
@@ -1,4 +1,5 @@
 /** @file roster_plan.cpp Plans the next owners of a pool. Each step checks its conditions, then changes a draft. */
+#include "roster_cold_func.h"
 #include "roster_era_func.h"
 #include "roster_func.h"
 #include "roster_load_func.h"
@@ -300,6 +301,7 @@
         }
         draft.record.ranges.push_back({0, numericSlots - 1, {}, {}, {}, "", {}});
     }
+    refreshColdness(state, draft.record.pool, now);
     const auto observedLoad = state.loads.find(draft.record.pool);
     const auto *load = observedLoad == state.loads.end() ? nullptr : &observedLoad->second;
     planOwnRanges(state, draft, candidates, now);
--- a/packages/decisions/src/roster/roster_rebalance.cpp
+++ b/packages/decisions/src/roster/roster_rebalance.cpp
@@ -3,6 +3,7 @@
 #include "roster_load_func.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace quetzalspool {
 
@@ -126,8 +127,10 @@
         if (!overloaded && ratio(*leastLoaded) > underloadRatio) {
             break;
         }
+        const auto room = leastLoaded->limit ? (*leastLoaded->limit - leastLoaded->load) / maxMoveFraction
+                                             : std::numeric_limits<double>::max();
         const auto wanted =
-            std::min(mostLoaded->load - mostLoaded->fairShare, leastLoaded->fairShare - leastLoaded->load);
+            std::min({mostLoaded->load - mostLoaded->fairShare, leastLoaded->fairShare - leastLoaded->load, room});
         const auto leastFraction = ratio(*mostLoaded) >= severalMovesRatio ? minPartFraction : minMoveFraction;
         const auto window = findMove(record, mostLoaded->node->member.id, load, {wanted, wanted * leastFraction});
         if (!window) {
--- a/packages/decisions/src/roster/roster_type.h
+++ b/packages/decisions/src/roster/roster_type.h
@@ -62,6 +62,7 @@
 {
     cell_member member; ///< Daemon and target; its terms are not used here.
     target_incarnation targetIncarnation; ///< Incarnation of the target; its id is empty before the first report.
+    milliseconds targetColdFor{0}; ///< Time for which the target was still cold at the first report of the incarnation.
 
     bool operator==(const roster_node &) const = default;
 };
