Fix: a status outside 200 to 599 is an unknown outcome

Cause: statuses below 200 were refused when a target's response was read, but 600 to 999 were passed on to callers.

Change: readTargetHead refuses all statuses outside 200 to 599, also on the way to callers that another daemon serves, and a daemon treats such a status from another daemon as an unknown outcome (504, target-lost): daemons of an earlier version still send them.

--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -4,6 +4,7 @@
 #include "balance_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
+#include "final_status.h"
 #include "leaving_target_func.h"
 #include "local_attempt.h"
 #include "peer_wire.h"
@@ -214,6 +215,14 @@
     if (head) {
         recordLeaving(*thread.shared, *member, head->headers);
         auto outcome = decodeOutcome(head->headers);
+        if (outcome.result == attempt_result::answered && !isFinalStatus(head->status)) {
+            // A daemon of an earlier version passes on what its target sent; the target may have run the request.
+            cancelCall(*opened.call);
+            request_outcome lostOutcome{attempt_result::unknown, refusal::none, "target-lost"};
+            lostOutcome.handedOver = true;
+            lostOutcome.logDetail = "status " + std::to_string(head->status);
+            co_return lostOutcome;
+        }
         if (outcome.result == attempt_result::answered) {
             co_return co_await forwardResponse(opened.call, std::move(*head), request, sink);
         }
--- a/packages/target/src/target.cpp
+++ b/packages/target/src/target.cpp
@@ -2,6 +2,7 @@
 #include "target_func.h"
 
 #include "elapsed_clock.h"
+#include "final_status.h"
 #include "http_convert.h"
 
 #include <algorithm>
@@ -25,7 +26,6 @@
 constexpr std::size_t partSize = 32768; ///< Bytes of a body per read.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum buffered bytes of a head or of chunk framing. A faulty
                                                ///< target may send malformed bytes endlessly.
-constexpr unsigned firstFinalStatus = 200; ///< Lower status codes are interim responses.
 constexpr unsigned firstServerFailure = 500; ///< Status codes from here on are failures of the target.
 constexpr unsigned misdirectedRequest = 421; ///< The wrong target received the request and did not run it.
 
@@ -240,9 +240,9 @@
     if (code) {
         co_return failed(why, "read the target's response", toString(exchange->address), code.message());
     }
-    if (parser.get().result_int() < firstFinalStatus) {
+    if (!isFinalStatus(parser.get().result_int())) {
         co_return failed(why, "read the target's response", toString(exchange->address),
-                         "interim response instead of a final one");
+                         "status " + std::to_string(parser.get().result_int()) + " is not one of a final response");
     }
     if (parser.need_eof() && !exchange->headOnly && !exchange->rules.unframed) {
         co_return failed(why, "read the target's response", toString(exchange->address),
--- a/packages/target/tests/refusal_test.cpp
+++ b/packages/target/tests/refusal_test.cpp
@@ -110,6 +110,36 @@
     EXPECT_FALSE(first->notRun.empty());
 }
 
+// Guards against statuses that no caller can interpret, which HTTP does not define as final responses.
+TEST(status, onlyFinalResponsesOfDefinedClassesArePassedOn)
+{
+    for (const std::string status :
+         {"000", "099", "100", "101", "199", "600", "999", "2", "20", "0200", "2000", "2x0"}) {
+        EXPECT_FALSE(lastHead(echoing, {"one"}, {response(status, "X-Id: one\r\n")}).has_value()) << status;
+    }
+    for (const std::string status : {"200", "299", "404", "500", "599"}) {
+        const auto head = lastHead(echoing, {"one"}, {response(status, "X-Id: one\r\n")});
+        ASSERT_TRUE(head.has_value()) << status;
+        EXPECT_EQ(std::to_string(head->status), status);
+    }
+}
+
+// Guards against coldness that is not heard of, and against text that is taken for it.
+TEST(notice, theTimeForWhichTheTargetIsColdIsAWholeNumberOfMilliseconds)
+{
+    target_rules rules = echoing;
+    rules.cold = "X-Cold";
+    const auto coldFor = [&](const std::string &headers) {
+        const auto head = lastHead(rules, {"one"}, {response("200", "X-Id: one\r\n" + headers)});
+        return head ? head->notice.coldFor : milliseconds(-1);
+    };
+    EXPECT_EQ(coldFor("X-Cold: 1200\r\n"), milliseconds(1200));
+    for (const std::string text : {"", "-5", "soon", "1.5", "99999999999"}) {
+        EXPECT_EQ(coldFor("X-Cold: " + text + "\r\n"), milliseconds(0)) << text;
+    }
+    EXPECT_EQ(coldFor(""), milliseconds(0));
+}
+
 // A refused request is sent again under the same id, and the target may execute it then.
 TEST(refusal, aSecondCopyOfAnEarlierRefusalProvesNothingForTheSameRequestSentAgain)
 {
