--- a/packages/decisions/tests/speed_test.cpp
+++ b/packages/decisions/tests/speed_test.cpp
@@ -288,19 +288,19 @@
     respond(1, seconds(10));
     EXPECT_NEAR(expectedServiceMs(admission, true), 36, 4);
     EXPECT_NEAR(expectedServiceMs(admission, false), 200, 20);
-    const auto usual = speedPerSlot(admission);
+    const auto usual = speedPerSlot(admission, now);
     EXPECT_NEAR(usual, 1000.0 / 118, 1.5);
     respond(4, milliseconds(1500));
     EXPECT_NEAR(expectedServiceMs(admission, true), 144, 30);
     EXPECT_NEAR(expectedServiceMs(admission, false), 800, 160);
     respond(4, seconds(1));
-    EXPECT_NEAR(speedPerSlot(admission), usual / 4, usual / 8);
+    EXPECT_NEAR(speedPerSlot(admission, now), usual / 4, usual / 8);
     respond(1, seconds(3));
     EXPECT_NEAR(expectedServiceMs(admission, false), 200, 30);
-    EXPECT_GE(speedPerSlot(admission), usual * 0.8);
+    EXPECT_GE(speedPerSlot(admission, now), usual * 0.8);
     respond(1, seconds(3));
     respond(3, milliseconds(300));
-    EXPECT_GE(speedPerSlot(admission), usual * 0.5);
+    EXPECT_GE(speedPerSlot(admission, now), usual * 0.5);
 }
 
 // With the switch off, nothing may be recorded: admission expects what it did before.
