--- a/packages/decisions/src/scope/slot_scope_cmd.cpp
+++ b/packages/decisions/src/scope/slot_scope_cmd.cpp
@@ -109,7 +109,7 @@
     auto loads = candidateLoads(record, receivers, load);
     std::vector<slot_range> planned;
     bool changed = false;
-    for (auto range : record.ranges) {
+    for (const auto &range : record.ranges) {
         const auto *owner = findMember(state, range.owner);
         const bool outside = owner != nullptr && !allowsRegion(regions->second, owner->region);
         if (!outside || !range.nextOwner.value.empty() || isDrained(state.drained, owner->domain)) {
