--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -32,7 +32,7 @@
     shared_body request; ///< Body of a request: received by the server, or sent by the client.
     std::vector<std::string_view> unsentParts; ///< Parts of it that the client has not sent completely.
     std::size_t sentParts = 0; ///< Number of parts that were sent completely.
-    memory_charge charge; ///< Bytes of `received` and, at the server, of `outgoing`.
+    memory_charge charge; ///< Bytes of `received`, at the client.
     std::size_t receivedTotal = 0; ///< Body bytes received in total.
     bool headersComplete = false; ///< Whether the header block was received.
     bool endStreamReceived = false; ///< Whether END_STREAM was received.
