--- a/packages/decisions/src/mirror/mirror_type.h
+++ b/packages/decisions/src/mirror/mirror_type.h
@@ -78,10 +78,10 @@
     instance_id node; ///< The requesting daemon.
     std::vector<revision_number> revisions; ///< Known revision for each followed prefix.
     bool restoresPacked = false; ///< Whether the requesting daemon restores packed values.
-    bool readsPackedUpdates = false; ///< Whether the requesting daemon reads updates that are compressed together.
     std::optional<std::uint64_t> version; ///< Version in the last response of this daemon; 0 if there was none, nothing
                                           ///< if the requesting daemon does not name it.
     bool knowsEras = false; ///< Whether the requesting daemon orders revisions by the era of the store.
+    bool readsPackedUpdates = false; ///< Whether the requesting daemon reads updates that are compressed together.
 };
 
 /** Response to a request for changes. Times are offsets from the arrival of the request, negative if before it. */
