Fix: stand-ins parse bodies that are stored in blocks

Cause: request bodies are no longer strings since bodies are shared, and the stand-ins of store and target parsed them as such. Change: they take the text. Measured: the whole tree builds.

--- a/standins/store/store_standin.cpp
+++ b/standins/store/store_standin.cpp
@@ -103,12 +103,12 @@
     }
     if (request.path == "/standin/restore") {
         // Simulates a restored backup: values after the revision are gone, and the revision continues from there.
-        store.revision = json::parse(request.body, nullptr, false).value("revision", std::int64_t(1));
+        store.revision = json::parse(request.body.text(), nullptr, false).value("revision", std::int64_t(1));
         std::erase_if(store.values, [&](const auto &entry) { return entry.second.revision.value > store.revision; });
         store.events.clear();
         store.changed->notifyAll();
     } else {
-        const auto body = json::parse(request.body, nullptr, false);
+        const auto body = json::parse(request.body.text(), nullptr, false);
         store.faults.down = body.value("down", store.faults.down);
         store.faults.delay = milliseconds(body.value("delay_ms", store.faults.delay.count()));
         store.faults.dropResponses = body.value("lose_answers", store.faults.dropResponses);
@@ -128,7 +128,7 @@
         co_return unavailableResponse();
     }
     co_await sleepFor(store->faults.delay);
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = json::parse(request.body.text(), nullptr, false);
     store->counters.bytes += request.body.size();
     json response;
     if (request.path == "/v3/kv/range") {
@@ -158,7 +158,7 @@
     if (request.path != "/v3/watch" || store->faults.down) {
         co_return false;
     }
-    const auto body = json::parse(request.body, nullptr, false);
+    const auto body = json::parse(request.body.text(), nullptr, false);
     const auto create = body.value("create_request", json::object());
     const auto first = fromBase64(create.value("key", ""));
     const auto last = fromBase64(create.value("range_end", ""));
--- a/standins/target/target_standin.cpp
+++ b/standins/target/target_standin.cpp
@@ -68,7 +68,7 @@
 {
     auto &options = target.options;
     if (request.path == "/standin/behave") {
-        const auto body = json::parse(request.body, nullptr, false);
+        const auto body = json::parse(request.body.text(), nullptr, false);
         options.frozen = body.value("frozen", options.frozen);
         options.shedding = body.value("shedding", options.shedding);
         options.serviceTime = milliseconds(body.value("service_ms", options.serviceTime.count()));
