Fix: a mirror waits for the first copy only where a daemon decides where it comes from

Cause: mirrors waited up to 400 ms at their start also without the coroutine that makes the decision, as in tests of the mirror alone; two of these tests failed and one crashed (no tables yet).

Change: the wait is off unless the control thread has started the decision.

--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -362,6 +362,7 @@
         return asio::co_spawn(control.context, handleChangesRequest(control, std::move(request)), asio::use_awaitable);
     };
     const auto onChange = [&control] { advance(control); };
+    control.awaitingFirstCopy = true;
     asio::co_spawn(control.context, mirrorTables(control, onChange), asio::detached);
     asio::co_spawn(control.context, mirrorRoster(control, onChange), asio::detached);
     asio::co_spawn(control.context, getFirstCopy(control, onChange), asio::detached);
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -74,8 +74,8 @@
     std::vector<std::shared_ptr<mirrored_prefix>> mirroredPrefixes; ///< In the same order in all daemons.
     change_exchange exchange; ///< Changes received from and sent to other daemons.
     bool firstReaderKnown = false; ///< Whether the store has answered which daemon reads it for others that start.
-    bool firstCopyDecided = false; ///< Whether the first copy of the store has arrived from another daemon, or is to be
-                                   ///< read from the store.
+    bool awaitingFirstCopy = false; ///< Whether it is undecided if the first copy of the store comes from another
+                                    ///< daemon or is to be read from the store.
     async_condition firstCopy{context.get_executor()}; ///< Notified when that is decided.
     async_condition upstreamStale{
         context.get_executor()}; ///< Wakes watches suspended while an upstream daemon delivers all changes.
--- a/packages/daemon/src/roster/roster_start.cpp
+++ b/packages/daemon/src/roster/roster_start.cpp
@@ -89,7 +89,7 @@
     }
     logEvent(log_level::info, "first-copy",
              {{"from", control.state.listed && state.reader ? toString(*state.reader) : "store"}});
-    control.firstCopyDecided = true;
+    control.awaitingFirstCopy = false;
     control.firstCopy.notifyAll();
     onChange();
 }
@@ -97,7 +97,7 @@
 asio::awaitable<void> awaitFirstCopy(roster_control &control)
 {
     const auto startedAt = clock::now();
-    while (!control.firstCopyDecided) {
+    while (control.awaitingFirstCopy) {
         const auto limit = control.firstReaderKnown ? decisionLimit : readerAnswerLimit;
         if (clock::now() >= startedAt + limit) {
             break;
