--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -31,7 +31,7 @@
 /** Makes a sink that sends a response to another daemon. A body of unknown length becomes a bulk response once it
  * exceeds the threshold.
  */
-std::shared_ptr<response_sink> makePeerSink(daemon_shared &shared, std::shared_ptr<const routed_request> request,
+std::shared_ptr<response_sink> makePeerSink(daemon_shared &shared, const std::shared_ptr<const routed_request> &request,
                                             const std::shared_ptr<peer_responder> &responder)
 {
     auto sink = std::make_shared<response_sink>();
--- a/packages/decisions/src/roster/roster_load.cpp
+++ b/packages/decisions/src/roster/roster_load.cpp
@@ -57,6 +57,7 @@
                                            const std::vector<const roster_node *> &candidates, const pool_load *load)
 {
     std::vector<candidate_load> loads;
+    loads.reserve(candidates.size());
     for (const auto *node : candidates) {
         loads.push_back({node, 0, capacityOf(*node, load), {}});
     }
