--- a/packages/http/src/http_server.cpp
+++ b/packages/http/src/http_server.cpp
@@ -85,7 +85,7 @@
         const bool keepAlive = parser.keep_alive();
         auto message = parser.release();
         http_request request{std::string(message.method_string()), std::string(message.target()),
-                             copyEndToEndHeaders(message), std::move(message.body())};
+                             copyEndToEndHeaders(message), message.body()};
         if (co_await tryStream(stream, request, options.streamHandler)) {
             break;
         }
