Add: routes are told apart in learned speeds, near targets go first, and reserved regions are spared

Cause: with learn_speeds, requests of one urgency had one base. A target that runs calls of 22 ms beside orders of 180 ms looked as if its speed changed with each response, and a target that serves other routes than its peers looked faster or slower than they are; so requests crossed regions while near targets had free slots. And where a restricted route shares a pool with unrestricted ones, these filled the few targets that the restricted one can use. Ruled out: a longer smoothing of the pace, which would miss slowdowns of 400 ms. Change: a base for each route (header qs-route, sent also with learn_speeds; at most 64), speeds compared within a kind of request; another region only if the best near target is full; unrestricted requests leave a region that a restricted route of the pool names once about half of its slots are busy, whether speeds are learned or not.

--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -449,6 +449,7 @@
     admission_request admissionRequest{
         0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
     admissionRequest.call = request->call && shared.settings.overload.followCalls;
+    admissionRequest.route = request->route;
     if (!request->idempotent) {
         auto ended = registerOrder(shared, *request);
         if (ended) {
--- a/packages/daemon/src/requests/peer_wire.h
+++ b/packages/daemon/src/requests/peer_wire.h
@@ -11,7 +11,7 @@
 constexpr const char *senderHeader = "qs-sender"; ///< Peer address of the daemon that forwards a request.
 constexpr const char *leavingHeader = "qs-leaving"; ///< Receiver's target, in a request, or sender's target, in a
                                                     ///< response, if it is known to be leaving.
-constexpr const char *routeHeader = "qs-route"; ///< Name of the route, if calls are followed.
+constexpr const char *routeHeader = "qs-route"; ///< Name of the route, if calls are followed or speeds learned.
 constexpr const char *attemptPath = "/run"; ///< Makes an attempt at the receiver's target.
 constexpr const char *cancelPath = "/cancel"; ///< Cancels an attempt unless it was handed over.
 constexpr const char *comparePath = "/documents/compare"; ///< Compares documents; the response lists those that differ.
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -93,7 +93,10 @@
     }
     auto members = membersOf(*choice.view, request.pool);
     choice.scope = keepInScope(*choice.view, allowed, members);
-    choice.member = chooseMemberOf(thread, members, state.tried);
+    const auto reserved = choice.view->reserved.find(request.pool);
+    const bool yields = !allowed.restricted && reserved != choice.view->reserved.end();
+    choice.member = chooseMemberOf(thread, members, state.tried,
+                                   yields ? std::span<const region_id>(reserved->second) : std::span<const region_id>());
     if (choice.member == nullptr && choice.scope == target_scope::open && allowed.restricted) {
         choice.scope = target_scope::not_allowed; // All targets of the allowed regions are leaving.
     }
@@ -235,7 +238,7 @@
     const auto &settings = thread.shared->settings;
     message.headers.emplace_back(senderHeader, toString({settings.host, settings.peersPort}));
     addLeavingHeader(*thread.shared, *member, message.headers);
-    if (settings.overload.followCalls) {
+    if (settings.overload.followCalls || settings.learnSpeeds) {
         message.headers.emplace_back(routeHeader, request->route);
     }
     const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout);
--- a/packages/daemon/src/requests/speed_exchange.cpp
+++ b/packages/daemon/src/requests/speed_exchange.cpp
@@ -13,9 +13,9 @@
 
 using clock = elapsed_clock;
 
-bool isUrgentRequest(const routed_request &request)
+work_kind kindOf(const routed_request &request)
 {
-    return request.kind == request_class::order || request.rank < normalRank;
+    return {request.kind == request_class::order || request.rank < normalRank, request.route};
 }
 
 } // namespace
@@ -28,17 +28,17 @@
     local_speed speed{loadPerSlot(admission, now), std::nullopt};
     if (admission.speed.enabled) {
         updateOverrun(admission.speed, now);
-        const auto expected = learnedServiceMs(admission.speed, isUrgentRequest(request));
+        const auto expected = learnedServiceMs(admission.speed, kindOf(request));
         speed.serviceMs = expected > 0 ? std::optional(expected) : std::nullopt;
     }
     return speed;
 }
 
 const cell_member *chooseMemberOf(traffic_thread &thread, const std::vector<const cell_member *> &members,
-                                  const std::set<instance_id> &tried)
+                                  const std::set<instance_id> &tried, std::span<const region_id> reserved)
 {
     const auto &settings = thread.shared->settings;
-    const balancer_location location{settings.instance, settings.region, settings.domain};
+    const balancer_location location{settings.instance, settings.region, settings.domain, reserved};
     const auto choose = settings.learnSpeeds ? chooseByCompletion : chooseTarget;
     return choose(thread.balance, members, tried, location, thread.random, clock::now());
 }
@@ -59,8 +59,8 @@
         speed = currentSpeed(*thread.shared, request);
     }
     if (isLocal || outcome.loadPerSlot) {
-        const speed_report report{speed.serviceMs.value_or(0), speed.loadPerSlot, isUrgentRequest(request)};
-        recordSpeed(thread.balance, member.target.pool, member.id, report, now);
+        const speed_report report{speed.serviceMs.value_or(0), speed.loadPerSlot, kindOf(request)};
+        recordSpeed(thread.balance, member, report, now);
     }
 }
 
--- a/packages/daemon/src/requests/speed_exchange.h
+++ b/packages/daemon/src/requests/speed_exchange.h
@@ -28,10 +28,11 @@
  * @param thread Traffic thread.
  * @param members Targets of the pool.
  * @param tried Targets already tried.
+ * @param reserved Regions whose targets other requests need; empty if the request is restricted itself.
  * @return The target, or null if none is left.
  */
 const cell_member *chooseMemberOf(traffic_thread &thread, const std::vector<const cell_member *> &members,
-                                  const std::set<instance_id> &tried);
+                                  const std::set<instance_id> &tried, std::span<const region_id> reserved);
 
 /**
  * Records the load and speed of a target that an attempt has shown.
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -90,6 +90,7 @@
     view->table = control.tables;
     view->drained = control.state.drained;
     if (control.tables) {
+        view->reserved = control.tables->reserved;
         for (const auto &row : control.tables->rows.pools) {
             auto &pool = view->pools[row.name];
             pool.row = row;
--- a/packages/decisions/bench/decisions_bench.cpp
+++ b/packages/decisions/bench/decisions_bench.cpp
@@ -213,7 +213,7 @@
     for (const auto &member : record.members) {
         members.push_back(&member);
         const auto count = static_cast<double>(members.size());
-        recordSpeed(balance, member.target.pool, member.id, {100 + count, 0.5, false}, now);
+        recordSpeed(balance, member, {100 + count, 0.5, {}}, now);
     }
     const balancer_location location{record.members.back().id, {"region-1"}, {"domain-1"}};
     std::mt19937_64 random(1);
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -45,6 +45,7 @@
                                                 ///< runs at a time.
     bool failed = false; ///< Whether the target refused it or failed: the time for that tells nothing of its speed.
     bool call = false; ///< Whether a target makes it within another request.
+    std::string route; ///< Name of its route; empty if it is not known.
 };
 
 /** Why a request was refused. Each of these guarantees that it did not run. */
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -111,7 +111,7 @@
     takeColdToken(state.cold, now);
     countUrgent(state, request, 1, now);
     ++state.inFlight;
-    beginWork(state.speed, request.id, isUrgent(request), now);
+    beginWork(state.speed, request.id, workKind(request), now);
     if (request.suspect) {
         state.suspectsInFlight.insert(request.id);
     }
--- a/packages/decisions/src/admission/admission_estimate.cpp
+++ b/packages/decisions/src/admission/admission_estimate.cpp
@@ -61,6 +61,11 @@
     return request.kind == request_class::order || request.rank < normalRank;
 }
 
+work_kind workKind(const admission_request &request)
+{
+    return {isUrgent(request), request.route};
+}
+
 double expectedServiceMs(const admission_state &state, bool urgent, bool call)
 {
     if (call && state.calls.serviceMs > 0) {
@@ -83,7 +88,7 @@
                               : state.normalServiceMs;
     updateMeanService(kind, newest);
     if (!request.failed && !request.call) {
-        learnService(state.speed, isUrgent(request), service, now);
+        learnService(state.speed, workKind(request), service, now);
     }
 }
 
--- a/packages/decisions/src/admission/admission_estimate_func.h
+++ b/packages/decisions/src/admission/admission_estimate_func.h
@@ -15,6 +15,13 @@
  */
 bool isUrgent(const admission_request &request);
 
+/**
+ * Returns the kind of work of a request, for learned speeds.
+ * @param request Request.
+ * @return Its urgency and route.
+ */
+work_kind workKind(const admission_request &request);
+
 /**
  * Returns the expected service time of a request: with learned speeds or enforced goals that of its urgency if known,
  * else that of all.
--- a/packages/decisions/src/routing/balance_cmd.cpp
+++ b/packages/decisions/src/routing/balance_cmd.cpp
@@ -12,6 +12,8 @@
 constexpr double otherDomainPenalty = 0.35; ///< Load by which it may exceed a target of another failure domain.
 constexpr double otherRegionPenalty = 1.2; ///< Load by which it may exceed one of another region. The load of a full
                                            ///< target is 1, so the targets of this region are filled first.
+constexpr double reservedRegionPenalty = 0.7; ///< The same from a region that is reserved to one that is not, which is
+                                              ///< used once about half of the slots of this one are busy.
 constexpr double ejectedPenalty = 100; ///< Ranks ejected targets after all others.
 constexpr std::uint64_t jitterSteps = 1024; ///< Distinct values of the random part of a score.
 constexpr double maxJitter = 0.05; ///< Upper limit of the random part of a score, which keeps daemons from all
@@ -40,10 +42,20 @@
 
 } // namespace
 
+bool isReserved(const balancer_location &location, const region_id &region)
+{
+    return std::find(location.reserved.begin(), location.reserved.end(), region) != location.reserved.end();
+}
+
+bool yieldsTo(const balancer_location &location, const region_id &region)
+{
+    return isReserved(location, location.region) && !isReserved(location, region);
+}
+
 double distancePenalty(const cell_member &member, const balancer_location &location)
 {
     if (member.region != location.region) {
-        return otherRegionPenalty;
+        return yieldsTo(location, member.region) ? reservedRegionPenalty : otherRegionPenalty;
     }
     if (member.id == location.instance) {
         return 0;
--- a/packages/decisions/src/routing/balance_func.h
+++ b/packages/decisions/src/routing/balance_func.h
@@ -7,6 +7,7 @@
 
 #include <random>
 #include <set>
+#include <span>
 
 namespace quetzalspool {
 
@@ -16,11 +17,29 @@
     instance_id instance; ///< The daemon's instance; its own target is reached without a network link.
     region_id region; ///< Region.
     domain_id domain; ///< Failure domain.
+    std::span<const region_id> reserved{}; ///< Regions whose targets other requests need, which are restricted to them;
+                                           ///< empty if the request is restricted itself. Must outlive the choice.
 };
 
+/**
+ * Checks whether a region is reserved.
+ * @param location Location of the forwarding daemon.
+ * @param region Region.
+ * @return Whether its targets are to keep capacity for requests that are restricted to it.
+ */
+bool isReserved(const balancer_location &location, const region_id &region);
+
+/**
+ * Checks whether requests should leave this region for another one, because this one is reserved and that one is not.
+ * @param location Location of the forwarding daemon.
+ * @param region Other region.
+ * @return Whether they should, once the targets of this region are short of capacity.
+ */
+bool yieldsTo(const balancer_location &location, const region_id &region);
+
 /**
  * Returns the load penalty for the distance to a target. The slow link to another region pays off only if the targets
- * of this one are overloaded.
+ * of this one are overloaded, or if they are reserved and those of the other region are not.
  * @param member Target.
  * @param location Location of this daemon.
  * @return Load by which the target at this daemon may exceed it.
--- a/packages/decisions/src/routing/routing.cpp
+++ b/packages/decisions/src/routing/routing.cpp
@@ -1,4 +1,5 @@
 /** @file routing.cpp Building routing views and lookups in them. */
+#include "allowed_regions_func.h"
 #include "placement_func.h"
 #include "record_func.h"
 #include "roster_type.h"
@@ -66,6 +67,7 @@
             return std::pair(b.prefix.size(), a.name) < std::pair(a.prefix.size(), b.name);
         });
     }
+    view.reserved = findReservedRegions(view.routes);
 }
 
 void setPool(routing_view &view, const std::string &key, const table_row &row)
@@ -143,6 +145,7 @@
         const auto &route = table->rows.routes[index];
         table->byHostAndPrefix.emplace(routeKey(route.host, route.prefix), index);
     }
+    table->reserved = findReservedRegions(table->rows.routes);
     return table;
 }
 
--- a/packages/decisions/src/routing/routing_base.h
+++ b/packages/decisions/src/routing/routing_base.h
@@ -2,6 +2,7 @@
 #ifndef ROUTING_BASE_H
 #define ROUTING_BASE_H
 
+#include "allowed_regions_base.h"
 #include "drained_domains_base.h"
 #include "record_base.h"
 #include "snapshot_type.h"
@@ -47,12 +48,14 @@
 {
     tables_snapshot rows; ///< The rows.
     std::unordered_map<std::string, std::uint32_t> byHostAndPrefix; ///< Index of a route by host, space, prefix.
+    reserved_regions reserved; ///< Regions that restricted routes name.
 };
 
 /** Everything that is needed to route a request. */
 struct routing_view
 {
     std::vector<route_row> routes; ///< Routes, longest prefix first.
+    reserved_regions reserved; ///< Regions that restricted routes name.
     std::map<pool_id, pool_view> pools; ///< By name.
     std::map<cell_id, std::shared_ptr<const cell_view>> cells; ///< By name.
     rules_row rules; ///< The customer's rules for changes.
--- a/packages/decisions/src/scope/allowed_regions_base.h
+++ b/packages/decisions/src/scope/allowed_regions_base.h
@@ -21,6 +21,9 @@
 /** Regions in which the slots of keyed pools are placed; a pool without an entry is not restricted. */
 using placement_regions = std::map<pool_id, allowed_regions>;
 
+/** Regions that restricted routes name, by pool; a pool without an entry has no restricted route. */
+using reserved_regions = std::map<pool_id, std::vector<region_id>>;
+
 } // namespace quetzalspool
 
 #endif // ALLOWED_REGIONS_BASE_H
--- a/packages/decisions/src/scope/allowed_regions_cmd.cpp
+++ b/packages/decisions/src/scope/allowed_regions_cmd.cpp
@@ -51,6 +51,21 @@
     return intersectRegions({}, route == nullptr ? onArrival : route->regions);
 }
 
+reserved_regions findReservedRegions(const std::vector<route_row> &routes)
+{
+    reserved_regions found;
+    for (const auto &route : routes) {
+        for (const auto &pool : route.regions.empty() ? std::set<pool_id>() : poolsOf(route)) {
+            auto &reserved = found[pool];
+            std::copy_if(
+                route.regions.begin(), route.regions.end(), std::back_inserter(reserved), [&](const auto &region) {
+                    return std::find(reserved.begin(), reserved.end(), region) == reserved.end();
+                });
+        }
+    }
+    return found;
+}
+
 placement_regions findPlacementRegions(const tables_snapshot &rows)
 {
     placement_regions found;
--- a/packages/decisions/src/scope/allowed_regions_func.h
+++ b/packages/decisions/src/scope/allowed_regions_func.h
@@ -36,6 +36,14 @@
 allowed_regions findAllowedRegions(const routing_view &view, std::string_view host, std::string_view path,
                                    const std::vector<region_id> &onArrival);
 
+/**
+ * Determines the regions whose targets should keep capacity for requests that are restricted to them: those that any
+ * route to a pool names. Requests of the pool's other routes leave them while targets elsewhere have capacity.
+ * @param routes Routes.
+ * @return Regions by pool; pools without a restricted route are absent.
+ */
+reserved_regions findReservedRegions(const std::vector<route_row> &routes);
+
 /**
  * Determines the regions in which the slots of each keyed pool are placed: those that all routes to the pool allow. If
  * the routes contradict each other, placement is not restricted.
--- a/packages/decisions/src/speed/completion_choice_base.h
+++ b/packages/decisions/src/speed/completion_choice_base.h
@@ -2,25 +2,30 @@
 #ifndef COMPLETION_CHOICE_BASE_H
 #define COMPLETION_CHOICE_BASE_H
 
-#include "base_type.h"
+#include "speed_estimate_base.h"
 
 namespace quetzalspool {
 
 /** Last report of one target's speed. */
 struct target_pace
 {
-    double serviceMs = 0; ///< Reported service time in milliseconds; 0 if none was reported.
-    bool urgent = false; ///< Whether that is the service time of urgent requests.
+    double slowness = 1; ///< Reported service time relative to the pool's mean for the same kind of request.
     steady_time reportedAt{}; ///< When it was reported.
     std::uint32_t sentSinceReport = 0; ///< Requests sent there since the last report of its load.
 };
 
+/** Mean load of the targets of one region. */
+struct region_load
+{
+    double loadPerSlot = 0; ///< Admitted and queued requests per slot.
+    steady_time reportedAt{}; ///< When the last report was received.
+};
+
 /** Means over the reports of a pool's targets. */
 struct pool_pace
 {
-    double urgentMs = 0; ///< Mean service time of urgent requests in milliseconds; 0 if none was reported.
-    double normalMs = 0; ///< Mean service time of normal requests in milliseconds; 0 if none was reported.
-    double loadPerSlot = 0; ///< Mean load.
+    std::map<work_kind, double> serviceMs; ///< Mean service time of each kind of request in milliseconds.
+    std::map<region_id, region_load> loads; ///< Mean load by region.
 };
 
 } // namespace quetzalspool
--- a/packages/decisions/src/speed/completion_choice_func.h
+++ b/packages/decisions/src/speed/completion_choice_func.h
@@ -9,13 +9,14 @@
 /** Speed and load that a daemon reports of its target with a response. */
 struct speed_report
 {
-    double serviceMs = 0; ///< Expected service time of requests of the same urgency, in milliseconds.
+    double serviceMs = 0; ///< Expected service time of requests of the same kind, in milliseconds; 0 if unknown.
     double loadPerSlot = 0; ///< Admitted and queued requests per slot.
-    bool urgent = false; ///< Whether the request was urgent.
+    work_kind kind; ///< Kind of the request.
 };
 
 /**
  * Chooses the target with the least expected completion time among a few drawn at random, with distance as a factor.
+ * Another region is used only if the best target of this region is full: the link between regions is slow and shared.
  * All daemons that compared all targets would choose the same one, the last to become fast; random draws prevent this
  * and bound the cost of a choice. The target beside this daemon is always among the candidates.
  * @param state Load balancing state.
@@ -33,13 +34,11 @@
 /**
  * Records the speed and load of a target that its daemon reported with a response.
  * @param state Load balancing state.
- * @param pool Pool of the target.
  * @param target Target.
  * @param report Report.
  * @param now Current time.
  */
-void recordSpeed(balance_state &state, const pool_id &pool, const instance_id &target, const speed_report &report,
-                 steady_time now);
+void recordSpeed(balance_state &state, const cell_member &target, const speed_report &report, steady_time now);
 
 /**
  * Returns the expected completion time of a request at a target, relative to the mean service time of its pool.
--- a/packages/decisions/src/speed/speed_estimate_cmd.cpp
+++ b/packages/decisions/src/speed/speed_estimate_cmd.cpp
@@ -21,15 +21,19 @@
 constexpr milliseconds statedMemory{2000}; ///< A stated pace applies for this long.
 constexpr milliseconds statedLoadMemory{500}; ///< Stated numbers of requests apply for this long.
 constexpr double statedTolerance = 0.2; ///< Relative change of the stated pace that counts as a change of speed.
+constexpr std::size_t maxKinds = 64; ///< Bound on the kinds that are told apart; further ones share the mean base.
 
-double &baseOf(speed_estimate &estimate, bool urgent)
+/** Base of a kind; 0 if there was no response to a request of this kind. */
+double baseOf(const speed_estimate &estimate, const work_kind &kind)
 {
-    return urgent ? estimate.urgentBaseMs : estimate.normalBaseMs;
+    const auto found = estimate.kindBaseMs.find(kind);
+    return found == estimate.kindBaseMs.end() ? 0 : found->second;
 }
 
-double baseOf(const speed_estimate &estimate, bool urgent)
+/** Moves a base towards the usual service time that a response shows; the first response sets it. */
+void updateBase(double &base, double usual, double weight)
 {
-    return urgent ? estimate.urgentBaseMs : estimate.normalBaseMs;
+    base = base == 0 ? usual : base + weight * (usual - base);
 }
 
 double effectivePace(const speed_estimate &estimate)
@@ -46,12 +50,12 @@
 
 } // namespace
 
-void beginWork(speed_estimate &estimate, std::uint64_t id, bool urgent, steady_time now)
+void beginWork(speed_estimate &estimate, std::uint64_t id, const work_kind &kind, steady_time now)
 {
     if (!estimate.enabled) {
         return;
     }
-    estimate.running.push_back({id, urgent, now});
+    estimate.running.push_back({id, baseOf(estimate, kind), now});
 }
 
 void endWork(speed_estimate &estimate, std::uint64_t id)
@@ -59,15 +63,18 @@
     std::erase_if(estimate.running, [id](const auto &work) { return work.id == id; });
 }
 
-void learnService(speed_estimate &estimate, bool urgent, milliseconds service, steady_time now)
+void learnService(speed_estimate &estimate, const work_kind &kind, milliseconds service, steady_time now)
 {
     if (!estimate.enabled) {
         return;
     }
     const auto measured = std::max(static_cast<double>(service.count()), minServiceMs);
-    auto &base = baseOf(estimate, urgent);
-    const auto usual = measured / (estimate.pace * estimate.statedPace);
-    base = base == 0 ? usual : base;
+    auto &mean = kind.urgent ? estimate.urgentBaseMs : estimate.normalBaseMs;
+    auto base = baseOf(estimate, kind);
+    if (base == 0) {
+        const bool isFurtherKind = estimate.kindBaseMs.size() >= maxKinds;
+        base = isFurtherKind && mean > 0 ? mean : measured / (estimate.pace * estimate.statedPace);
+    }
     // A response that was begun before the target stated another pace shows the pace before.
     if (now - service >= estimate.statedSince) {
         const auto elapsed = std::chrono::duration<double>(now - estimate.updatedAt) / paceTime;
@@ -76,9 +83,12 @@
         estimate.pace = std::clamp(estimate.pace + weight * (observed - estimate.pace), minPace, maxPace);
         estimate.updatedAt = now;
     }
-    base += baseSmoothing * (measured / (estimate.pace * estimate.statedPace) - base);
-    auto &mean = estimate.meanBaseMs;
-    mean = mean == 0 ? base : mean + meanSmoothing * (base - mean);
+    updateBase(base, measured / (estimate.pace * estimate.statedPace), baseSmoothing);
+    if (estimate.kindBaseMs.size() < maxKinds || estimate.kindBaseMs.contains(kind)) {
+        estimate.kindBaseMs[kind] = base;
+    }
+    updateBase(mean, base, meanSmoothing);
+    updateBase(estimate.meanBaseMs, base, meanSmoothing);
 }
 
 void updateOverrun(speed_estimate &estimate, steady_time now)
@@ -95,10 +105,9 @@
     std::chrono::duration<double, std::milli> age{0};
     double usual = 0;
     for (const auto &work : estimate.running) {
-        const auto base = baseOf(estimate, work.urgent);
-        if (base > 0) {
+        if (work.baseMs > 0) {
             age += now - work.since;
-            usual += base;
+            usual += work.baseMs;
         }
     }
     estimate.overrun = usual > 0 ? std::min(age.count() / usual, maxPace) : 0;
@@ -130,7 +139,12 @@
 
 double learnedServiceMs(const speed_estimate &estimate, bool urgent)
 {
-    return baseOf(estimate, urgent) * effectivePace(estimate);
+    return (urgent ? estimate.urgentBaseMs : estimate.normalBaseMs) * effectivePace(estimate);
+}
+
+double learnedServiceMs(const speed_estimate &estimate, const work_kind &kind)
+{
+    return baseOf(estimate, kind) * effectivePace(estimate);
 }
 
 double learnedMeanServiceMs(const speed_estimate &estimate)
--- a/packages/decisions/src/speed/speed_estimate_func.h
+++ b/packages/decisions/src/speed/speed_estimate_func.h
@@ -10,10 +10,10 @@
  * Records that a request is handed over.
  * @param estimate Estimate.
  * @param id Id of the request.
- * @param urgent Whether it is urgent.
+ * @param kind Kind of the request.
  * @param now Present time.
  */
-void beginWork(speed_estimate &estimate, std::uint64_t id, bool urgent, steady_time now);
+void beginWork(speed_estimate &estimate, std::uint64_t id, const work_kind &kind, steady_time now);
 
 /**
  * Records that the target no longer works on a request. Does nothing for an unknown one.
@@ -25,11 +25,11 @@
 /**
  * Updates the estimate with the service time of a response.
  * @param estimate Estimate.
- * @param urgent Whether the request was urgent.
+ * @param kind Kind of the request.
  * @param service Its service time.
  * @param now Present time.
  */
-void learnService(speed_estimate &estimate, bool urgent, milliseconds service, steady_time now);
+void learnService(speed_estimate &estimate, const work_kind &kind, milliseconds service, steady_time now);
 
 /**
  * Updates what changes with time: the lower bound of the pace that the age of the requests in progress proves, in which
@@ -56,13 +56,21 @@
 double statedLoadPerSlot(const speed_estimate &estimate, steady_time now);
 
 /**
- * Returns the expected service time.
+ * Returns the expected service time of urgent or normal requests, over their kinds in the present mix.
  * @param estimate Estimate.
- * @param urgent Whether for an urgent request.
- * @return Service time in milliseconds; 0 if there was no response to a request of this kind.
+ * @param urgent Whether for urgent requests.
+ * @return Service time in milliseconds; 0 if there was no response to such a request.
  */
 double learnedServiceMs(const speed_estimate &estimate, bool urgent);
 
+/**
+ * Returns the expected service time of one kind of request.
+ * @param estimate Estimate.
+ * @param kind Kind.
+ * @return Service time in milliseconds; 0 if there was no response to a request of this kind.
+ */
+double learnedServiceMs(const speed_estimate &estimate, const work_kind &kind);
+
 /**
  * Returns the expected service time over all kinds of requests in their present mix, at the mean pace of about a
  * second.
--- a/packages/decisions/tests/speed_simulation.cpp
+++ b/packages/decisions/tests/speed_simulation.cpp
@@ -154,7 +154,7 @@
     const auto &admission = targets[simulated.target].admission;
     const bool urgent = isUrgent(simulated.request);
     const speed_report report{std::round(expectedServiceMs(admission, urgent)),
-                              std::round(loadPerSlot(admission, now) * 100) / 100, urgent};
+                              std::round(loadPerSlot(admission, now) * 100) / 100, {urgent}};
     events.emplace(now + linkTime, [this, id, answered, report] { conclude(id, answered, report); });
 }
 
@@ -164,7 +164,7 @@
     auto &balance = balances[simulated.daemon];
     const auto &member = members[simulated.target];
     if (learns) {
-        recordSpeed(balance, member.target.pool, member.id, report, now);
+        recordSpeed(balance, member, report, now);
     } else {
         recordLoad(balance, member.id, report.loadPerSlot, now);
     }
--- a/packages/decisions/tests/speed_test.cpp
+++ b/packages/decisions/tests/speed_test.cpp
@@ -200,7 +200,7 @@
         for (int response = 0; response < count; ++response) {
             now += milliseconds(50);
             const bool urgent = ++id % 4 != 0;
-            learnService(estimate, urgent, urgent ? service : service * 5, now);
+            learnService(estimate, {urgent}, urgent ? service : service * 5, now);
         }
     };
     respond(milliseconds(40), 200);
@@ -223,10 +223,10 @@
     steady_time now{std::chrono::hours(1)};
     for (int response = 0; response < 100; ++response) {
         now += milliseconds(50);
-        learnService(estimate, true, milliseconds(40), now);
+        learnService(estimate, {true}, milliseconds(40), now);
     }
     for (std::uint64_t id = 1; id <= 4; ++id) {
-        beginWork(estimate, id, true, now);
+        beginWork(estimate, id, {true}, now);
     }
     updateOverrun(estimate, now + milliseconds(100));
     EXPECT_GE(learnedServiceMs(estimate, true), 95);
@@ -245,17 +245,17 @@
     steady_time now{std::chrono::hours(1)};
     for (int response = 0; response < 100; ++response) {
         now += milliseconds(50);
-        learnService(estimate, true, milliseconds(40), now);
+        learnService(estimate, {true}, milliseconds(40), now);
     }
     applyStatedLoad(estimate, {4, 0, 8, 300}, now);
     const auto statedAt = now;
     EXPECT_NEAR(learnedServiceMs(estimate, true), 120, 6);
-    learnService(estimate, true, milliseconds(40), now + milliseconds(20));
+    learnService(estimate, {true}, milliseconds(40), now + milliseconds(20));
     EXPECT_NEAR(learnedServiceMs(estimate, true), 120, 6);
     now += milliseconds(500);
     for (int response = 0; response < 20; ++response) {
         now += milliseconds(50);
-        learnService(estimate, true, milliseconds(120), now);
+        learnService(estimate, {true}, milliseconds(120), now);
     }
     EXPECT_NEAR(learnedServiceMs(estimate, true), 120, 6);
     updateOverrun(estimate, statedAt + seconds(3));
@@ -308,8 +308,8 @@
 {
     const steady_time now{std::chrono::hours(1)};
     speed_estimate estimate;
-    beginWork(estimate, 1, true, now);
-    learnService(estimate, true, milliseconds(40), now);
+    beginWork(estimate, 1, {true}, now);
+    learnService(estimate, {true}, milliseconds(40), now);
     applyStatedLoad(estimate, {9, 9, 8, 400}, now);
     updateOverrun(estimate, now + seconds(1));
     EXPECT_TRUE(estimate.running.empty());
