Add: owners get shares of the load by response time

Cause: with learn_speeds, owners had keys in proportion to their speed, and nothing moved below 0.6 of the capacity. While the load is low, slow owners were as busy as fast ones, and their requests missed the goal in each short slowdown. Owners that joined got no keys unless another one was overloaded. Change: the square-root rule (Tantawi and Towsley, 1985); slots move while the mean response time is more than 1.15 times the least possible one, and idle owners get some first; a learned speed follows brief changes slowly and a factor of two at once. A receiver does not end up both above 0.7 of its capacity and above the giver.

--- a/packages/decisions/src/roster/roster_base.h
+++ b/packages/decisions/src/roster/roster_base.h
@@ -105,7 +105,7 @@
     roster_timing timing; ///< Intervals.
     roster_node self; ///< Desired content of the own entry.
     steady_time startedAt{}; ///< Start of the process.
-    bool placesBySpeed = false; ///< Whether hot slots are placed by learned speeds.
+    bool placesBySpeed = false; ///< Whether slots are placed by learned speeds.
     bool listed = false; ///< Whether all entries and ownership records have been read once.
     std::map<instance_id, known_node> nodes; ///< All nodes, including this one.
     std::map<pool_id, stored_ownership> records; ///< Owners by pool.
--- a/packages/decisions/src/roster/roster_load.cpp
+++ b/packages/decisions/src/roster/roster_load.cpp
@@ -14,8 +14,20 @@
 constexpr double baselineLoad =
     2.0 / numericSlots; ///< Assumed load of a slot without requests: 2 per second for all slots.
 constexpr milliseconds decayInterval{1000}; ///< Between two decay steps.
+constexpr double speedSmoothing = 0.05; ///< Weight of a report in a learned speed; one arrives each 500 ms.
+constexpr double speedJump = 2; ///< A report that differs by this factor is a lasting change and applies at once.
 constexpr double decayFactor = 0.7; ///< Remaining fraction of a load after one step: a time constant of about 3 s.
 
+/**
+ * Speed for the placement of slots. Targets slow down for tenths of a second again and again: slots that followed each
+ * of these changes would move all the time.
+ */
+double steadySpeed(double known, double reported)
+{
+    const bool jumped = reported > known * speedJump || reported * speedJump < known;
+    return jumped ? reported : known + speedSmoothing * (reported - known);
+}
+
 double warmCapacity(const roster_node &node, const pool_load *load)
 {
     const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
@@ -103,7 +115,9 @@
         }
     }
     if (message.speed > 0) {
-        load.speed[message.sender] = static_cast<double>(message.speed) / speedUnitSeconds;
+        const auto reported = static_cast<double>(message.speed) / speedUnitSeconds;
+        auto &speed = load.speed[message.sender];
+        speed = state.placesBySpeed ? steadySpeed(speed, reported) : reported;
         load.coldUntil.erase(message.sender);
     }
 }
--- a/packages/decisions/src/speed/hot_slot_cmd.cpp
+++ b/packages/decisions/src/speed/hot_slot_cmd.cpp
@@ -1,6 +1,7 @@
 /** @file hot_slot_cmd.cpp Placement of slots that alone exceed the share of an owner. */
 #include "hot_slot_func.h"
 
+#include "response_share_func.h"
 #include "roster_load_func.h"
 #include "roster_window_func.h"
 
@@ -10,15 +11,18 @@
 
 namespace {
 
-constexpr double overloadRatio = 1.2; ///< An owner from this ratio of load to share may count as overloaded.
-constexpr double minUtilization = 0.6; ///< An owner counts as overloaded only from this share of its capacity.
+constexpr double minUtilization = 0.6; ///< An owner of a hot slot counts as overloaded only from this share of its
+                                       ///< capacity.
+constexpr double safeUtilization = 0.7; ///< Below this share of its capacity, an owner keeps room for a burst.
+constexpr double worthwhileRatio = 1.15; ///< From this ratio of the mean response time to the least possible one, slots
+                                         ///< are moved. Errors of the learned speeds alone cost about 5%.
+constexpr double underloadRatio = 0.3; ///< At or below this ratio of load to share, an owner receives slots anyway: it
+                                       ///< may have joined since.
 constexpr double hotRatio = 1.15; ///< A slot from this ratio of its load to its owner's share is hot. Above the largest
                                   ///< part of the wanted load that a window has, so that no window contains it.
 constexpr double fasterRatio = 1.33; ///< A hot slot moves only to an owner that is faster by this factor, and only if
                                      ///< the utilization falls by it: learned speeds vary by some percent.
-constexpr double minMoveFraction = 0.7; ///< Share of the wanted load from which a move between other owners is enough.
-constexpr double minPartFraction = 0.1; ///< The same for the neighbours of a hot slot and for large imbalances.
-constexpr double severalMovesRatio = 2; ///< From this ratio of load to share, several moves may transfer the load.
+constexpr double minPartFraction = 0.1; ///< Least share of the wanted load that one move transfers.
 constexpr double minNeighbourLoad = 0.1; ///< Least load of a hot slot's neighbours that is worth moves, as a share of
                                          ///< the hot slot's load.
 constexpr std::size_t maxMovesPerWrite = 8; ///< Maximum slot windows that one write marks to be moved.
@@ -42,6 +46,12 @@
     return owner.entry.load / owner.entry.fairShare;
 }
 
+/** Load that an owner has beyond its share; negative if it has less. */
+double excess(const owner_load &owner)
+{
+    return owner.entry.load - owner.entry.fairShare;
+}
+
 /** Plan in progress. */
 struct speed_plan
 {
@@ -92,6 +102,26 @@
     }
 }
 
+/** Replaces the shares of the owners without a hot slot by those with the least mean response time. */
+void shareByResponse(std::vector<owner_load> &owners)
+{
+    std::vector<double> capacities;
+    double load = 0;
+    for (const auto &owner : owners) {
+        if (!owner.hot) {
+            capacities.push_back(owner.capacity);
+            load += owner.entry.fairShare;
+        }
+    }
+    const auto shares = sharesByResponse(capacities, load);
+    auto share = shares.begin();
+    for (auto &owner : owners) {
+        if (!owner.hot) {
+            owner.entry.fairShare = *share++;
+        }
+    }
+}
+
 void move(speed_plan &plan, owner_load &giver, owner_load &receiver, const slot_window &window)
 {
     markForMove(plan.record, window, receiver.entry.node->member.id);
@@ -100,10 +130,18 @@
     ++plan.moves;
 }
 
-/** Whether the receiver of a window ends up less utilized than the giver is now. */
-bool relieves(const owner_load &giver, const owner_load &receiver, const slot_window &window)
+/**
+ * Whether a move shortens the mean response time without passing an overload on: the receiver may end up more utilized
+ * than the giver was only while it keeps room for a burst.
+ */
+bool shortensResponses(const owner_load &giver, const owner_load &receiver, const slot_window &window)
 {
-    return (receiver.entry.load + window.load) / receiver.capacity < utilization(giver);
+    const auto before =
+        meanRequests(giver.entry.load, giver.capacity) + meanRequests(receiver.entry.load, receiver.capacity);
+    const auto after = meanRequests(giver.entry.load - window.load, giver.capacity)
+        + meanRequests(receiver.entry.load + window.load, receiver.capacity);
+    const auto received = (receiver.entry.load + window.load) / receiver.capacity;
+    return after < before && received < std::max(utilization(giver), safeUtilization);
 }
 
 /** Moves hot slots of overloaded owners to clearly faster ones. */
@@ -133,32 +171,31 @@
     }
 }
 
-/** Owner with the lowest ratio among those without a hot slot; null if there is none. */
+/** Owner that lacks most load to its share among those without a hot slot; null if there is none. */
 owner_load *leastLoaded(speed_plan &plan)
 {
     owner_load *best = nullptr;
     for (auto &owner : plan.owners) {
-        if (!owner.hot && (best == nullptr || ratio(owner) < ratio(*best))) {
+        if (!owner.hot && (best == nullptr || excess(owner) < excess(*best))) {
             best = &owner;
         }
     }
     return best;
 }
 
-/** Moves one window from an owner to the least loaded one. Returns whether there was a suitable one. */
-bool moveWindow(speed_plan &plan, owner_load &giver, double leastFraction)
+/** Moves one window between two owners. Returns whether there was a suitable one. */
+bool moveWindow(speed_plan &plan, owner_load &giver, owner_load *receiver)
 {
-    auto *receiver = leastLoaded(plan);
     if (receiver == nullptr || receiver == &giver) {
         return false;
     }
-    const auto wanted =
-        std::min(giver.entry.load - giver.entry.fairShare, receiver->entry.fairShare - receiver->entry.load);
+    const auto wanted = std::min(excess(giver), -excess(*receiver));
     if (wanted <= 0) {
         return false;
     }
-    const auto window = findMove(plan.record, giver.entry.node->member.id, plan.load, {wanted, wanted * leastFraction});
-    if (!window || !relieves(giver, *receiver, *window)) {
+    const auto window =
+        findMove(plan.record, giver.entry.node->member.id, plan.load, {wanted, wanted * minPartFraction});
+    if (!window || !shortensResponses(giver, *receiver, *window)) {
         return false;
     }
     move(plan, giver, *receiver, *window);
@@ -173,29 +210,57 @@
             return owner.hot && utilization(owner) >= minUtilization && plan.moves < maxMovesPerWrite
                 && owner.entry.load - owner.busiest.load > minNeighbourLoad * owner.busiest.load;
         };
-        while (isWorthIt() && moveWindow(plan, owner, minPartFraction)) { }
+        while (isWorthIt() && moveWindow(plan, owner, leastLoaded(plan))) { }
     }
 }
 
-/** Balances the other owners. */
-void balanceRest(speed_plan &plan)
+/** Whether the mean response time at the owners without a hot slot is clearly longer than it needs to be. */
+bool isWorthwhile(const std::vector<owner_load> &owners)
 {
-    while (plan.moves < maxMovesPerWrite) {
-        owner_load *most = nullptr;
-        for (auto &owner : plan.owners) {
-            if (!owner.hot && (most == nullptr || ratio(owner) > ratio(*most))) {
-                most = &owner;
-            }
+    double present = 0;
+    double least = 0;
+    for (const auto &owner : owners) {
+        present += owner.hot ? 0 : meanRequests(owner.entry.load, owner.capacity);
+        least += owner.hot ? 0 : meanRequests(owner.entry.fairShare, owner.capacity);
+    }
+    return present > least * worthwhileRatio;
+}
+
+/** Owner with the most load beyond its share among those without a hot slot; null if there is none. */
+owner_load *mostLoaded(speed_plan &plan)
+{
+    owner_load *most = nullptr;
+    for (auto &owner : plan.owners) {
+        if (!owner.hot && (most == nullptr || excess(owner) > excess(*most))) {
+            most = &owner;
         }
-        const bool overloaded =
-            most != nullptr && ratio(*most) >= overloadRatio && utilization(*most) >= minUtilization;
-        if (!overloaded
-            || !moveWindow(plan, *most, ratio(*most) >= severalMovesRatio ? minPartFraction : minMoveFraction)) {
+    }
+    return most;
+}
+
+/** Moves load between the other owners towards their shares. */
+void balanceRest(speed_plan &plan)
+{
+    while (plan.moves < maxMovesPerWrite && isWorthwhile(plan.owners)) {
+        auto *giver = mostLoaded(plan);
+        if (giver == nullptr || !moveWindow(plan, *giver, leastLoaded(plan))) {
             return;
         }
     }
 }
 
+/** Gives load to owners that have next to none. */
+void fillIdleOwners(speed_plan &plan)
+{
+    for (auto &owner : plan.owners) {
+        auto *giver = mostLoaded(plan);
+        const bool idle = !owner.hot && ratio(owner) <= underloadRatio && plan.moves < maxMovesPerWrite;
+        if (idle && giver != nullptr) {
+            moveWindow(plan, *giver, &owner);
+        }
+    }
+}
+
 } // namespace
 
 bool planBySpeed(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
@@ -211,7 +276,9 @@
     divideShares(plan.owners);
     moveHotSlots(plan);
     divideShares(plan.owners);
+    shareByResponse(plan.owners);
     moveNeighbours(plan);
+    fillIdleOwners(plan);
     balanceRest(plan);
     return plan.moves > 0;
 }
--- a/packages/decisions/src/speed/hot_slot_func.h
+++ b/packages/decisions/src/speed/hot_slot_func.h
@@ -8,8 +8,9 @@
 
 /**
  * Marks ranges to be moved where speeds are learned. A hot slot, which alone exceeds its owner's share, moves to a
- * clearly faster owner; the other slots of its owner move away; the remaining owners share the remaining load. A window
- * moves only if the receiver ends up less utilized than the giver was before.
+ * clearly faster owner; the other slots of its owner move away; the remaining owners share the remaining load so that the
+ * mean response time is least. A window moves only if that shortens the mean response time, and not to a receiver that
+ * ends up both nearly full and more utilized than the giver was.
  * @param record Owners; changed.
  * @param candidates Nodes whose target belongs to the pool and accepts slots.
  * @param load Observed load, or null.
