Fix: late responses don't throttle a route

Cause: the throttle counted calls and requests that were late. Targets that slow down for tenths of a second make a tenth and more of them late also in calm, so requests were refused that could be served. Change: only calls that were refused, and requests that failed, count.

--- a/packages/daemon/src/overload/call_follower.cpp
+++ b/packages/daemon/src/overload/call_follower.cpp
@@ -43,10 +43,9 @@
         return;
     }
     const bool answered = outcome.result == attempt_result::answered;
+    // A late response is no sign of lacking capacity: targets slow down for tenths of a second also in calm.
     if (!answered) {
         countMetric(*shared.metricsRegistry, "calls_refused_total");
-    }
-    if (!answered || now > trace.goal) {
         const std::lock_guard lock(shared.admissionControl.mutex);
         recordFailedCall(shared.admissionControl.throttle, now);
     }
@@ -83,7 +82,7 @@
     if (!followsFresh(shared, request) || outcome.result == attempt_result::not_run) {
         return;
     }
-    const bool lost = outcome.result == attempt_result::unknown || end.status >= firstServerError || now > request.goal;
+    const bool lost = outcome.result == attempt_result::unknown || end.status >= firstServerError;
     const std::lock_guard lock(shared.admissionControl.mutex);
     recordEnd(shared.admissionControl.throttle, request.route, lost, end.startedAt, now);
 }
--- a/packages/decisions/tests/overload_simulation.h
+++ b/packages/decisions/tests/overload_simulation.h
@@ -34,6 +34,9 @@
     milliseconds deadline{500}; ///< Time after which the calling target no longer waits.
 };
 
+/** Factor by which a slowed target takes longer. */
+constexpr double slowFactor = 3;
+
 /** A scenario. */
 struct overload_setup
 {
@@ -41,6 +44,7 @@
     std::vector<overload_kind> kinds; ///< What callers send.
     overload_calls calls; ///< Calls between the services.
     int returns = 1; ///< How often a caller comes back after a refusal.
+    double slowShare = 0; ///< Share of the requests and calls whose target is slowed by `slowFactor` at that moment.
     bool followCalls = true; ///< Whether calls are recognized and fresh requests throttled.
 };
 
@@ -100,6 +104,7 @@
     void record(const request_ptr &request, bool answered);
     void applyDecisions();
     void step();
+    double drawSlowdown();
     void schedule(milliseconds after, std::function<void()> action);
     bool throttles(const request_ptr &request, simulated_target &target, milliseconds &retryAfter);
 
--- a/packages/decisions/tests/overload_test.cpp
+++ b/packages/decisions/tests/overload_test.cpp
@@ -183,6 +183,22 @@
     EXPECT_EQ(result.throttled, 0);
 }
 
+// Targets that slow down for tenths of a second make requests and calls late in calm. There is capacity for all of them,
+// so a throttle would only refuse what could be served.
+TEST(overload, lateResponsesInCalmAreNotThrottled)
+{
+    auto setup = exampleSetup(1);
+    setup.slowShare = 0.2;
+    setup.calls.goal = milliseconds(40);
+    setup.kinds[outer].goal = milliseconds(350);
+    overload_simulation simulation(setup);
+    const auto calm = simulation.run({0.8, 0.8}, seconds(8));
+    simulation.run({0.8, 0.8}, settleTime);
+    print("slowed targets in calm", *calm);
+    EXPECT_GT((*calm)[outer].late, (*calm)[outer].asked / 10) << "many are late";
+    EXPECT_EQ(simulation.throttledRequests(), 0);
+}
+
 // After the refusal of a call, a fresh request that is queued or arrives must not get the capacity.
 TEST(overload, noFreshRequestIsAdmittedAfterTheRefusalOfACall)
 {
