Fix: a chunk extension or trailer without end closes the connection of its caller

Cause: a body is read into a buffer with a limit, and the buffer throws once a read would exceed it. Change: a full buffer is a malformed body (400, then close). An unexpected error while a caller is served resets the connection and is logged as caller-connection-failed; requests in progress are counted by an object.

--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -10,6 +10,7 @@
 #include "elapsed_clock.h"
 #include "http_convert.h"
 #include "log_func.h"
+#include "request_count.h"
 #include "request_router.h"
 #include "routing_func.h"
 #include "shared_body_http.h"
@@ -52,6 +53,11 @@
 asio::awaitable<bool> readBodyPart(traffic_thread &thread, std::shared_ptr<caller_connection> connection,
                                    std::shared_ptr<caller_parser> parser, error_code &code, caller_refusal &rejection)
 {
+    auto &buffer = connection->buffer;
+    if (buffer.size() + bodyReadAhead > buffer.max_size()) {
+        code = http::error::buffer_overflow; // A chunk extension or a trailer without end.
+        co_return true;
+    }
     auto &body = parser->get().body();
     const auto total = body.size() + bodyReadAhead;
     const bool room = co_await makeMemoryRoom(thread, bodyReadAhead, total);
@@ -62,9 +68,9 @@
     connection->held = total;
     connection->lastProgress = clock::now();
     const auto length =
-        co_await connection->stream.async_read_some(connection->buffer.prepare(bodyReadAhead), redirectError(code));
+        co_await connection->stream.async_read_some(buffer.prepare(bodyReadAhead), redirectError(code));
     connection->held = 0;
-    connection->buffer.commit(length);
+    buffer.commit(length);
     if (connection->evicted) {
         rejection = {408, "stalled"};
     }
@@ -365,7 +371,8 @@
     co_await serveRequest(thread, connection, parser);
 }
 
-asio::awaitable<void> serveCaller(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
+/** Serves the requests of a connection until it is to be closed. */
+asio::awaitable<void> serveRequests(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
 {
     while (connection->keepAlive && !connection->broken) {
         const auto idleTime = limitsOf(*thread.shared->routing.load()).idleTime;
@@ -373,13 +380,23 @@
         if (!begun) {
             break;
         }
-        ++thread.shared->requestsInFlight;
+        const request_count inFlight(*thread.shared);
         co_await readAndServe(thread, connection);
-        --thread.shared->requestsInFlight;
     }
     if (connection->unread) {
         co_await discardUnread(connection);
     }
+}
+
+asio::awaitable<void> serveCaller(traffic_thread &thread, std::shared_ptr<caller_connection> connection)
+{
+    // An error in one request must not leave its connection open, which its caller would wait for.
+    try {
+        co_await serveRequests(thread, connection);
+    } catch (const std::exception &error) {
+        logEvent(log_level::error, "caller-connection-failed", {{"reason", error.what()}});
+        connection->broken = true;
+    }
     closeConnection(*connection);
     thread.callers.erase(connection);
 }
--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -6,6 +6,7 @@
 #include "local_attempt.h"
 #include "mirror_func.h"
 #include "peer_wire.h"
+#include "request_count.h"
 #include "speed_exchange.h"
 
 #include <sstream>
@@ -181,9 +182,8 @@
                                         std::shared_ptr<peer_responder> responder)
 {
     if (request.path == attemptPath) {
-        ++thread.shared->requestsInFlight;
+        const request_count inFlight(*thread.shared);
         co_await handleAttempt(thread, std::move(request), responder);
-        --thread.shared->requestsInFlight;
         co_return;
     }
     if (request.path == cancelPath) {
