--- a/packages/http/src/http_client.h
+++ b/packages/http/src/http_client.h
@@ -14,7 +14,7 @@
 struct http_connection_pool;
 
 /**
- * Makes an empty connection pool.
+ * Makes an empty connection pool. It must end before the io_context in which its requests run.
  * @return The pool.
  */
 std::shared_ptr<http_connection_pool> makeHttpConnectionPool();
