Fix: unread responses don't make a target count as stalled

deployment_memory.unreadResponsesStayWithinTheMemory: the daemon beside the target refused every ordinary request as target-stalled. It had 113 requests in flight, all of them responses that their callers did not read; a target counted as stalled if any request was in flight and none ended for 2 s.

Only requests whose response the target has not produced count now. Besides, a response that does not arrive whole no longer enters the estimate of transfer times: five callers that read nothing for 3 s made all later requests with a goal of 500 ms look too late.

--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -366,6 +366,7 @@
         complete = co_await forwardBody(exchange, sink, request->deadline, why);
     }
     sink->finish(complete);
+    admissionRequest.cut = !complete;
     trace.detail = complete || why.text.empty() ? "" : describe(why);
     request_outcome outcome{attempt_result::answered, refusal::none, "target"};
     outcome.complete = complete;
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -44,6 +44,7 @@
     std::optional<request_fingerprint> suspect; ///< Set if a target crashed while it ran this request: one such request
                                                 ///< runs at a time.
     bool failed = false; ///< Whether the target refused it or failed: the time for that tells nothing of its speed.
+    bool cut = false; ///< Whether its response did not arrive whole: the time for that tells nothing of transfers.
     bool call = false; ///< Whether a target makes it within another request.
     std::string route; ///< Name of its route; empty if it is not known.
 };
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -50,10 +50,16 @@
     return now < grantUntil(state) ? refusal::none : refusal::no_lease;
 }
 
+/** Whether the target works on any request. A response that is being transferred may wait for its caller instead. */
+bool isBusy(const admission_state &state)
+{
+    return state.inFlight > state.transferring;
+}
+
 /** Whether a busy target has finished no request for too long. */
 bool isStalled(const admission_state &state, steady_time now)
 {
-    return state.inFlight > 0 && now - state.lastProgress > state.limits.stallLimit;
+    return isBusy(state) && now - state.lastProgress > state.limits.stallLimit;
 }
 
 /** Whether the request is for the pool of the target, as far as both are known. */
@@ -104,7 +110,7 @@
 
 void startRequest(admission_state &state, const admission_request &request, steady_time now)
 {
-    if (state.inFlight == 0) {
+    if (!isBusy(state)) {
         state.lastProgress = now;
     }
     takeToken(state.rate, isUrgent(request), now);
@@ -305,7 +311,9 @@
     }
     if (progress) {
         recordServiceTime(state, request, request.transferring ? request.serviceTime : took, now);
-        recordTransfer(state, request, took);
+        if (!request.cut) {
+            recordTransfer(state, request, took);
+        }
         state.lastProgress = now;
         state.probing = false;
     } else if (now - state.lastProgress > state.limits.stallLimit) {
--- a/packages/decisions/tests/request_test.cpp
+++ b/packages/decisions/tests/request_test.cpp
@@ -221,6 +221,46 @@
     EXPECT_FALSE(admit(admission, {6, slot, request_class::lookup, later + seconds(9)}, later).admitted);
 }
 
+// Responses that callers did not read made their target count as stalled: all other requests were refused until the
+// deadlines of those callers.
+TEST(admission, aTargetWhoseCallersDoNotReadIsNotStalled)
+{
+    auto admission = makeAdmission(2, 4);
+    admission.enforceGoals = true;
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        auto unread = makeRequest(id);
+        EXPECT_TRUE(admit(admission, unread, now).admitted);
+        beginTransfer(admission, unread, milliseconds(5), now + milliseconds(5));
+    }
+    const auto later = now + seconds(3);
+    EXPECT_TRUE(admit(admission, {6, slot, request_class::lookup, later + seconds(9)}, later).admitted);
+    const auto muchLater = later + seconds(3);
+    EXPECT_EQ(admit(admission, {7, slot, request_class::lookup, muchLater + seconds(9)}, muchLater).refused,
+              refusal::stalled)
+        << "it has not produced the response to the sixth";
+}
+
+// Transfers that ended with their callers' deadlines counted as slow ones, and all later requests were refused, since
+// their responses were not expected within their goals.
+TEST(admission, aResponseThatDoesNotArriveWholeTellsNothingOfTransfers)
+{
+    auto admission = makeAdmission(2, 4);
+    admission.enforceGoals = true;
+    auto time = now;
+    for (std::uint64_t id = 1; id <= 5; ++id) {
+        admission_request unread{id, slot, request_class::lookup, time + seconds(3)};
+        unread.goal = time + milliseconds(500);
+        ASSERT_TRUE(admit(admission, unread, time).admitted) << id;
+        beginTransfer(admission, unread, milliseconds(5), time + milliseconds(5));
+        time += seconds(3);
+        unread.cut = true;
+        finishRequest(admission, unread, true, seconds(3), time);
+    }
+    admission_request next{6, slot, request_class::lookup, time + seconds(3)};
+    next.goal = time + milliseconds(500);
+    EXPECT_TRUE(admit(admission, next, time).admitted);
+}
+
 TEST(admission, anOlderFenceIsRefused)
 {
     auto admission = makeAdmission(4, 4);
