Change: a slot that was moved stays with its owner for 5 s

A hot slot went back and forth between the same two owners, four times in four seconds, and was hardly served meanwhile. Nothing kept the planner from moving a slot again as soon as its move was complete, and the speed of an owner falls because of the hot slot itself, so that any other owner looked faster.

The planner remembers the moves that it sees in progress and plans no other move of these slots until 5 s after their end: neither planRebalance, planBySpeed nor planReturnMoves. Slots of owners that are leaving, lost, drained or outside the allowed regions, and slots without owner, are not planned by these and move at once, as before. The entries are dropped when their time is over.

Hot slots are compared by the usual speed of their owner. It follows a fall within 5 s, or within 20 s while the owner has more than 0.6 of the load that it can take, and accounts for at most half of the speed; a larger fall is taken as lasting at once.

--- a/packages/decisions/src/roster/roster_base.h
+++ b/packages/decisions/src/roster/roster_base.h
@@ -84,6 +84,8 @@
     std::vector<double> slots; ///< Exponentially weighted requests per second, by slot; to be divided by `weight`.
     std::map<instance_id, double>
         speed; ///< Requests per second that one concurrency slot of a daemon's target completes.
+    std::map<instance_id, double> usualSpeed; ///< The same, following a fall only slowly while the target has more load
+                                              ///< than it can take: its speed may fall because of that load.
     steady_time decayedAt{}; ///< When the decay was last applied to the loads.
     double weight = 0; ///< Sum of the weights of the observations so far, up to 1; the loads are divided by it.
     std::map<instance_id, steady_time>
@@ -91,6 +93,14 @@
     double coldPerSecond = 0; ///< Requests per second that a cold target takes; 0 for no limit.
 };
 
+/** A planned move of slots to another owner. */
+struct recent_move
+{
+    std::uint32_t first = 0; ///< First slot.
+    std::uint32_t last = 0; ///< Last slot, inclusive.
+    steady_time lastSeen{}; ///< When the move was last known to be in progress.
+};
+
 /** What a daemon knows of a pool's owners in an era that the store has lost. */
 struct lost_ownership
 {
@@ -124,6 +134,7 @@
                                                          ///< transfers to other owners; they are not granted.
     std::set<pool_id> unclearWrites; ///< Pools with an unanswered write conditional on the current revision.
     std::map<pool_id, pool_load> loads; ///< Observed loads by pool.
+    std::map<pool_id, std::vector<recent_move>> recentMoves; ///< Moves of the last seconds by pool, on the planner.
     era_number era; ///< Era of the store.
     bool lostEra = false; ///< Whether the store came back from an older copy in the time of this process.
     steady_time lostGrantsEnd{}; ///< When every grant of earlier eras has ended.
--- a/packages/decisions/src/roster/roster_func.h
+++ b/packages/decisions/src/roster/roster_func.h
@@ -3,7 +3,7 @@
 #define ROSTER_FUNC_H
 
 #include "message_type.h"
-#include "roster_base.h"
+#include "roster_moves_func.h"
 
 #include <string_view>
 
@@ -272,9 +272,11 @@
  * @param record Owners; changed.
  * @param candidates Nodes whose target belongs to the pool and accepts slots.
  * @param load Observed load, or null.
+ * @param held Slots that were moved recently and are not moved again.
  * @return Whether anything changed.
  */
-bool planRebalance(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load);
+bool planRebalance(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load,
+                   const held_slots &held = {});
 
 /**
  * Merges adjacent ranges that differ only in their slots.
--- a/packages/decisions/src/roster/roster_load.cpp
+++ b/packages/decisions/src/roster/roster_load.cpp
@@ -16,6 +16,11 @@
 constexpr milliseconds decayInterval{1000}; ///< Between two decay steps.
 constexpr double speedSmoothing = 0.05; ///< Weight of a report in a learned speed; one arrives each 500 ms.
 constexpr double speedJump = 2; ///< A report that differs by this factor is a lasting change and applies at once.
+constexpr double usualSmoothing = 0.1; ///< Weight of a report in a usual speed that falls: follows within 5 s.
+constexpr double overloadedSmoothing = 0.025; ///< The same while the target has too much load: follows within 20 s, so
+                                              ///< that a lasting fall is not ignored for good.
+constexpr double overloadedUtilization = 0.6; ///< From this share of the usual capacity, the load may slow a target.
+constexpr double maxOverloadSlowdown = 2; ///< Part of a fall of the speed that load may cause; a larger one is lasting.
 constexpr double decayFactor = 0.7; ///< Remaining fraction of a load after one step: a time constant of about 3 s.
 
 /**
@@ -28,6 +33,36 @@
     return jumped ? reported : known + speedSmoothing * (reported - known);
 }
 
+/** Load of the ranges that a node owns. */
+double ownedLoad(const roster_state &state, const pool_id &pool, const instance_id &owner, const pool_load &load)
+{
+    double sum = 0;
+    const auto stored = state.records.find(pool);
+    if (stored != state.records.end()) {
+        for (const auto &range : stored->second.record.ranges) {
+            sum += range.owner == owner ? loadBetween(&load, range.first, range.last) : 0;
+        }
+    }
+    return sum;
+}
+
+/** Updates the usual speed of a target after a report of its speed. */
+void updateUsualSpeed(const roster_state &state, const load_message &message, pool_load &load)
+{
+    const auto speed = load.speed.at(message.sender);
+    auto &usual = load.usualSpeed[message.sender];
+    if (speed >= usual) {
+        usual = speed;
+        return;
+    }
+    const auto seen = state.nodes.find(message.sender);
+    const auto slots = seen == state.nodes.end() || !seen->second.node ? 1 : seen->second.node->member.target.slots;
+    const auto usualCapacity = std::max<std::uint32_t>(slots, 1) * usual;
+    const bool overloaded =
+        ownedLoad(state, message.pool, message.sender, load) >= usualCapacity * overloadedUtilization;
+    usual += (overloaded ? overloadedSmoothing : usualSmoothing) * (speed - usual);
+}
+
 double warmCapacity(const roster_node &node, const pool_load *load)
 {
     const double slots = std::max<std::uint32_t>(node.member.target.slots, 1);
@@ -52,6 +87,20 @@
     return coldCapacity(warmCapacity(node, load), node.member.id, load);
 }
 
+double usualCapacityOf(const roster_node &node, const pool_load *load)
+{
+    const auto capacity = capacityOf(node, load);
+    if (load == nullptr) {
+        return capacity;
+    }
+    const auto speed = load->speed.find(node.member.id);
+    const auto usual = load->usualSpeed.find(node.member.id);
+    if (speed == load->speed.end() || usual == load->usualSpeed.end()) {
+        return capacity;
+    }
+    return capacity * std::clamp(usual->second / std::max(speed->second, minSpeed), 1.0, maxOverloadSlowdown);
+}
+
 double loadBetween(const pool_load *load, std::uint32_t first, std::uint32_t last)
 {
     double sum = (last - first + 1) * baselineLoad;
@@ -118,6 +167,9 @@
         const auto reported = static_cast<double>(message.speed) / speedUnitSeconds;
         auto &speed = load.speed[message.sender];
         speed = state.placesBySpeed ? steadySpeed(speed, reported) : reported;
+        if (state.placesBySpeed) {
+            updateUsualSpeed(state, message, load);
+        }
         load.coldUntil.erase(message.sender);
     }
 }
--- a/packages/decisions/src/roster/roster_load_func.h
+++ b/packages/decisions/src/roster/roster_load_func.h
@@ -39,6 +39,14 @@
  */
 double capacityOf(const roster_node &node, const pool_load *load);
 
+/**
+ * Returns the capacity of a target without the slowdown that its own load may cause.
+ * @param node Node.
+ * @param load Observed load; null if there is none.
+ * @return Requests per second; at least those of capacityOf(), at most twice as many.
+ */
+double usualCapacityOf(const roster_node &node, const pool_load *load);
+
 /**
  * Returns the loads of candidates and their fair shares.
  * @param record Owners.
--- a/packages/decisions/src/roster/roster_plan.cpp
+++ b/packages/decisions/src/roster/roster_plan.cpp
@@ -296,6 +296,9 @@
         }
         draft.record.ranges.push_back({0, numericSlots - 1, {}, {}, {}, "", {}});
     }
+    if (isPlanning) {
+        recordMoves(state.recentMoves[draft.record.pool], draft.record, now);
+    }
     refreshColdness(state, draft.record.pool, now);
     const auto observedLoad = state.loads.find(draft.record.pool);
     const auto *load = observedLoad == state.loads.end() ? nullptr : &observedLoad->second;
@@ -314,8 +317,9 @@
     if (isPlanning && !draft.changed && !moving && now >= state.nextBalance) {
         state.nextBalance = now + balanceInterval;
         const auto plan = state.placesBySpeed ? planBySpeed : planRebalance;
-        draft.changed =
-            planReturnMoves(state, draft.record, nodes.receivers) || plan(draft.record, nodes.receivers, load);
+        const auto held = findHeldSlots(state.recentMoves[draft.record.pool], now);
+        draft.changed = planReturnMoves(state, draft.record, nodes.receivers, held)
+            || plan(draft.record, nodes.receivers, load, held);
     }
     return true;
 }
--- a/packages/decisions/src/roster/roster_rebalance.cpp
+++ b/packages/decisions/src/roster/roster_rebalance.cpp
@@ -36,13 +36,18 @@
     return enough ? window.last - window.first < other->last - other->first : window.load > other->load;
 }
 
-/** Finds the best window of a range to move; it has at most about the wanted load. */
-void searchRange(const slot_range &range, const pool_load *load, const wanted_load &wanted,
+/** Finds the best window of a range to move; it has at most about the wanted load, and no slot that is held. */
+void searchRange(const slot_range &range, const pool_load *load, const wanted_load &wanted, const held_slots &held,
                  std::optional<slot_window> &best)
 {
     double sum = 0;
     auto first = range.first;
     for (auto last = range.first; last <= range.last; ++last) {
+        if (isHeld(held, last)) {
+            sum = 0;
+            first = last + 1;
+            continue;
+        }
         sum += loadBetween(load, last, last);
         while (sum > wanted.load * maxMoveFraction && first <= last) {
             sum -= loadBetween(load, first, first);
@@ -58,12 +63,12 @@
 } // namespace
 
 std::optional<slot_window> findMove(const ownership_record &record, const instance_id &owner, const pool_load *load,
-                                    const wanted_load &wanted)
+                                    const wanted_load &wanted, const held_slots &held)
 {
     std::optional<slot_window> best;
     for (const auto &range : record.ranges) {
         if (range.owner == owner && range.nextOwner.value.empty()) {
-            searchRange(range, load, wanted, best);
+            searchRange(range, load, wanted, held, best);
         }
     }
     return best;
@@ -96,7 +101,8 @@
     record.ranges = std::move(ranges);
 }
 
-bool planRebalance(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
+bool planRebalance(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load,
+                   const held_slots &held)
 {
     bool changed = false;
     if (candidates.size() < 2) {
@@ -117,7 +123,7 @@
         const auto wanted =
             std::min({mostLoaded->load - mostLoaded->fairShare, leastLoaded->fairShare - leastLoaded->load, room});
         const auto leastFraction = ratio(*mostLoaded) >= severalMovesRatio ? minPartFraction : minMoveFraction;
-        const auto window = findMove(record, mostLoaded->node->member.id, load, {wanted, wanted * leastFraction});
+        const auto window = findMove(record, mostLoaded->node->member.id, load, {wanted, wanted * leastFraction}, held);
         if (!window) {
             break;
         }
--- a/packages/decisions/src/roster/roster_window_func.h
+++ b/packages/decisions/src/roster/roster_window_func.h
@@ -2,7 +2,7 @@
 #ifndef ROSTER_WINDOW_FUNC_H
 #define ROSTER_WINDOW_FUNC_H
 
-#include "roster_base.h"
+#include "roster_moves_func.h"
 
 #include <optional>
 
@@ -29,10 +29,11 @@
  * @param owner Owner.
  * @param load Observed load; null if there is none.
  * @param wanted Load that should move.
+ * @param held Slots that must not be moved.
  * @return The window, or nothing if none has a suitable load.
  */
 std::optional<slot_window> findMove(const ownership_record &record, const instance_id &owner, const pool_load *load,
-                                    const wanted_load &wanted);
+                                    const wanted_load &wanted, const held_slots &held);
 
 /**
  * Splits a window off its range and sets the window's next owner.
--- a/packages/decisions/src/scope/slot_scope_cmd.cpp
+++ b/packages/decisions/src/scope/slot_scope_cmd.cpp
@@ -4,6 +4,7 @@
 #include "allowed_regions_func.h"
 #include "drained_domains_func.h"
 #include "roster_load_func.h"
+#include "roster_window_func.h"
 
 #include <algorithm>
 
@@ -44,25 +45,35 @@
     return std::min(range.last, first / slotsPerBlock * slotsPerBlock + slotsPerBlock - 1);
 }
 
-/** Marks a block of one owner's slots to be moved. Returns the block, or nothing if the owner has none. */
-std::optional<slot_range> markBlock(ownership_record &record, const instance_id &owner, const instance_id &next)
+/** First block of a range without slots that are held; nothing if all of them are. */
+std::optional<slot_window> findBlock(const slot_range &range, const held_slots &held)
 {
-    const auto found = std::find_if(record.ranges.begin(), record.ranges.end(), [&](const auto &range) {
-        return range.owner == owner && range.nextOwner.value.empty();
-    });
-    if (found == record.ranges.end()) {
+    auto first = range.first;
+    while (first <= range.last && isHeld(held, first)) {
+        ++first;
+    }
+    if (first > range.last) {
         return std::nullopt;
     }
-    auto block = *found;
-    block.last = lastInBlock(block, block.first);
-    block.nextOwner = next;
-    if (block.last == found->last) {
-        *found = block;
-    } else {
-        found->first = block.last + 1;
-        record.ranges.insert(found, block);
+    auto last = first;
+    while (last < lastInBlock(range, first) && !isHeld(held, last + 1)) {
+        ++last;
     }
-    return block;
+    return slot_window{first, last};
+}
+
+/** Marks a block of one owner's slots to be moved. Returns the block, or nothing if the owner has none. */
+std::optional<slot_window> markBlock(ownership_record &record, const instance_id &owner, const instance_id &next,
+                                     const held_slots &held)
+{
+    for (const auto &range : record.ranges) {
+        const bool movable = range.owner == owner && range.nextOwner.value.empty();
+        if (const auto block = movable ? findBlock(range, held) : std::nullopt) {
+            markForMove(record, *block, next);
+            return block;
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -133,7 +144,7 @@
 }
 
 bool planReturnMoves(const roster_state &state, ownership_record &record,
-                     const std::vector<const roster_node *> &receivers)
+                     const std::vector<const roster_node *> &receivers, const held_slots &held)
 {
     if (state.drained.keyedLimit == milliseconds(0) || receivers.size() < 2) {
         return false;
@@ -151,7 +162,7 @@
                 return a.load - a.fairShare < b.load - b.fairShare;
             });
             const auto block = fullest.load > fullest.fairShare
-                ? markBlock(record, fullest.node->member.id, returned.node->member.id)
+                ? markBlock(record, fullest.node->member.id, returned.node->member.id, held)
                 : std::nullopt;
             if (!block) {
                 break;
--- a/packages/decisions/src/scope/slot_scope_func.h
+++ b/packages/decisions/src/scope/slot_scope_func.h
@@ -2,7 +2,7 @@
 #ifndef SLOT_SCOPE_FUNC_H
 #define SLOT_SCOPE_FUNC_H
 
-#include "roster_base.h"
+#include "roster_moves_func.h"
 
 namespace quetzalspool {
 
@@ -50,10 +50,11 @@
  * @param state Roster.
  * @param record Owners of the pool; changed.
  * @param receivers Result of receivingNodes().
+ * @param held Slots that were moved recently and are not moved again.
  * @return Whether anything changed.
  */
 bool planReturnMoves(const roster_state &state, ownership_record &record,
-                     const std::vector<const roster_node *> &receivers);
+                     const std::vector<const roster_node *> &receivers, const held_slots &held = {});
 
 } // namespace quetzalspool
 
--- a/packages/decisions/src/speed/hot_slot_cmd.cpp
+++ b/packages/decisions/src/speed/hot_slot_cmd.cpp
@@ -32,6 +32,7 @@
 {
     candidate_load entry; ///< Load, and share of the load that is not on hot slots.
     double capacity = 0; ///< Requests per second.
+    double usualCapacity = 0; ///< The same without the slowdown that its own load may cause.
     slot_window busiest; ///< Slot with the most load among those that may move.
     bool hot = false; ///< Whether that slot is hot.
 };
@@ -57,6 +58,7 @@
 {
     ownership_record &record; ///< Owners; changed.
     const pool_load *load; ///< Observed load.
+    const held_slots &held; ///< Slots that must not be moved.
     std::vector<owner_load> owners; ///< Owners.
     std::size_t moves = 0; ///< Moves marked.
 };
@@ -148,7 +150,9 @@
 void moveHotSlots(speed_plan &plan)
 {
     for (auto &giver : plan.owners) {
-        if (!giver.hot || utilization(giver) < minUtilization || plan.moves >= maxMovesPerWrite) {
+        const auto giverUtilization = giver.entry.load / giver.usualCapacity;
+        if (!giver.hot || giverUtilization < minUtilization || plan.moves >= maxMovesPerWrite
+            || isHeld(plan.held, giver.busiest.first)) {
             continue;
         }
         const auto after = [&](const owner_load &owner) {
@@ -156,12 +160,12 @@
         };
         owner_load *best = nullptr;
         for (auto &receiver : plan.owners) {
-            const bool faster = !receiver.hot && receiver.capacity >= giver.capacity * fasterRatio;
+            const bool faster = !receiver.hot && receiver.capacity >= giver.usualCapacity * fasterRatio;
             if (faster && (best == nullptr || after(receiver) < after(*best))) {
                 best = &receiver;
             }
         }
-        if (best != nullptr && after(*best) * fasterRatio <= utilization(giver)) {
+        if (best != nullptr && after(*best) * fasterRatio <= giverUtilization) {
             move(plan, giver, *best, giver.busiest);
             best->busiest = giver.busiest;
             best->hot = true;
@@ -194,7 +198,7 @@
         return false;
     }
     const auto window =
-        findMove(plan.record, giver.entry.node->member.id, plan.load, {wanted, wanted * minPartFraction});
+        findMove(plan.record, giver.entry.node->member.id, plan.load, {wanted, wanted * minPartFraction}, plan.held);
     if (!window || !shortensResponses(giver, *receiver, *window)) {
         return false;
     }
@@ -263,14 +267,15 @@
 
 } // namespace
 
-bool planBySpeed(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load)
+bool planBySpeed(ownership_record &record, const std::vector<const roster_node *> &candidates, const pool_load *load,
+                 const held_slots &held)
 {
     if (candidates.size() < 2) {
         return false;
     }
-    speed_plan plan{record, load, {}};
+    speed_plan plan{record, load, held, {}};
     for (const auto &entry : candidateLoads(record, candidates, load)) {
-        plan.owners.push_back({entry, capacityOf(*entry.node, load), {}});
+        plan.owners.push_back({entry, capacityOf(*entry.node, load), usualCapacityOf(*entry.node, load), {}});
     }
     findBusiest(plan);
     divideShares(plan.owners);
