Add: rows for failure domains

Cause: the product's own tables could not say that a failure domain is out of service. Change: rows domains/NAME with drained (TOML [[domain]]) are read, written, checked and planned like the other rows, under the customer's rules. The name in a row must be the one in its key, since daemons will act on the key. No daemon acts on the rows yet.

--- a/packages/tables/src/row_codec.cpp
+++ b/packages/tables/src/row_codec.cpp
@@ -55,6 +55,11 @@
     return out;
 }
 
+json toJson(const domain_row &row)
+{
+    return {{"name", row.name.value}, {"drained", row.drained}};
+}
+
 json toJson(const rules_row &row)
 {
     json out{{"need_approval", row.needApproval}, {"max_rows", row.maxRows}};
@@ -108,6 +113,11 @@
     return row;
 }
 
+table_row domainFromJson(const json &from)
+{
+    return domain_row{{from.at("name").get<std::string>()}, from.at("drained").get<bool>()};
+}
+
 table_row rulesFromJson(const json &from)
 {
     rules_row row;
@@ -143,6 +153,9 @@
         if (key.starts_with("pools/")) {
             return poolFromJson(from);
         }
+        if (key.starts_with(domainPrefix)) {
+            return domainFromJson(from);
+        }
         if (key.starts_with("rules/")) {
             return rulesFromJson(from);
         }
--- a/packages/tables/src/row_func.h
+++ b/packages/tables/src/row_func.h
@@ -8,6 +8,8 @@
 
 namespace quetzalspool {
 
+constexpr std::string_view domainPrefix = "domains/"; ///< Prefix of the keys of failure domains.
+
 /**
  * Formats a row as JSON, as stored.
  * @param row Row.
@@ -25,7 +27,7 @@
 std::optional<table_row> parseRow(std::string_view key, std::string_view text, last_reason &why);
 
 /**
- * Parses and validates an operator's file with [[route]], [[pool]] and [rules].
+ * Parses and validates an operator's file with [[route]], [[pool]], [[domain]] and [rules].
  * @param text TOML text.
  * @param file Name of the file, for error messages.
  * @param why Receives the reason for a failure, with file and line.
--- a/packages/tables/src/row_toml.cpp
+++ b/packages/tables/src/row_toml.cpp
@@ -97,6 +97,14 @@
     return row;
 }
 
+table_row readDomain(toml_reader &reader)
+{
+    domain_row row;
+    row.name.value = readString(reader, "name");
+    row.drained = readBool(reader, "drained", false);
+    return row;
+}
+
 operator_row readOperator(toml_reader &reader)
 {
     operator_row row;
@@ -154,6 +162,9 @@
     if (const auto *pool = std::get_if<pool_row>(&row)) {
         return "pools/" + pool->name.value;
     }
+    if (const auto *domain = std::get_if<domain_row>(&row)) {
+        return std::string(domainPrefix) + domain->name.value;
+    }
     return "rules/changes";
 }
 
@@ -216,6 +227,35 @@
     return text == nullptr;
 }
 
+/** Daemons act on the name in the key, so the name in the row must not differ from it. */
+bool checkDomain(const std::string &key, const domain_row &row, last_reason &why)
+{
+    const char *text = nullptr;
+    if (row.name.value.empty()) {
+        text = "a domain needs a name";
+    } else if (key != std::string(domainPrefix) + row.name.value) {
+        text = "the name of a domain must be the one in its key";
+    }
+    if (text != nullptr) {
+        failed(why, "check", key, text);
+    }
+    return text == nullptr;
+}
+
+using row_reader = table_row (*)(toml_reader &);
+
+/** Function that reads the tables of an array; null if there is no such kind of row. */
+row_reader readerOf(const std::string &kind)
+{
+    if (kind == "route") {
+        return readRoute;
+    }
+    if (kind == "pool") {
+        return readPool;
+    }
+    return kind == "domain" ? readDomain : nullptr;
+}
+
 } // namespace
 
 std::optional<std::vector<keyed_row>> parseTables(std::string_view text, const std::string &file, last_reason &why)
@@ -232,13 +272,13 @@
         bool good = true;
         if (kind == "rules") {
             good = appendRow(node, file, readRules, rows, why);
-        } else if ((kind == "route" || kind == "pool") && list != nullptr) {
+        } else if (const auto read = readerOf(kind); read != nullptr && list != nullptr) {
             for (std::size_t index = 0; good && index < list->size(); ++index) {
-                good = appendRow((*list)[index], file, kind == "route" ? readRoute : readPool, rows, why);
+                good = appendRow((*list)[index], file, read, rows, why);
             }
         } else {
             return failed(why, "check", file + ":" + std::to_string(name.source().begin.line),
-                          "expected [[route]], [[pool]] or [rules], not \"" + kind + "\"");
+                          "expected [[route]], [[pool]], [[domain]] or [rules], not \"" + kind + "\"");
         }
         if (!good) {
             return std::nullopt;
@@ -255,6 +295,9 @@
     if (const auto *pool = std::get_if<pool_row>(&row)) {
         return checkPool(*pool, why);
     }
+    if (const auto *domain = std::get_if<domain_row>(&row)) {
+        return checkDomain(key, *domain, why);
+    }
     return key.starts_with("rules/") || std::holds_alternative<removed_row>(row);
 }
 
--- a/packages/tables/src/row_type.h
+++ b/packages/tables/src/row_type.h
@@ -1,4 +1,5 @@
-/** @file row_type.h Rows of the tables that operators maintain: routes, pools and rules for changes. */
+/** @file row_type.h Rows of the tables that operators maintain: routes, pools, failure domains and rules for changes.
+ */
 #ifndef ROW_TYPE_H
 #define ROW_TYPE_H
 
@@ -85,6 +86,15 @@
     bool operator==(const pool_row &) const = default;
 };
 
+/** A failure domain whose targets may be taken out of service. A domain without a row is in service. */
+struct domain_row
+{
+    domain_id name; ///< Name of the row and of the domain.
+    bool drained = false; ///< Whether its targets get no requests.
+
+    bool operator==(const domain_row &) const = default;
+};
+
 /** An operator with permissions. */
 struct operator_row
 {
@@ -121,7 +131,7 @@
     bool operator==(const removed_row &) const = default;
 };
 
-using table_row = std::variant<removed_row, route_row, pool_row, rules_row>;
+using table_row = std::variant<removed_row, route_row, pool_row, rules_row, domain_row>;
 
 /** A row with its key, such as "routes/formulas". */
 struct keyed_row
--- a/packages/tables/tests/edit_test.cpp
+++ b/packages/tables/tests/edit_test.cpp
@@ -208,4 +208,59 @@
     EXPECT_NE(parseFailure(text).find("a region of a route needs a name"), std::string::npos);
 }
 
+// A drain that is lost on the way from the file to the daemons would leave the domain in service.
+TEST(tables, aDomainKeepsItsState)
+{
+    last_reason why;
+    const auto rows =
+        parseTables("[[domain]]\nname = \"z1\"\ndrained = true\n[[domain]]\nname = \"z2\"\n", "file", why);
+    ASSERT_TRUE(rows.has_value()) << describe(why);
+    ASSERT_EQ(rows->size(), 2U);
+    EXPECT_EQ(rows->front().key, "domains/z1");
+    EXPECT_EQ(std::get<domain_row>(rows->front().row), (domain_row{{"z1"}, true}));
+    EXPECT_EQ(std::get<domain_row>(rows->back().row), (domain_row{{"z2"}, false}));
+    const auto stored = parseRow("domains/z1", formatRow(rows->front().row), why);
+    ASSERT_TRUE(stored.has_value()) << describe(why);
+    EXPECT_EQ(std::get<domain_row>(*stored), (domain_row{{"z1"}, true}));
+}
+
+// A daemon that took an incomplete row for a domain in service would send requests to targets that were drained.
+TEST(tables, malformedDomainsAreRefused)
+{
+    last_reason why;
+    EXPECT_FALSE(parseRow("domains/z1", R"({"name":"z1"})", why));
+    EXPECT_FALSE(parseRow("domains/z1", R"({"name":"z1","drained":"yes"})", why));
+    EXPECT_NE(parseFailure("[[domain]]\nname = \"\"\n").find("a domain needs a name"), std::string::npos);
+    EXPECT_NE(parseFailure("[[domain]]\nname = \"z1\"\ndrained = 1\n").find("file:3"), std::string::npos);
+    EXPECT_NE(parseFailure("[[domain]]\nname = \"z1\"\ndraind = true\n").find("unknown key \"draind\""),
+              std::string::npos);
+    EXPECT_FALSE(checkRow("domains/z1", domain_row{{"z2"}, true}, why)) << "the key names another domain";
+}
+
+// Draining takes capacity away, so it must not escape the customer's rules.
+TEST(edit, domainsFollowTheRules)
+{
+    const keyed_row drain{"domains/z1", domain_row{{"z1"}, true}};
+    EXPECT_EQ(planRefusal(makeEdit("luis", "l-hash", {drain})), edit_refusal::not_allowed);
+    auto tables = makeTables();
+    auto &rules = std::get<rules_row>(tables.at("rules/changes").row);
+    rules.operators.push_back({"mei", "m-hash", {"domains/"}});
+    rules.needApproval.emplace_back("domains/z1");
+    tables["domains/z2"] = {domain_row{{"z2"}, true}, {9}};
+    const auto planned = planEdit(tables, {}, makeEdit("mei", "m-hash", {drain}), noon);
+    ASSERT_TRUE(planned.plan.has_value()) << planned.text;
+    EXPECT_TRUE(planned.plan->needsApproval);
+    EXPECT_EQ(planned.plan->changes.front().after, R"({"drained":true,"name":"z1"})");
+    EXPECT_EQ(planEdit(tables, {}, makeEdit("mei", "m-hash", {drain}), std::chrono::minutes(23 * 60)).refused,
+              edit_refusal::quiet);
+    auto restore = makeEdit("mei", "m-hash", {{"domains/z2", domain_row{{"z2"}, false}}});
+    restore.bases["domains/z2"] = {8};
+    EXPECT_EQ(planEdit(tables, {}, restore, noon).refused, edit_refusal::conflict);
+    restore.bases["domains/z2"] = {9};
+    const auto restored = planEdit(tables, {}, restore, noon);
+    ASSERT_TRUE(restored.plan.has_value()) << restored.text;
+    EXPECT_EQ(restored.plan->changes.front().before, R"({"drained":true,"name":"z2"})");
+    EXPECT_FALSE(restored.plan->needsApproval);
+}
+
 } // namespace quetzalspool::test
