Add: commands to take failure domains out of service and back

Cause: a drain could be written only through a file of rows. Change: quetzalspool domain drain NAME and domain restore NAME write the row domains/NAME with the same checks, base revisions and exit codes as apply; they don't ask, since the command names the whole change. quetzalspool domain lists the domains that have a row or an instance. A name that no instance has is accepted with a warning, since all instances of the domain may be down. Measured: built; wrong arguments and an empty name give exit 2, no daemon gives exit 1.

--- a/apps/quetzalspool/commands.cpp
+++ b/apps/quetzalspool/commands.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <thread>
 
 namespace quetzalspool {
@@ -161,20 +162,16 @@
     return std::getline(std::cin, line) && (line == "y" || line == "yes");
 }
 
-int apply(const client_options &options, bool showOnly)
+/** Shows the difference that new rows make, and applies them after a confirmation. */
+int applyRows(const client_options &options, const json &rows, bool showOnly)
 {
     last_reason why;
-    const auto rows = readRows(options.arguments[1], why);
-    if (!rows) {
-        std::cerr << "quetzalspool: " << describe(why) << "\n";
-        return exit_usage;
-    }
     json body{{"operator", options.operatorName},
               {"key", options.key},
               {"reason", options.reason},
-              {"rows", *rows},
+              {"rows", rows},
               {"dry_run", true},
-              {"bases", fetchBaseRevisions(options, *rows, why)}};
+              {"bases", fetchBaseRevisions(options, rows, why)}};
     const auto preview = requestDaemon(options.daemon, "POST", "/v1/apply", body, why);
     if (!preview) {
         return fail(why);
@@ -220,6 +217,99 @@
     return exitCodeFor(response->status);
 }
 
+int apply(const client_options &options, bool showOnly)
+{
+    last_reason why;
+    const auto rows = readRows(options.arguments[1], why);
+    if (!rows) {
+        std::cerr << "quetzalspool: " << describe(why) << "\n";
+        return exit_usage;
+    }
+    return applyRows(options, *rows, showOnly);
+}
+
+/** Reads the failure domains that have a row or an instance, with their state and number of instances. */
+std::optional<std::map<std::string, json>> fetchDomains(const client_options &options, last_reason &why)
+{
+    const auto rows = requestDaemon(options.daemon, "GET", "/v1/show", {}, why);
+    const auto status = rows ? requestDaemon(options.daemon, "GET", "/v1/status", {}, why) : std::nullopt;
+    if (!rows || !status) {
+        return std::nullopt;
+    }
+    if (rows->status != 200 || status->status != 200) {
+        return failed(why, "list domains", toString(options.daemon), "the daemon failed to show its tables or status");
+    }
+    std::map<std::string, json> domains;
+    const auto domainOf = [&](const std::string &name) -> json & {
+        const json inService{{"domain", name}, {"state", "in service"}, {"instances", 0}, {"revision", 0}};
+        return domains.try_emplace(name, inService).first->second;
+    };
+    for (const auto &instance : status->body.at("instances")) {
+        auto &domain = domainOf(instance.value("failure_domain", ""));
+        domain["instances"] = domain.at("instances").get<int>() + 1;
+    }
+    for (const auto &row : rows->body) {
+        const auto key = row.at("key").get<std::string>();
+        if (key.starts_with(domainPrefix)) {
+            auto &domain = domainOf(key.substr(domainPrefix.size()));
+            domain["state"] = row.at("row").value("drained", false) ? "drained" : "in service";
+            domain["revision"] = row.at("revision");
+        }
+    }
+    return domains;
+}
+
+int listDomains(const client_options &options)
+{
+    last_reason why;
+    const auto domains = fetchDomains(options, why);
+    if (!domains) {
+        return fail(why);
+    }
+    auto list = json::array();
+    for (const auto &entry : *domains) {
+        list.push_back(entry.second);
+    }
+    if (options.json) {
+        std::cout << list.dump() << "\n";
+    } else {
+        printTable(list, {"domain", "state", "instances", "revision"});
+    }
+    return exit_success;
+}
+
+/** Writes the row of a failure domain. The command names the whole change, so there is no confirmation prompt. */
+int setDomain(const client_options &options, const std::string &name, bool drained)
+{
+    last_reason why;
+    const domain_row row{{name}, drained};
+    const auto key = std::string(domainPrefix) + name;
+    if (!checkRow(key, row, why)) {
+        std::cerr << "quetzalspool: " << describe(why) << "\n";
+        return exit_usage;
+    }
+    const auto domains = fetchDomains(options, why);
+    if (domains && !domains->contains(name)) {
+        std::cerr << "quetzalspool: no instance is in the failure domain \"" << name << "\"\n";
+    }
+    auto confirmed = options;
+    confirmed.yes = true;
+    return applyRows(confirmed, json::array({{{"key", key}, {"row", json::parse(formatRow(row))}}}), false);
+}
+
+/** Runs `domain`, `domain drain NAME` or `domain restore NAME`. */
+int runDomainCommand(const client_options &options)
+{
+    const auto &arguments = options.arguments;
+    if (arguments.size() == 1) {
+        return listDomains(options);
+    }
+    if (arguments.size() == 3 && (arguments[1] == "drain" || arguments[1] == "restore")) {
+        return setDomain(options, arguments[2], arguments[1] == "drain");
+    }
+    return usage("expected domain, domain drain NAME or domain restore NAME");
+}
+
 int removeRow(const client_options &options)
 {
     last_reason why;
@@ -339,6 +429,9 @@
     if (command == "drain" && hasArguments(1)) {
         return printResponse(options, "POST", "/v1/drain", json{{"instance", arguments[1]}}, "", {});
     }
+    if (command == "domain") {
+        return runDomainCommand(options);
+    }
     if (command == "audit" && hasArguments(0)) {
         return printResponse(options, "GET", "/v1/audit", {}, "",
                              {"at", "operator", "approver", "outcome", "reason", "changes"});
--- a/apps/quetzalspool/main.cpp
+++ b/apps/quetzalspool/main.cpp
@@ -14,7 +14,8 @@
 constexpr const char *description =
     "Operates quetzalspool through the admin port of any daemon.\n"
     "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | status | "
-    "measures | drain INSTANCE | audit | check SETTINGS | load HOST:PORT... | explain ID [LOG...]\n"
+    "measures | drain INSTANCE | domain [drain NAME | restore NAME] | audit | check SETTINGS | load HOST:PORT... | "
+    "explain ID [LOG...]\n"
     "Exit codes: 0 done, 1 failed, 2 usage or invalid file, 3 refused, 4 not yet in force everywhere or waiting for "
     "approval, 5 outcome unknown.";
 
@@ -73,8 +74,8 @@
                                      "FILE", line);
     TCLAP::ValueArg<std::string> reason("m", "reason", "Reason for the change.", false, "", "TEXT", line);
     TCLAP::SwitchArg asJson("j", "json", "Print JSON.", line);
-    TCLAP::SwitchArg wait("w", "wait", "apply: wait until every daemon has applied the change.", line);
-    TCLAP::SwitchArg dryRun("n", "dry-run", "apply: only show the difference.", line);
+    TCLAP::SwitchArg wait("w", "wait", "apply, domain: wait until every daemon has applied the change.", line);
+    TCLAP::SwitchArg dryRun("n", "dry-run", "apply, domain: only show the difference.", line);
     TCLAP::SwitchArg yes("y", "yes", "apply: skip the confirmation prompt.", line);
     TCLAP::ValueArg<double> rate("", "rate", "load: requests started per second.", false, 100, "N", line);
     TCLAP::ValueArg<int> seconds("", "seconds", "load: duration in seconds.", false, 5, "S", line);
