Add: routing and admission in cells leave drained failure domains

Cause: rows of drained failure domains had no effect. Change: withDocument puts a row's drain into the routing view, so that the forwarding daemons choose no target in the domain, and admission beside a target there refuses requests by the same rules as with a roster (bound 5 s, keys for 3.75 s). To count from the right moment at daemons that learn late, each document has the earliest time at which it may have been stored; daemons pass it on as an age, a fourth field that earlier builds ignore. Drains are logged and counted as with a roster. Tests of decodeDocuments and handleDocumentRequest pass the new argument.

--- a/packages/daemon/src/cells/control.cpp
+++ b/packages/daemon/src/cells/control.cpp
@@ -6,6 +6,8 @@
 #include "cold_limit_func.h"
 #include "datagrams.h"
 #include "document_gossip.h"
+#include "drain_admission_func.h"
+#include "drained_domains_func.h"
 #include "elapsed_clock.h"
 #include "log_func.h"
 #include "record_func.h"
@@ -81,6 +83,7 @@
     setGauge(numbers, "store_went_back", control.store.restored ? 1 : 0);
     setGauge(numbers, "documents", static_cast<double>(control.catalog.documents.size()));
     setGauge(numbers, "slots_owned", static_cast<double>(control.publishedSlots.open.size()));
+    setGauge(numbers, "drained_domains", static_cast<double>(control.shared->routing.load()->drained.since.size()));
     setGauge(numbers, "link_body_bytes", static_cast<double>(control.shared->crossRegionBytes.load()));
 }
 
@@ -216,10 +219,14 @@
     auto &admissionControl = control.shared->admissionControl;
     served_slots served{servedSlots(cell), drainingSlots(cell)};
     const auto grace = poolTakeoverGrace(control);
+    const auto view = control.shared->routing.load();
+    const auto now = clock::now();
     const std::lock_guard lock(admissionControl.mutex);
     admissionControl.admission.leaseUntil = cell.lease.validUntil;
+    setDrained(admissionControl.admission, drainedSince(view->drained, cell.self.domain), view->drained.keyedLimit,
+               now);
     if (served != control.publishedSlots) {
-        setServed(admissionControl.admission, served, cell.lease.validUntil, grace, clock::now());
+        setServed(admissionControl.admission, served, cell.lease.validUntil, grace, now);
         control.publishedSlots = std::move(served);
     }
 }
--- a/packages/daemon/src/cells/control_base.h
+++ b/packages/daemon/src/cells/control_base.h
@@ -36,6 +36,8 @@
     std::map<std::string, revision_number> guards; ///< Revisions of guard keys, which are not replicated.
     store_client store; ///< Client of the store.
     std::shared_ptr<peer_client> peers; ///< Connections for comparing and fetching documents.
+    steady_time storeKnownAt{}; ///< When this daemon last knew all rows in the store: start of a complete read, or
+                                ///< arrival of a watch's changes. Rows that it reads next were stored later.
     std::map<endpoint, pending_fetch> fetches; ///< Pending fetches by the daemon to fetch from.
     std::vector<fenced_slot> draining; ///< Slots that wait until none of their requests is in flight.
     served_slots publishedSlots; ///< Slots that admission control was last set to serve, and those being released.
--- a/packages/daemon/src/cells/document_gossip.cpp
+++ b/packages/daemon/src/cells/document_gossip.cpp
@@ -5,6 +5,7 @@
 #include "cell_func.h"
 #include "control.h"
 #include "document_wire.h"
+#include "drained_domains_func.h"
 #include "elapsed_clock.h"
 #include "log_func.h"
 #include "record_func.h"
@@ -20,6 +21,7 @@
 
 constexpr milliseconds gossipInterval{1000}; ///< Interval between digests.
 constexpr milliseconds peerTimeout{1500}; ///< Time limit of each phase of a compare or fetch request.
+constexpr std::size_t maxLoggedBytes = 200; ///< Bytes of a domain's name that are logged.
 constexpr std::size_t fanOut = 6; ///< Daemons of the own region that this one announces a new document to.
 constexpr std::uint64_t crossRegionRatio = 10; ///< On average one digest in this many goes to another region.
 constexpr std::string_view cellPrefix = "cells/";
@@ -83,6 +85,29 @@
     }
 }
 
+/** Logs the failure domains that a document took out of service or put back. */
+void logDrains(const control_state &control, const drained_domains &before, const drained_domains &after,
+               const document &installed)
+{
+    const auto log = [&](const char *event, const domain_id &domain) {
+        logEvent(log_level::warn, event,
+                 {{"domain", domain.value.substr(0, maxLoggedBytes)},
+                  {"own", domain == control.shared->settings.domain ? "1" : "0"},
+                  {"revision", std::to_string(installed.revision.value)},
+                  {"drained", std::to_string(after.since.size())}});
+    };
+    for (const auto &entry : after.since) {
+        if (!isDrained(before, entry.first)) {
+            log("domain-drained", entry.first);
+        }
+    }
+    for (const auto &entry : before.since) {
+        if (!isDrained(after, entry.first)) {
+            log("domain-restored", entry.first);
+        }
+    }
+}
+
 /** Chooses the daemon of another region that may complete the voters of the own cell. */
 void updateExternalVoter(control_state &control, const routing_view &view)
 {
@@ -122,6 +147,7 @@
         const std::vector<std::string> keys(pending.keys.begin(), pending.keys.end());
         pending.keys.clear();
         auto request = makeFetchRequest(keys);
+        const auto askedAt = clock::now();
         const auto opened = co_await openCall(control.peers, from, std::move(request), peerTimeout);
         if (!opened.call) {
             break;
@@ -131,7 +157,7 @@
             break;
         }
         const auto source = classifySource(control, from);
-        for (auto &fetched : decodeDocuments(response->body)) {
+        for (auto &fetched : decodeDocuments(response->body, askedAt)) {
             installDocument(control, std::move(fetched), source);
         }
     }
@@ -182,6 +208,7 @@
         applyCellRecord(control, offered);
     } else {
         updatePlans(control, *published);
+        logDrains(control, view->drained, published->drained, offered);
     }
     announceDocument(control, offered, source);
     logEvent(log_level::debug, "document-taken",
--- a/packages/daemon/src/cells/document_wire.cpp
+++ b/packages/daemon/src/cells/document_wire.cpp
@@ -4,6 +4,8 @@
 #include "catalog_func.h"
 #include "peer_wire.h"
 
+#include <algorithm>
+
 #define MSGPACK_NO_BOOST
 #include <msgpack.hpp>
 
@@ -11,7 +13,11 @@
 
 namespace {
 
-using document_row = std::tuple<std::string, std::int64_t, std::string>; ///< Key, revision and value, as encoded.
+/** Key, revision, value and age in milliseconds, as encoded. Daemons of earlier builds neither send nor read the age.
+ */
+using document_row = std::tuple<std::string, std::int64_t, std::string, std::int64_t>;
+
+constexpr milliseconds maxAge = std::chrono::hours(24 * 365 * 10); ///< Larger ages are damaged; they would overflow.
 
 template <typename Value>
 std::string pack(const Value &value)
@@ -33,7 +39,8 @@
 
 } // namespace
 
-std::optional<std::string> handleDocumentRequest(const catalog_state &catalog, const peer_request &request)
+std::optional<std::string> handleDocumentRequest(const catalog_state &catalog, const peer_request &request,
+                                                 steady_time now)
 {
     if (request.path == comparePath) {
         const auto buckets = unpack<std::vector<std::uint64_t>>(request.body);
@@ -47,7 +54,8 @@
     for (const auto &key : *keys) {
         const auto found = catalog.documents.find(key);
         if (found != catalog.documents.end()) {
-            rows.emplace_back(key, found->second.revision.value, *found->second.value);
+            const auto age = std::chrono::duration_cast<milliseconds>(now - found->second.since);
+            rows.emplace_back(key, found->second.revision.value, *found->second.value, age.count());
         }
     }
     return pack(rows);
@@ -69,11 +77,13 @@
     return {fetchPath, {}, pack(keys)};
 }
 
-std::vector<document> decodeDocuments(const std::string &body)
+std::vector<document> decodeDocuments(const std::string &body, steady_time askedAt)
 {
     std::vector<document> documents;
-    for (auto &[key, revision, value] : unpack<std::vector<document_row>>(body).value_or(std::vector<document_row>())) {
-        documents.push_back({key, {revision}, std::make_shared<const std::string>(std::move(value))});
+    for (auto &[key, revision, value, age] :
+         unpack<std::vector<document_row>>(body).value_or(std::vector<document_row>())) {
+        const auto since = askedAt - milliseconds(std::clamp<std::int64_t>(age, 0, maxAge.count()));
+        documents.push_back({key, {revision}, std::make_shared<const std::string>(std::move(value)), since});
     }
     return documents;
 }
--- a/packages/daemon/src/cells/document_wire.h
+++ b/packages/daemon/src/cells/document_wire.h
@@ -13,9 +13,11 @@
  * Handles a request to compare or fetch documents.
  * @param catalog Documents known here.
  * @param request Request.
+ * @param now Current time, for the ages of the documents.
  * @return Response body as MessagePack; nothing if the request is malformed or has another path.
  */
-std::optional<std::string> handleDocumentRequest(const catalog_state &catalog, const peer_request &request);
+std::optional<std::string> handleDocumentRequest(const catalog_state &catalog, const peer_request &request,
+                                                 steady_time now);
 
 /**
  * Makes a request that compares all documents, by the hashes of their buckets.
@@ -41,9 +43,11 @@
 /**
  * Decodes the response to a fetch request.
  * @param body Response body as MessagePack.
+ * @param askedAt Time at which the request was sent. Ages count from here, so that a slow response makes no document
+ * seem younger than it is.
  * @return Documents; empty if the body is malformed.
  */
-std::vector<document> decodeDocuments(const std::string &body);
+std::vector<document> decodeDocuments(const std::string &body, steady_time askedAt);
 
 } // namespace quetzalspool
 
--- a/packages/daemon/src/cells/edits.cpp
+++ b/packages/daemon/src/cells/edits.cpp
@@ -4,6 +4,7 @@
 #include "catalog_func.h"
 #include "document_gossip.h"
 #include "edit_func.h"
+#include "elapsed_clock.h"
 #include "log_func.h"
 #include "row_func.h"
 #include "store_sync.h"
@@ -236,7 +237,8 @@
 /** Reads the tables from the store, since another daemon may have just changed them. Cell records are not read. */
 asio::awaitable<bool> refreshTables(control_state &control, last_reason &why)
 {
-    for (const auto *table : {"routes/", "pools/", "rules/", guardPrefix}) {
+    const auto startedAt = elapsed_clock::now();
+    for (const auto *table : {"routes/", "pools/", "domains/", "rules/", guardPrefix}) {
         const auto rows = co_await readRange(control.store, std::string(storePrefix) + table, false, why);
         if (!rows) {
             co_return false;
@@ -245,6 +247,7 @@
             applyStoredValue(control, value);
         }
     }
+    control.storeKnownAt = std::max(control.storeKnownAt, startedAt);
     co_return true;
 }
 
--- a/packages/daemon/src/cells/store_sync.cpp
+++ b/packages/daemon/src/cells/store_sync.cpp
@@ -8,6 +8,7 @@
 #include "log_func.h"
 #include "record_func.h"
 #include "routing_func.h"
+#include "row_func.h"
 
 #include <algorithm>
 
@@ -25,7 +26,7 @@
 bool isReplicated(const std::string &key)
 {
     return key.starts_with(cellPrefix) || key.starts_with("routes/") || key.starts_with("pools/")
-        || key.starts_with("rules/");
+        || key.starts_with("rules/") || key.starts_with(domainPrefix);
 }
 
 /** Returns whether this daemon is one of the few that watch the store. */
@@ -45,7 +46,8 @@
         control.guards[key] = std::max(control.guards[key], value.revision);
     }
     if (isReplicated(key)) {
-        installDocument(control, {key, value.revision, std::make_shared<const std::string>(value.value)},
+        installDocument(control,
+                        {key, value.revision, std::make_shared<const std::string>(value.value), control.storeKnownAt},
                         document_source::store);
     }
 }
@@ -54,11 +56,13 @@
 {
     for (;;) {
         last_reason why;
+        const auto startedAt = clock::now();
         const auto all = co_await readRange(control.store, storePrefix, false, why);
         if (all) {
             for (const auto &value : all->values) {
                 applyStoredValue(control, value);
             }
+            control.storeKnownAt = startedAt;
             co_return;
         }
         logEvent(log_level::warn, "store-unanswered", {{"reason", describe(why)}});
@@ -77,6 +81,7 @@
             continue;
         }
         last_reason why;
+        const auto startedAt = clock::now();
         const auto all = co_await readRange(control.store, storePrefix, false, why);
         if (!all) {
             if (control.store.restored) {
@@ -87,8 +92,10 @@
         for (const auto &value : all->values) {
             applyStoredValue(control, value);
         }
+        control.storeKnownAt = startedAt;
         control.watching = true;
         std::function<bool(std::vector<watch_event>)> onEvents = [&control](const std::vector<watch_event> &events) {
+            control.storeKnownAt = clock::now();
             for (const auto &event : events) {
                 if (event.removed) {
                     logEvent(log_level::error, "store-key-deleted", {{"key", event.value.key}});
--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -202,7 +202,7 @@
         co_await handleStoreCall(thread, std::move(request), responder);
         co_return;
     }
-    const auto body = handleDocumentRequest(*thread.shared->catalog.load(), request);
+    const auto body = handleDocumentRequest(*thread.shared->catalog.load(), request, clock::now());
     sendResponseHead(*responder, body ? 200 : 400, {});
     if (body) {
         co_await sendBodyChunk(responder, *body);
--- a/packages/daemon/src/roster/drain_sync.cpp
+++ b/packages/daemon/src/roster/drain_sync.cpp
@@ -54,9 +54,7 @@
 
 std::optional<steady_time> ownDomainDrainedSince(const roster_control &control)
 {
-    const auto &since = control.state.drained.since;
-    const auto found = since.find(control.state.self.member.domain);
-    return found == since.end() ? std::nullopt : std::optional(found->second);
+    return drainedSince(control.state.drained, control.state.self.member.domain);
 }
 
 } // namespace quetzalspool
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -12,6 +12,9 @@
 
 #include <gtest/gtest.h>
 
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+
 namespace quetzalspool::test {
 
 namespace {
@@ -154,16 +157,49 @@
 {
     catalog_state catalog;
     applyDocument(catalog, {"routes/a", {5}, std::make_shared<const std::string>("x")});
-    EXPECT_FALSE(handleDocumentRequest(catalog, {comparePath, {}, "nonsense"}));
-    EXPECT_FALSE(handleDocumentRequest(catalog, {"/other", {}, ""}));
-    EXPECT_TRUE(decodeDocuments("nonsense").empty());
-    const auto body = handleDocumentRequest(catalog, makeFetchRequest({"routes/a", "routes/none"}));
+    EXPECT_FALSE(handleDocumentRequest(catalog, {comparePath, {}, "nonsense"}, {}));
+    EXPECT_FALSE(handleDocumentRequest(catalog, {"/other", {}, ""}, {}));
+    EXPECT_TRUE(decodeDocuments("nonsense", {}).empty());
+    const auto body = handleDocumentRequest(catalog, makeFetchRequest({"routes/a", "routes/none"}), {});
     ASSERT_TRUE(body.has_value());
-    ASSERT_EQ(decodeDocuments(*body).size(), 1U);
-    const auto other = handleDocumentRequest(catalog, makeCompareRequest(catalog_state{}));
+    ASSERT_EQ(decodeDocuments(*body, {}).size(), 1U);
+    const auto other = handleDocumentRequest(catalog, makeCompareRequest(catalog_state{}), {});
     EXPECT_EQ(decodeDifferences(*other).size(), 1U);
 }
 
+// A drain that seems younger at each daemon that passes it on would let requests reach its targets after the bound.
+TEST(documents, theAgeOfADocumentIsPassedOn)
+{
+    catalog_state catalog;
+    const auto value = std::make_shared<const std::string>("x");
+    applyDocument(catalog, {"domains/a", {5}, value, now - milliseconds(700)});
+    applyDocument(catalog, {"domains/b", {5}, value});
+    const auto body = handleDocumentRequest(catalog, makeFetchRequest({"domains/a", "domains/b"}), now);
+    ASSERT_TRUE(body.has_value());
+    const steady_time askedAt{std::chrono::hours(90)};
+    const auto documents = decodeDocuments(*body, askedAt);
+    ASSERT_EQ(documents.size(), 2U);
+    EXPECT_EQ(documents[0].since, askedAt - milliseconds(700));
+    EXPECT_EQ(documents[1].since, askedAt - std::chrono::hours(1)) << "of unknown age";
+}
+
+// Daemons of earlier builds exchange three fields for each document.
+TEST(documents, rowsOfEarlierBuildsAreUnderstood)
+{
+    using earlier_row = std::tuple<std::string, std::int64_t, std::string>;
+    msgpack::sbuffer sent;
+    msgpack::pack(sent, std::vector<earlier_row>{{"routes/a", 5, "x"}});
+    const auto received = decodeDocuments({sent.data(), sent.size()}, {});
+    ASSERT_EQ(received.size(), 1U);
+    EXPECT_EQ(*received.front().value, "x");
+    catalog_state catalog;
+    applyDocument(catalog, {"routes/a", {5}, std::make_shared<const std::string>("x")});
+    const auto body = handleDocumentRequest(catalog, makeFetchRequest({"routes/a"}), {});
+    const auto rows = msgpack::unpack(body->data(), body->size()).get().as<std::vector<earlier_row>>();
+    ASSERT_EQ(rows.size(), 1U);
+    EXPECT_EQ(rows.front(), earlier_row("routes/a", 5, "x"));
+}
+
 TEST(route, cancelledRequestsAreNotForwarded)
 {
     daemon_shared shared;
--- a/packages/decisions/src/cells/catalog_base.h
+++ b/packages/decisions/src/cells/catalog_base.h
@@ -19,6 +19,7 @@
     std::string key; ///< Key, without the store's prefix.
     revision_number revision; ///< Revision of its last change.
     std::shared_ptr<const std::string> value; ///< Content.
+    steady_time since{}; ///< Earliest time at which this revision may have been stored; the epoch if unknown.
 };
 
 /** Documents, and a digest of their keys and revisions. */
--- a/packages/decisions/src/routing/routing.cpp
+++ b/packages/decisions/src/routing/routing.cpp
@@ -1,5 +1,6 @@
 /** @file routing.cpp Building routing views and lookups in them. */
 #include "allowed_regions_func.h"
+#include "drained_domains_func.h"
 #include "placement_func.h"
 #include "record_func.h"
 #include "roster_type.h"
@@ -15,6 +16,8 @@
 namespace {
 
 constexpr std::string_view cellPrefix = "cells/";
+constexpr milliseconds domainDrainBound{5000}; ///< Time after a domain's row is accepted as drained from which no
+                                               ///< request may reach its targets.
 constexpr std::size_t watchingCellsPerRegion = 3; ///< Cells of each region whose coordinators watch the store.
 
 std::shared_ptr<const cell_view> makeCellView(const cell_record &record, revision_number revision)
@@ -79,6 +82,19 @@
     }
 }
 
+/** Begins or ends the drain of a failure domain. A row that is removed or not drained puts the domain in service. */
+void setDomain(routing_view &view, const document &changed, const table_row &row)
+{
+    const domain_id domain{changed.key.substr(domainPrefix.size())};
+    const auto *known = std::get_if<domain_row>(&row);
+    if (known != nullptr && known->drained) {
+        view.drained.keyedLimit = keyedLimitFor(domainDrainBound);
+        beginDrain(view.drained, domain, changed.since);
+    } else {
+        endDrain(view.drained, domain);
+    }
+}
+
 /** Checks whether a prefix of a path ends at a segment boundary. */
 bool matchesPrefix(std::string_view path, std::string_view prefix)
 {
@@ -130,6 +146,8 @@
         setRoute(view, changed.key, *row);
     } else if (changed.key.starts_with("pools/")) {
         setPool(view, changed.key, *row);
+    } else if (changed.key.starts_with(domainPrefix)) {
+        setDomain(view, changed, *row);
     } else if (const auto *rules = std::get_if<rules_row>(&*row)) {
         view.rules = *rules;
     }
--- a/packages/decisions/src/scope/drained_domains_cmd.cpp
+++ b/packages/decisions/src/scope/drained_domains_cmd.cpp
@@ -29,10 +29,16 @@
     return drained.since.contains(domain);
 }
 
-bool isDrainOver(const drained_domains &drained, const domain_id &domain, steady_time now)
+std::optional<steady_time> drainedSince(const drained_domains &drained, const domain_id &domain)
 {
     const auto found = drained.since.find(domain);
-    return found != drained.since.end() && now - found->second >= drained.keyedLimit;
+    return found == drained.since.end() ? std::nullopt : std::optional(found->second);
+}
+
+bool isDrainOver(const drained_domains &drained, const domain_id &domain, steady_time now)
+{
+    const auto since = drainedSince(drained, domain);
+    return since && now - *since >= drained.keyedLimit;
 }
 
 } // namespace quetzalspool
--- a/packages/decisions/src/scope/drained_domains_func.h
+++ b/packages/decisions/src/scope/drained_domains_func.h
@@ -40,6 +40,14 @@
  */
 bool isDrained(const drained_domains &drained, const domain_id &domain);
 
+/**
+ * Looks up since when a domain may be drained.
+ * @param drained Drained domains.
+ * @param domain Domain.
+ * @return The earliest time; nothing while it is in service.
+ */
+std::optional<steady_time> drainedSince(const drained_domains &drained, const domain_id &domain);
+
 /**
  * Checks whether a domain is drained and even keyed requests must not reach its targets any more.
  * @param drained Drained domains.
--- a/packages/decisions/tests/routing_test.cpp
+++ b/packages/decisions/tests/routing_test.cpp
@@ -1,8 +1,10 @@
 /** @file routing_test.cpp Routing views, catalogs and the choice of external voters. */
 #include "catalog_func.h"
+#include "drained_domains_func.h"
 #include "record_func.h"
 #include "routing_func.h"
 #include "row_func.h"
+#include "scope_filter_func.h"
 
 #include <gtest/gtest.h>
 #include <set>
@@ -83,6 +85,74 @@
     EXPECT_FALSE(why.text.empty());
 }
 
+// A daemon that learns late must not serve keys for the whole limit from then on, and a row that is written again must
+// not extend it.
+TEST(routing, domainRowsBeginAndEndDrains)
+{
+    const steady_time start{std::chrono::hours(1)};
+    const domain_id domain{"z1"};
+    last_reason why;
+    auto drain = rowDocument("domains/z1", 20, domain_row{domain, true});
+    drain.since = start;
+    auto view = *withDocument(twoCellView(), drain, why);
+    EXPECT_EQ(drainedSince(view.drained, domain), start);
+    EXPECT_FALSE(isDrainOver(view.drained, domain, start + milliseconds(3749)));
+    EXPECT_TRUE(isDrainOver(view.drained, domain, start + milliseconds(3750)));
+    EXPECT_EQ(view.tablesRevision.value, 20);
+    drain.revision = {21};
+    drain.since = start + std::chrono::seconds(9);
+    view = *withDocument(view, drain, why);
+    EXPECT_EQ(drainedSince(view.drained, domain), start);
+    const auto restored = *withDocument(view, rowDocument("domains/z1", 22, domain_row{domain, false}), why);
+    EXPECT_FALSE(isDrained(restored.drained, domain));
+    const auto removed = *withDocument(view, rowDocument("domains/z1", 22, removed_row{}), why);
+    EXPECT_FALSE(isDrained(removed.drained, domain));
+    EXPECT_TRUE(
+        isDrained(withDocument(view, rowDocument("domains/z2", 22, domain_row{{"z2"}, false}), why)->drained, domain))
+        << "the row of another domain";
+    EXPECT_FALSE(withDocument(view, rowDocument("domains/z1", 22, domain_row{{"z2"}, false}), why));
+}
+
+// Requests with and without keys must not reach the domain; also if it is the last one of the pool.
+TEST(routing, targetsOfADrainedDomainAreOutOfScope)
+{
+    const steady_time start{std::chrono::hours(1)};
+    const pool_id pool{"keyed"};
+    last_reason why;
+    auto view = twoCellView(); // Its members are in the failure domain without a name.
+    auto north = std::make_shared<cell_view>(*view.cells.at({"a"}));
+    for (auto &member : north->members) {
+        member.domain.value = "z1";
+    }
+    auto south = std::make_shared<cell_view>(*view.cells.at({"b"}));
+    for (auto &member : south->members) {
+        member.domain.value = "z2";
+    }
+    view.cells[{"a"}] = north;
+    view.cells[{"b"}] = south;
+    auto drain = rowDocument("domains/z1", 20, domain_row{{"z1"}, true});
+    drain.since = start;
+    view = *withDocument(view, drain, why);
+    auto members = membersOf(view, pool);
+    EXPECT_EQ(keepInScope(view, {}, members), target_scope::open);
+    EXPECT_EQ(members.size(), 2U);
+    const auto inside = findOwner(view, pool, {0});
+    const auto outside = findOwner(view, pool, {6});
+    ASSERT_TRUE(inside && outside);
+    EXPECT_EQ(scopeOfOwner(view, *inside->member, {}, start + milliseconds(3749)), target_scope::open);
+    EXPECT_EQ(scopeOfOwner(view, *inside->member, {}, start + milliseconds(3750)), target_scope::drained);
+    EXPECT_EQ(scopeOfOwner(view, *outside->member, {}, start + milliseconds(3750)), target_scope::open);
+    drain = rowDocument("domains/z2", 21, domain_row{{"z2"}, true});
+    drain.since = start;
+    view = *withDocument(view, drain, why);
+    members = membersOf(view, pool);
+    EXPECT_EQ(keepInScope(view, {}, members), target_scope::drained);
+    EXPECT_EQ(scopeOfUnowned(view, pool, {}), target_scope::drained);
+    view = *withDocument(view, rowDocument("domains/z2", 22, domain_row{{"z2"}, false}), why);
+    EXPECT_EQ(scopeOfOwner(view, *findOwner(view, pool, {6})->member, {}, start + milliseconds(9000)),
+              target_scope::open);
+}
+
 TEST(routing, externalVotersAreSpread)
 {
     routing_view view;
