Add: slots of cells move out of drained failure domains

Cause: owners in a drained domain kept their slots, so keyed requests would be refused after 3.75 s. Change: members in drained domains may own no slots, so the coordinator plans their moves as those of leaving members: the owner finishes requests in progress and releases the slot before it is assigned. If no member outside can receive slots, the owners stay; a slot released just before the last domain was drained returns to its owner. Imbalance counts the same way.

--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -244,11 +244,12 @@
             for (const auto &slot : slots) {
                 unowned += findMember(*record, slot.owner) == nullptr ? 1 : 0;
             }
-            pools.push_back({{"cell", record->id.value},
-                             {"pool", pool.value},
-                             {"slots", slots.size()},
-                             {"unowned", unowned},
-                             {"imbalance", imbalanceOf(record->members, pool, slots)}});
+            pools.push_back(
+                {{"cell", record->id.value},
+                 {"pool", pool.value},
+                 {"slots", slots.size()},
+                 {"unowned", unowned},
+                 {"imbalance", imbalanceOf(record->members, pool, slots, control.shared->routing.load()->drained)}});
         }
     }
     return jsonResponse(200, pools.dump());
--- a/packages/daemon/src/cells/document_gossip.cpp
+++ b/packages/daemon/src/cells/document_gossip.cpp
@@ -75,10 +75,11 @@
     }
 }
 
-/** Updates the planned slots and rules of the own cell from the view. */
+/** Updates the planned slots, rules and drained domains of the own cell from the view. */
 void updatePlans(control_state &control, const routing_view &view)
 {
     auto &cell = ownCell(control);
+    cell.drained = view.drained;
     cell.plans.clear();
     for (auto &[pool, plan] : plansOf(view, cell.id)) {
         cell.plans[pool] = {std::move(plan.first), plan.second};
--- a/packages/decisions/src/cells/cell_base.h
+++ b/packages/decisions/src/cells/cell_base.h
@@ -3,6 +3,7 @@
 #define CELL_BASE_H
 
 #include "chart_type.h"
+#include "drained_domains_base.h"
 #include "lease_base.h"
 #include "placement_type.h"
 #include "voter_base.h"
@@ -94,6 +95,7 @@
     lease_state lease; ///< State as owner.
     coordinator_state coordinator; ///< State as coordinator.
     std::map<pool_id, pool_plan> plans; ///< Slots that this cell should hold, by pool.
+    drained_domains drained; ///< Failure domains out of service.
     std::optional<external_voter> externalVoter; ///< Candidate from another region, if one is known.
     std::map<fenced_slot, bool> releasedSlots; ///< Slots that this owner stopped serving; true once drained.
     std::map<fenced_slot, endpoint> releaseRequesters; ///< Coordinator to notify when a slot is drained.
--- a/packages/decisions/src/cells/placement.cpp
+++ b/packages/decisions/src/cells/placement.cpp
@@ -1,6 +1,8 @@
 /** @file placement.cpp Capacity-weighted slot placement with few moves. */
 #include "placement_func.h"
 
+#include "drained_domains_func.h"
+
 #include <algorithm>
 #include <cmath>
 #include <unordered_map>
@@ -31,14 +33,13 @@
 }
 
 member_shares countShares(const std::vector<cell_member> &members, const pool_id &pool,
-                          const std::vector<slot_assignment> &slots)
+                          const std::vector<slot_assignment> &slots, const drained_domains &drained)
 {
     member_shares table;
     double weight = 0;
     for (const auto &member : members) {
-        // A member without a target of the pool must own no slots, but keeps those it has until it releases them.
-        const bool eligible = member.target.pool == pool && !member.leaving;
-        const double own = eligible ? std::max<std::uint32_t>(member.target.slots, 1) : 0;
+        // A member that cannot receive slots must own none, but keeps those it has until it releases them.
+        const double own = canReceiveSlots(member, pool, drained) ? std::max<std::uint32_t>(member.target.slots, 1) : 0;
         weight += own;
         table.rows.push_back({member.id, own, 0});
     }
@@ -79,10 +80,15 @@
 
 } // namespace
 
+bool canReceiveSlots(const cell_member &member, const pool_id &pool, const drained_domains &drained)
+{
+    return member.target.pool == pool && !member.leaving && !isDrained(drained, member.domain);
+}
+
 std::vector<slot_move> assignUnowned(const std::vector<cell_member> &members, const pool_id &pool,
-                                     const std::vector<slot_assignment> &slots)
+                                     const std::vector<slot_assignment> &slots, const drained_domains &drained)
 {
-    auto table = countShares(members, pool, slots);
+    auto table = countShares(members, pool, slots, drained);
     std::vector<slot_move> moves;
     for (const auto &slot : slots) {
         if (table.rowOf.contains(slot.owner)) {
@@ -99,9 +105,10 @@
 }
 
 std::vector<slot_move> planRebalance(const std::vector<cell_member> &members, const pool_id &pool,
-                                     const std::vector<slot_assignment> &slots, const placement_rules &rules)
+                                     const std::vector<slot_assignment> &slots, const placement_rules &rules,
+                                     const drained_domains &drained)
 {
-    auto table = countShares(members, pool, slots);
+    auto table = countShares(members, pool, slots, drained);
     std::vector<slot_move> moves;
     std::size_t voluntary = 0;
     for (const auto &slot : slots) {
@@ -146,10 +153,10 @@
 }
 
 double imbalanceOf(const std::vector<cell_member> &members, const pool_id &pool,
-                   const std::vector<slot_assignment> &slots)
+                   const std::vector<slot_assignment> &slots, const drained_domains &drained)
 {
     double worst = 0;
-    for (const auto &row : countShares(members, pool, slots).rows) {
+    for (const auto &row : countShares(members, pool, slots, drained).rows) {
         if (row.fair > 0) {
             worst = std::max(worst, static_cast<double>(row.owned) / row.fair - 1.0);
         }
--- a/packages/decisions/src/cells/plan_cmd.cpp
+++ b/packages/decisions/src/cells/plan_cmd.cpp
@@ -143,18 +143,35 @@
     draft.changed = true;
 }
 
+/**
+ * Owner of a slot that was released: the planned one if it can still receive slots, else any other member that can
+ * (empty; assigned in the same write). If a drain leaves none, the slot returns to its owner, which serves it at once
+ * when the domain is back in service.
+ */
+instance_id ownerAfterRelease(const cell_state &state, const cell_record &record, const pool_id &pool,
+                              const slot_release &release)
+{
+    const auto *recipient = findMember(record, release.to);
+    if (recipient != nullptr && canReceiveSlots(*recipient, pool, state.drained)) {
+        return recipient->id;
+    }
+    const auto *owner = findMember(record, release.from);
+    const bool returns = owner != nullptr && canReceiveSlots(*owner, pool, {})
+        && std::none_of(record.members.begin(), record.members.end(),
+                        [&](const auto &member) { return canReceiveSlots(member, pool, state.drained); });
+    return returns ? owner->id : instance_id{};
+}
+
 void planAssignments(const cell_state &state, record_draft &draft)
 {
     for (const auto &[slot, release] : state.coordinator.releases) {
-        const auto *recipient = findMember(draft.record, release.to);
         const auto pool = draft.record.pools.find(slot.pool);
         if (release.released && pool != draft.record.pools.end()) {
-            const bool usable = recipient != nullptr && !recipient->leaving && recipient->target.pool == slot.pool;
-            assign(draft, pool->second, slot.slot, usable ? recipient->id : instance_id{});
+            assign(draft, pool->second, slot.slot, ownerAfterRelease(state, draft.record, slot.pool, release));
         }
     }
     for (auto &[pool, slots] : draft.record.pools) {
-        for (const auto &move : assignUnowned(draft.record.members, pool, slots)) {
+        for (const auto &move : assignUnowned(draft.record.members, pool, slots, state.drained)) {
             assign(draft, slots, move.slot, move.to);
         }
     }
--- a/packages/decisions/src/cells/reassign_cmd.cpp
+++ b/packages/decisions/src/cells/reassign_cmd.cpp
@@ -88,7 +88,7 @@
     for (const auto &[pool, slots] : state.stored.record.pools) {
         const auto plan = state.plans.find(pool);
         const auto rules = plan == state.plans.end() ? placement_rules{} : plan->second.rules;
-        for (const auto &move : planRebalance(state.stored.record.members, pool, slots, rules)) {
+        for (const auto &move : planRebalance(state.stored.record.members, pool, slots, rules, state.drained)) {
             const auto row = std::find_if(slots.begin(), slots.end(),
                                           [&](const auto &assigned) { return assigned.slot == move.slot; });
             state.coordinator.releases.try_emplace(fenced_slot{pool, move.slot, row->fence},
