Add: system tests of failure domains taken out and back

Cause: the bound of 5 s was tested without processes only. Change: one test takes a domain out under load and back; the other takes both domains of a cell out, restarts a daemon inside, and puts one domain back. Targets log what they receive.

--- a/standins/tests/system_test.cpp
+++ b/standins/tests/system_test.cpp
@@ -21,6 +21,7 @@
 
 constexpr milliseconds startTimeout{30000};
 constexpr milliseconds maxRecoveryTime{2000}; ///< Every key is served again within this time after a loss.
+constexpr milliseconds domainDrainBound{5000}; ///< No request reaches a drained domain from then on.
 constexpr milliseconds maxReplicationTime{10000}; ///< A change is in force at every daemon within this time.
 
 /** Returns a new port range for each fleet, so that fleets never share ports. */
@@ -94,6 +95,53 @@
         return result;
     }
 
+    /** Starts a load of requests without keys and orders with keys, half of each, through all daemons. */
+    void startMixedLoad(double rate, seconds duration)
+    {
+        load_options options;
+        options.callers = running->callers();
+        options.rate = rate;
+        options.duration = duration;
+        options.path = "/batches";
+        options.orderPath = "/releases/{key}";
+        options.orderShare = 0.5;
+        options.progress = false;
+        options.history = running->plan().workFolder + "/history";
+        load = std::thread([options] { runLoad(options); });
+    }
+
+    /** Takes a failure domain out of service or back. Returns the time at which the change was accepted. */
+    steady_time setDomain(const std::string &domain, bool drained)
+    {
+        const json row{{"name", domain}, {"drained", drained}};
+        const auto response =
+            running->post(running->plan().instances.back().name, "/v1/apply",
+                          {{"operator", "o"}, {"rows", json::array({{{"key", "domains/" + domain}, {"row", row}}})}});
+        EXPECT_EQ(response.value("outcome", ""), "accepted") << response.dump();
+        return elapsed_clock::now();
+    }
+
+    /** Counts the requests that targets of a failure domain received within a span of time. */
+    std::size_t executionsIn(const std::string &domain, steady_time from, steady_time until)
+    {
+        const auto microsecondsOf = [](steady_time at) {
+            return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
+        };
+        std::set<std::string> names;
+        for (const auto &instance : running->plan().instances) {
+            if (instance.domain == domain) {
+                names.insert(instance.name);
+            }
+        }
+        std::size_t count = 0;
+        for (const auto &execution : running->executions()) {
+            const auto at = execution.value("at_us", std::int64_t(0));
+            const bool inside = names.contains(execution.value("target", ""));
+            count += inside && at >= microsecondsOf(from) && at < microsecondsOf(until) ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns the time from the start of the first failed request to the end of the last one, in milliseconds. */
     static double failureSpanMs(const std::vector<json> &requests)
     {
@@ -290,6 +338,58 @@
     EXPECT_LE(failureSpan, static_cast<double>(maxRecoveryTime.count()));
 }
 
+// Requests that still arrive after the bound would be lost when the operator switches the domain off.
+TEST_F(system_failures, aDrainedDomainGetsNoRequestsUntilItReturns)
+{
+    startFleet(6, 4);
+    const auto startedAt = elapsed_clock::now();
+    startMixedLoad(200, seconds(16));
+    std::this_thread::sleep_for(seconds(2));
+    const auto drainedAt = setDomain("north-1", true);
+    std::this_thread::sleep_for(seconds(8));
+    const auto restoredAt = setDomain("north-1", false);
+    const auto result = finishLoad("a failure domain taken out and back");
+    const auto endedAt = elapsed_clock::now();
+    EXPECT_GT(executionsIn("north-1", startedAt, drainedAt), 0U);
+    EXPECT_EQ(executionsIn("north-1", drainedAt + domainDrainBound, restoredAt), 0U);
+    EXPECT_GT(executionsIn("north-1", restoredAt, endedAt), 0U);
+    EXPECT_EQ(result.notRun + result.unknown + result.broken, 0U);
+}
+
+// With both failure domains of a cell drained, its slots have nowhere to go: their owners must stay, so that they serve
+// at once after the return. A daemon that starts meanwhile must not open its target.
+TEST_F(system_failures, theLastDomainsOfACellRefuseUntilTheyReturn)
+{
+    startFleet(6, 4);
+    startMixedLoad(150, seconds(15));
+    std::this_thread::sleep_for(seconds(1));
+    setDomain("north-1", true);
+    const auto drainedAt = setDomain("north-2", true);
+    std::this_thread::sleep_for(seconds(5));
+    running->signalDaemon("any-7", SIGKILL);
+    running->startDaemon("any-7");
+    std::this_thread::sleep_for(seconds(4));
+    EXPECT_EQ(running->metric("any-7", "drained_domains"), 2);
+    EXPECT_TRUE(running->allOwned());
+    const auto restoredAt = setDomain("north-1", false);
+    finishLoad("both failure domains of a cell taken out, one back");
+    const auto endedAt = elapsed_clock::now();
+    EXPECT_EQ(executionsIn("north-1", drainedAt + domainDrainBound, restoredAt), 0U);
+    EXPECT_EQ(executionsIn("north-2", drainedAt + domainDrainBound, endedAt), 0U);
+    EXPECT_GT(executionsIn("north-1", restoredAt, endedAt), 0U);
+    std::set<std::string> reasons;
+    std::size_t refusedAfterReturn = 0;
+    const auto returned = std::chrono::duration_cast<std::chrono::microseconds>(restoredAt.time_since_epoch()).count();
+    for (const auto &request : readLines(running->plan().workFolder + "/history")) {
+        if (request.value("outcome", "") == "not-run") {
+            reasons.insert(request.value("reason", ""));
+            refusedAfterReturn += request.value("start_us", std::int64_t(0)) > returned + 2000000 ? 1 : 0;
+        }
+    }
+    EXPECT_TRUE(reasons.contains("domain-drained"));
+    EXPECT_EQ(refusedAfterReturn, 0U);
+}
+
 TEST_F(system_failures, concurrentEditsOfOneRowAcceptOnlyOne)
 {
     startFleet(5, 4);
