Add: system tests of the domain commands and of a daemon that was cut off

Cause: the client's commands and the way of a row through the exchange of documents were tested by hand only. Change: one test runs domain, domain drain, domain restore and remove against a fleet; in the other a frozen daemon learns of a drain from other daemons while the store is down, and then sends its callers' requests to a target outside.

--- a/standins/tests/system_test.cpp
+++ b/standins/tests/system_test.cpp
@@ -1,4 +1,5 @@
 /** @file system_test.cpp Tests process failures in a fleet on loopback by checking the request histories. */
+#include "client_type.h"
 #include "elapsed_clock.h"
 #include "fleet.h"
 #include "history.h"
@@ -121,6 +122,33 @@
         return elapsed_clock::now();
     }
 
+    /** Runs a command of the client with JSON output. Returns its exit code and output. */
+    std::pair<int, std::string> runClient(std::vector<std::string> arguments, bool dryRun = false)
+    {
+        client_options options;
+        options.daemon = running->portsOf(running->plan().instances.front().name).admin;
+        options.json = true;
+        options.wait = true;
+        options.dryRun = dryRun;
+        options.arguments = std::move(arguments);
+        testing::internal::CaptureStdout();
+        const auto code = runCommand(options);
+        return {code, testing::internal::GetCapturedStdout()};
+    }
+
+    /** Returns the state of a failure domain as the client lists it. */
+    std::string listedState(const std::string &domain)
+    {
+        const auto [code, output] = runClient({"domain"});
+        EXPECT_EQ(code, exit_success);
+        for (const auto &row : json::parse(output)) {
+            if (row.at("domain") == domain) {
+                return row.at("state");
+            }
+        }
+        return "";
+    }
+
     /** Counts the requests that targets of a failure domain received within a span of time. */
     std::size_t executionsIn(const std::string &domain, steady_time from, steady_time until)
     {
@@ -338,6 +366,31 @@
     EXPECT_LE(failureSpan, static_cast<double>(maxRecoveryTime.count()));
 }
 
+// A command that reports success without effect would let the operator switch off a domain that is in service.
+TEST_F(system_failures, theDomainCommandsWriteAndListTheRows)
+{
+    startFleet(3, 2);
+    EXPECT_EQ(listedState("north-1"), "in service");
+    EXPECT_EQ(runClient({"domain", "drain", "north-1"}, true).first, exit_success);
+    EXPECT_EQ(listedState("north-1"), "in service") << "a dry run";
+    EXPECT_EQ(runClient({"domain", "drain", "north-1"}).first, exit_success);
+    EXPECT_EQ(listedState("north-1"), "drained");
+    EXPECT_EQ(listedState("north-2"), "in service");
+    for (const auto &instance : running->plan().instances) {
+        EXPECT_TRUE(running->waitFor(seconds(1), [&] {
+            return running->metric(instance.name, "drained_domains") == 1;
+        })) << instance.name;
+    }
+    EXPECT_EQ(runClient({"domain", "restore", "north-1"}).first, exit_success);
+    EXPECT_EQ(listedState("north-1"), "in service");
+    EXPECT_EQ(runClient({"domain", "drain", "west-9"}).first, exit_success) << "its instances may be down";
+    EXPECT_EQ(listedState("west-9"), "drained");
+    EXPECT_EQ(runClient({"remove", "domains/west-9"}).first, exit_success);
+    EXPECT_EQ(listedState("west-9"), "");
+    EXPECT_EQ(runClient({"domain", "drain", ""}).first, exit_usage);
+    EXPECT_EQ(runClient({"domain", "close", "north-1"}).first, exit_usage);
+}
+
 // Requests that still arrive after the bound would be lost when the operator switches the domain off.
 TEST_F(system_failures, aDrainedDomainGetsNoRequestsUntilItReturns)
 {
@@ -390,6 +443,27 @@
     EXPECT_EQ(refusedAfterReturn, 0U);
 }
 
+// A daemon that misses the announcement and can't read the store must learn of the drain from the others.
+TEST_F(system_failures, aDaemonThatWasCutOffLearnsOfADrain)
+{
+    startFleet(3, 2);
+    running->signalDaemon("any-4", SIGSTOP);
+    setDomain("north-1", true);
+    std::this_thread::sleep_for(seconds(5));
+    running->injectStoreFaults({{"down", true}});
+    running->signalDaemon("any-4", SIGCONT);
+    EXPECT_TRUE(running->waitFor(seconds(5), [this] { return running->metric("any-4", "drained_domains") == 1; }));
+    const auto learnedAt = elapsed_clock::now();
+    load_options options;
+    options.callers = {running->portsOf("any-4").callers};
+    options.path = "/batches";
+    options.duration = seconds(2);
+    options.progress = false;
+    const auto result = runLoad(options);
+    EXPECT_EQ(result.lookups.answered, 200U) << "by the target outside";
+    EXPECT_EQ(executionsIn("north-1", learnedAt, elapsed_clock::now()), 0U);
+}
+
 TEST_F(system_failures, concurrentEditsOfOneRowAcceptOnlyOne)
 {
     startFleet(5, 4);
