Codechange: the choice of a target is a function without I/O

The eligible targets of a request, the choice among them and the reason of a refusal were computed inside the daemon's request_router.cpp, and the scores inside chooseTarget and chooseByCompletion, so that nothing else could state them. They are now findEligible, chooseEligible and refusalWithoutTarget (decisions/src/scope), loadScore, completionScore, expectedLoad, learnedSlowness and considersOtherRegions. The version of the tables and whether there are any are functions of the view.

--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -111,24 +111,12 @@
     co_return !code;
 }
 
-/** Version of the tables of a view; 0 before the first. */
-std::uint64_t tablesVersion(const routing_view &view)
-{
-    return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
-}
-
 /** Whether the limits for callers are those of tables that the daemon has not received yet. */
 bool awaitsLimits(const daemon_shared &shared, const routing_view &view)
 {
     return shared.settings.roster && !view.table;
 }
 
-/** Whether the daemon has received no routes yet. */
-bool awaitsRoutes(const daemon_shared &shared, const routing_view &view)
-{
-    return shared.settings.roster ? !view.table : view.routes.empty();
-}
-
 /** Validates the headers, then reads the body and finds the key. */
 asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
                                                              std::shared_ptr<const routing_view> view,
@@ -140,8 +128,9 @@
     const auto target = parseTarget(std::string(parser->get().target()), hostHeader);
     const auto *found = findRoute(*view, target.host, target.path);
     if (found == nullptr) {
-        rejection = awaitsRoutes(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
-                                                        : caller_refusal{404, "no-route"};
+        rejection = hasRoutes(*view, thread.shared->settings.roster.has_value())
+            ? caller_refusal{404, "no-route"}
+            : caller_refusal{serviceUnavailable, "no-tables-yet"};
         co_return std::nullopt;
     }
     auto route = *found;
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -1,17 +1,16 @@
 /** @file request_router.cpp Routes a request to its target, with retries. */
 #include "request_router.h"
 
-#include "allowed_regions_func.h"
 #include "balance_func.h"
 #include "completion_choice_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
+#include "eligible_targets_func.h"
 #include "final_status.h"
 #include "leaving_target_func.h"
 #include "local_attempt.h"
 #include "peer_wire.h"
 #include "routing_func.h"
-#include "scope_filter_func.h"
 #include "speed_exchange.h"
 
 #include <set>
@@ -25,9 +24,7 @@
 constexpr milliseconds connectTimeout{400}; ///< Time limit for connecting to another daemon.
 constexpr milliseconds cancelTimeout{300}; ///< Time limit for cancelling an attempt at another daemon.
 constexpr milliseconds ownerCheckInterval{150}; ///< Interval of the checks whether the slot still has the same owner.
-constexpr milliseconds noOwnerRetryAfter{1000}; ///< Suggested retry time if no owner is known or reachable.
-
-constexpr milliseconds outOfScopeRetryAfter{1000}; ///< Suggested retry time if no target may serve the request.
+constexpr milliseconds unreachableRetryAfter{1000}; ///< Suggested retry time if the owner is not reachable.
 
 constexpr const char *quarantinedReason = "quarantined"; ///< Reason of requests that this daemon does not route.
 
@@ -52,9 +49,8 @@
     std::optional<fenced_slot> slot; ///< Slot and fence, for keyed pools.
     revision_number ownersRevision; ///< Revision of the ownership record that named the daemon, for keyed pools.
     std::optional<double> expected; ///< Expected completion time by which it was chosen, if speeds are learned.
-    bool poolKnown = false; ///< Whether the pool is in the tables.
     bool hasAlternative = false; ///< Whether another target remains to be tried after this one.
-    target_scope scope = target_scope::open; ///< Why no target may serve the request, if that is the case.
+    eligible_targets targets; ///< Targets that may serve the request; refers to the view.
 };
 
 std::string makeToken(traffic_thread &thread)
@@ -72,51 +68,29 @@
     route_choice choice;
     choice.view = thread.shared->routing.load();
     const auto &request = *state.request;
-    const auto pool = choice.view->pools.find(request.pool);
-    choice.poolKnown = pool != choice.view->pools.end();
-    if (!choice.poolKnown) {
-        return choice;
-    }
-    const auto allowed = findAllowedRegions(*choice.view, request.host, request.http.path, request.regions);
-    if (pool->second.row.keyed) {
-        const auto slot = findSlot(request.key, pool->second.row);
-        const auto owner = slot ? findOwner(*choice.view, request.pool, *slot) : std::nullopt;
-        if (owner) {
-            choice.scope = scopeOfOwner(*choice.view, *owner->member, allowed, clock::now());
-            choice.member = choice.scope == target_scope::open ? owner->member : nullptr;
-            choice.slot = fenced_slot{request.pool, *slot, owner->fence};
-            choice.ownersRevision = owner->revision;
-        } else {
-            choice.scope = scopeOfUnowned(*choice.view, request.pool, allowed);
-        }
-        return choice;
-    }
-    auto members = membersOf(*choice.view, request.pool);
-    choice.scope = keepInScope(*choice.view, allowed, members);
-    const auto reserved = choice.view->reserved.find(request.pool);
-    const bool yields = !allowed.restricted && reserved != choice.view->reserved.end();
-    choice.member = chooseMemberOf(thread, members, state.tried,
-                                   yields ? std::span<const region_id>(reserved->second) : std::span<const region_id>());
-    if (choice.member == nullptr && choice.scope == target_scope::open && allowed.restricted) {
-        choice.scope = target_scope::not_allowed; // All targets of the allowed regions are leaving.
+    const auto now = clock::now();
+    auto &targets = choice.targets;
+    targets =
+        findEligible(*choice.view, {request.host, request.http.path, request.pool, request.key, request.regions}, now);
+    const auto rules = choiceRules(thread.shared->settings);
+    choice.member = chooseEligible(targets, thread.balance, rules, state.tried, thread.random, now);
+    if (targets.owner) {
+        choice.slot = fenced_slot{request.pool, *targets.slot, targets.owner->fence};
+        choice.ownersRevision = targets.owner->revision;
     }
-    if (choice.member != nullptr && thread.shared->settings.learnSpeeds) {
-        choice.expected = expectedCompletion(thread.balance, *choice.member, clock::now());
+    if (choice.member != nullptr && !targets.keyed && rules.bySpeed) {
+        choice.expected = expectedCompletion(thread.balance, *choice.member, now);
     }
-    choice.hasAlternative = countUntried(members, state.tried) > 1;
+    choice.hasAlternative = countUntried(targets.members, state.tried) > 1;
     return choice;
 }
 
 /** Outcome of an attempt for which no target was chosen. */
 request_outcome noTargetOutcome(const route_choice &choice)
 {
-    request_outcome outcome{attempt_result::not_run, refusal::none, choice.poolKnown ? "no-owner" : "no-pool",
-                            noOwnerRetryAfter};
+    const auto refused = refusalWithoutTarget(choice.targets);
+    request_outcome outcome{attempt_result::not_run, refusal::none, refused.reason, refused.retryAfter};
     outcome.reachedOwner = false;
-    if (choice.scope != target_scope::open) {
-        outcome.reasonText = nameOf(choice.scope);
-        outcome.retryAfter = outOfScopeRetryAfter;
-    }
     return outcome;
 }
 
@@ -243,7 +217,7 @@
     }
     const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout);
     if (!opened.call) {
-        request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetryAfter};
+        request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", unreachableRetryAfter};
         outcome.reachedOwner = false;
         co_return outcome;
     }
@@ -338,8 +312,7 @@
 {
     attempt_trace trace;
     trace.slot = choice.slot;
-    trace.tables = choice.view->table ? choice.view->table->rows.version
-                                      : static_cast<std::uint64_t>(choice.view->tablesRevision.value);
+    trace.tables = tablesVersion(*choice.view);
     trace.owners = choice.ownersRevision;
     if (choice.member != nullptr) {
         trace.owner = choice.member->id;
@@ -416,7 +389,7 @@
             state.unknownReason = outcome.reasonText;
         }
         state.last = outcome;
-        if (outcome.result == attempt_result::answered || choice.scope != target_scope::open
+        if (outcome.result == attempt_result::answered || choice.targets.scope != target_scope::open
             || state.sink->isCancelled()) {
             co_return finalOutcome(state);
         }
--- a/packages/daemon/src/requests/speed_exchange.cpp
+++ b/packages/daemon/src/requests/speed_exchange.cpp
@@ -1,4 +1,4 @@
-/** @file speed_exchange.cpp Exchange of the speeds and loads of targets between daemons, and the choice of a target. */
+/** @file speed_exchange.cpp Exchange of the speeds and loads of targets between daemons. */
 #include "speed_exchange.h"
 
 #include "admission_estimate_func.h"
@@ -34,13 +34,9 @@
     return speed;
 }
 
-const cell_member *chooseMemberOf(traffic_thread &thread, const std::vector<const cell_member *> &members,
-                                  const std::set<instance_id> &tried, std::span<const region_id> reserved)
+choice_rules choiceRules(const daemon_settings &settings)
 {
-    const auto &settings = thread.shared->settings;
-    const balancer_location location{settings.instance, settings.region, settings.domain, reserved};
-    const auto choose = settings.learnSpeeds ? chooseByCompletion : chooseTarget;
-    return choose(thread.balance, members, tried, location, thread.random, clock::now());
+    return {{settings.instance, settings.region, settings.domain}, settings.learnSpeeds};
 }
 
 void recordReport(traffic_thread &thread, const cell_member &member, const routed_request &request,
--- a/packages/daemon/src/requests/speed_exchange.h
+++ b/packages/daemon/src/requests/speed_exchange.h
@@ -1,8 +1,8 @@
-/** @file speed_exchange.h Exchange of the speeds and loads of targets between daemons, and the choice of a target. */
+/** @file speed_exchange.h Exchange of the speeds and loads of targets between daemons. */
 #ifndef SPEED_EXCHANGE_H
 #define SPEED_EXCHANGE_H
 
-#include "balance_func.h"
+#include "eligible_targets_func.h"
 #include "outcome_type.h"
 #include "traffic_base.h"
 
@@ -24,15 +24,11 @@
 local_speed currentSpeed(daemon_shared &shared, const routed_request &request);
 
 /**
- * Chooses the target of an attempt in a pool without keys: by expected completion if speeds are learned, else by load.
- * @param thread Traffic thread.
- * @param members Targets of the pool.
- * @param tried Targets already tried.
- * @param reserved Regions whose targets other requests need; empty if the request is restricted itself.
- * @return The target, or null if none is left.
+ * Returns how this daemon chooses targets in pools without keys.
+ * @param settings Settings of the daemon.
+ * @return By expected completion if speeds are learned, else by load.
  */
-const cell_member *chooseMemberOf(traffic_thread &thread, const std::vector<const cell_member *> &members,
-                                  const std::set<instance_id> &tried, std::span<const region_id> reserved);
+choice_rules choiceRules(const daemon_settings &settings);
 
 /**
  * Records the load and speed of a target that an attempt has shown.
--- a/packages/decisions/src/routing/balance_cmd.cpp
+++ b/packages/decisions/src/routing/balance_cmd.cpp
@@ -31,15 +31,6 @@
     return found == state.targets.end() ? unknown : found->second;
 }
 
-/** Returns the requests per slot of a target: the load it reported, if recent, but at least the requests that this
- * thread has in flight there. */
-double currentLoad(const balance_state &state, const cell_member &member, steady_time now)
-{
-    const auto &stats = statsOf(state, member.id);
-    const auto own = static_cast<double>(stats.inFlight) / std::max<std::uint32_t>(member.target.slots, 1);
-    return now - stats.loadReportedAt < maxLoadReportAge ? std::max(own, stats.loadPerSlot) : own;
-}
-
 } // namespace
 
 bool isReserved(const balancer_location &location, const region_id &region)
@@ -63,6 +54,25 @@
     return member.domain == location.domain ? sameDomainPenalty : otherDomainPenalty;
 }
 
+double currentLoad(const balance_state &state, const cell_member &member, steady_time now)
+{
+    const auto &stats = statsOf(state, member.id);
+    const auto own = static_cast<double>(stats.inFlight) / std::max<std::uint32_t>(member.target.slots, 1);
+    return now - stats.loadReportedAt < maxLoadReportAge ? std::max(own, stats.loadPerSlot) : own;
+}
+
+bool isEjected(const balance_state &state, const instance_id &target, steady_time now)
+{
+    return now < statsOf(state, target).ejectedUntil;
+}
+
+double loadScore(const balance_state &state, const cell_member &member, const balancer_location &location,
+                 steady_time now)
+{
+    return currentLoad(state, member, now) + distancePenalty(member, location)
+        + (isEjected(state, member.id, now) ? ejectedPenalty : 0);
+}
+
 const cell_member *chooseTarget(const balance_state &state, const std::vector<const cell_member *> &members,
                                 const std::set<instance_id> &tried, const balancer_location &location,
                                 std::mt19937_64 &random, steady_time now)
@@ -73,10 +83,8 @@
         if (member->leaving || tried.contains(member->id)) {
             continue;
         }
-        const bool ejected = now < statsOf(state, member->id).ejectedUntil;
         const auto jitter = static_cast<double>(random() % jitterSteps) / jitterSteps * maxJitter;
-        const auto score = currentLoad(state, *member, now) + distancePenalty(*member, location)
-            + (ejected ? ejectedPenalty : 0) + jitter;
+        const auto score = loadScore(state, *member, location, now) + jitter;
         if (best == nullptr || score < bestScore) {
             best = member;
             bestScore = score;
--- a/packages/decisions/src/routing/balance_func.h
+++ b/packages/decisions/src/routing/balance_func.h
@@ -46,6 +46,36 @@
  */
 double distancePenalty(const cell_member &member, const balancer_location &location);
 
+/**
+ * Returns the load of a target: the load that it reported, if recent, but at least the requests that this thread has in
+ * flight there.
+ * @param state Load balancing state.
+ * @param member Target.
+ * @param now Current time.
+ * @return Requests per slot.
+ */
+double currentLoad(const balance_state &state, const cell_member &member, steady_time now);
+
+/**
+ * Checks whether a target is ejected after consecutive failures.
+ * @param state Load balancing state.
+ * @param target Target.
+ * @param now Current time.
+ * @return Whether it is chosen only if no other is left.
+ */
+bool isEjected(const balance_state &state, const instance_id &target, steady_time now);
+
+/**
+ * Returns the score by which targets are compared, without the random part: load, distance and ejection.
+ * @param state Load balancing state.
+ * @param member Target.
+ * @param location Location of this daemon.
+ * @param now Current time.
+ * @return Score; the target with the lowest one is preferred.
+ */
+double loadScore(const balance_state &state, const cell_member &member, const balancer_location &location,
+                 steady_time now);
+
 /**
  * Chooses the target with the lowest load, with distance added as a penalty: the local target is preferred, then one of
  * the same failure domain, then one of the same region, until it is clearly more loaded than a more distant one.
--- a/packages/decisions/src/routing/routing.cpp
+++ b/packages/decisions/src/routing/routing.cpp
@@ -159,6 +159,16 @@
     return found == view.routes.end() ? nullptr : &*found;
 }
 
+bool hasRoutes(const routing_view &view, bool complete)
+{
+    return complete ? view.table != nullptr : !view.routes.empty();
+}
+
+std::uint64_t tablesVersion(const routing_view &view)
+{
+    return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
+}
+
 slot_number hashToSlot(std::string_view key, std::uint32_t slots)
 {
     return {static_cast<std::uint32_t>(XXH3_64bits(key.data(), key.size()) % slots)};
--- a/packages/decisions/src/routing/routing_func.h
+++ b/packages/decisions/src/routing/routing_func.h
@@ -28,6 +28,21 @@
  */
 const route_row *findRoute(const routing_view &view, std::string_view host, std::string_view path);
 
+/**
+ * Checks whether a view has any routes.
+ * @param view View.
+ * @param complete Whether the deployment has complete tables from an external source.
+ * @return Whether its tables were received.
+ */
+bool hasRoutes(const routing_view &view, bool complete);
+
+/**
+ * Returns the version of the tables of a view.
+ * @param view View.
+ * @return Version of complete tables, else the highest revision of any row; 0 before the first.
+ */
+std::uint64_t tablesVersion(const routing_view &view);
+
 /**
  * Indexes complete tables from an external source.
  * @param rows Rows; every prefix ends with a slash.
--- a/packages/decisions/src/speed/completion_choice_cmd.cpp
+++ b/packages/decisions/src/speed/completion_choice_cmd.cpp
@@ -45,31 +45,13 @@
     return std::exp(-std::chrono::duration<double>(now - since) / memory);
 }
 
-/** Service time of a target relative to the mean of its pool. */
-double slownessOf(const target_stats &stats, steady_time now)
-{
-    return 1 + (stats.pace.slowness - 1) * remaining(stats.pace.reportedAt, speedMemory, now);
-}
-
 /** Mean load of the targets of a pool in a region. */
 double meanLoad(const pool_pace &pool, const region_id &region, steady_time now)
 {
     const auto found = pool.loads.find(region);
-    return found == pool.loads.end() ? 0
-                                     : found->second.loadPerSlot * remaining(found->second.reportedAt, regionMemory, now);
-}
-
-/** Expected load of a target with one more request: admitted and queued requests per slot. */
-double expectedLoad(const balance_state &state, const cell_member &member, steady_time now)
-{
-    const double slots = std::max<std::uint32_t>(member.target.slots, 1);
-    auto load = meanLoad(paceOf(state, member.target.pool), member.region, now);
-    if (const auto *stats = findStats(state, member.id); stats != nullptr) {
-        const auto known = remaining(stats->loadReportedAt, loadMemory, now);
-        const auto sent = stats->pace.sentSinceReport / slots;
-        load = std::max(load + (stats->loadPerSlot - load) * known + sent, stats->inFlight / slots);
-    }
-    return load + 1 / slots;
+    return found == pool.loads.end()
+        ? 0
+        : found->second.loadPerSlot * remaining(found->second.reportedAt, regionMemory, now);
 }
 
 void updateMean(double &mean, double value)
@@ -88,8 +70,7 @@
 void consider(best_candidate &best, const balance_state &state, const cell_member &member,
               const balancer_location &location, steady_time now)
 {
-    const auto distance = yieldsTo(location, member.region) ? reservedDistance : distancePenalty(member, location);
-    const auto score = expectedCompletion(state, member, now) * (1 + distance);
+    const auto score = completionScore(state, member, location, now);
     if (best.member == nullptr || score < best.score) {
         best = {&member, score};
     }
@@ -108,21 +89,50 @@
     if (member.leaving || tried.contains(member.id)) {
         return false;
     }
-    const auto *stats = findStats(state, member.id);
-    return stats == nullptr || now >= stats->ejectedUntil;
+    return !isEjected(state, member.id, now);
 }
 
 } // namespace
 
+double expectedLoad(const balance_state &state, const cell_member &member, steady_time now)
+{
+    const double slots = std::max<std::uint32_t>(member.target.slots, 1);
+    auto load = meanLoad(paceOf(state, member.target.pool), member.region, now);
+    if (const auto *stats = findStats(state, member.id); stats != nullptr) {
+        const auto known = remaining(stats->loadReportedAt, loadMemory, now);
+        const auto sent = stats->pace.sentSinceReport / slots;
+        load = std::max(load + (stats->loadPerSlot - load) * known + sent, stats->inFlight / slots);
+    }
+    return load + 1 / slots;
+}
+
+double learnedSlowness(const balance_state &state, const instance_id &target, steady_time now)
+{
+    const auto *stats = findStats(state, target);
+    return stats == nullptr ? 1 : 1 + (stats->pace.slowness - 1) * remaining(stats->pace.reportedAt, speedMemory, now);
+}
+
 double expectedCompletion(const balance_state &state, const cell_member &member, steady_time now)
 {
-    const auto *stats = findStats(state, member.id);
-    const auto slowness = stats == nullptr ? 1 : slownessOf(*stats, now);
+    const auto slowness = learnedSlowness(state, member.id, now);
     const auto load = expectedLoad(state, member, now);
     const auto occupied = std::min(load, 1.0);
     return slowness * (1 + occupancyWeight * occupied * occupied + std::max(load - 1, 0.0));
 }
 
+double completionScore(const balance_state &state, const cell_member &member, const balancer_location &location,
+                       steady_time now)
+{
+    const auto distance = yieldsTo(location, member.region) ? reservedDistance : distancePenalty(member, location);
+    return expectedCompletion(state, member, now) * (1 + distance);
+}
+
+bool considersOtherRegions(const balance_state &state, const cell_member &best, const balancer_location &location,
+                           steady_time now)
+{
+    return expectedLoad(state, best, now) >= loadToLeaveRegion(location);
+}
+
 const cell_member *chooseByCompletion(const balance_state &state, const std::vector<const cell_member *> &members,
                                       const std::set<instance_id> &tried, const balancer_location &location,
                                       std::mt19937_64 &random, steady_time now)
@@ -148,8 +158,7 @@
     if (own != members.end() && isUsable(state, **own, tried, now)) {
         consider(best, state, **own, location, now);
     }
-    const bool nearIsFull =
-        best.member != nullptr && expectedLoad(state, *best.member, now) >= loadToLeaveRegion(location);
+    const bool nearIsFull = best.member != nullptr && considersOtherRegions(state, *best.member, location, now);
     if (nearIsFull && bestDistant.member != nullptr && bestDistant.score < best.score) {
         return bestDistant.member;
     }
--- a/packages/decisions/src/speed/completion_choice_func.h
+++ b/packages/decisions/src/speed/completion_choice_func.h
@@ -40,6 +40,46 @@
  */
 void recordSpeed(balance_state &state, const cell_member &target, const speed_report &report, steady_time now);
 
+/**
+ * Returns the expected load of a target with one more request.
+ * @param state Load balancing state.
+ * @param member Target.
+ * @param now Current time.
+ * @return Admitted and queued requests per slot.
+ */
+double expectedLoad(const balance_state &state, const cell_member &member, steady_time now);
+
+/**
+ * Returns the learned service time of a target relative to the mean of its pool.
+ * @param state Load balancing state.
+ * @param target Target.
+ * @param now Current time.
+ * @return 1 for the mean and for a target without a report, 4 for one that is four times slower.
+ */
+double learnedSlowness(const balance_state &state, const instance_id &target, steady_time now);
+
+/**
+ * Returns the score by which targets are compared: expected completion time, with distance as a factor.
+ * @param state Load balancing state.
+ * @param member Target.
+ * @param location Location of this daemon.
+ * @param now Current time.
+ * @return Score; the target with the lowest one is preferred.
+ */
+double completionScore(const balance_state &state, const cell_member &member, const balancer_location &location,
+                       steady_time now);
+
+/**
+ * Checks whether targets of other regions are compared with those of this one.
+ * @param state Load balancing state.
+ * @param best Best target of this region.
+ * @param location Location of this daemon.
+ * @param now Current time.
+ * @return Whether the best target is full, or short of capacity in a reserved region.
+ */
+bool considersOtherRegions(const balance_state &state, const cell_member &best, const balancer_location &location,
+                           steady_time now);
+
 /**
  * Returns the expected completion time of a request at a target, relative to the mean service time of its pool.
  * @param state Load balancing state.
