Add: the admin port answers where a request would go

Operators could only send a request to see where it goes. GET /v1/where (path, host, key, method) returns the report of routing, made on the first traffic thread, which owns the state of load balancing: the query is posted to it, and random numbers come from a copy of its generator, drawn in the order of a request. For the own target it adds cold, limits and what admission would decide, on a copy of its state, and the next target if admission would refuse. Both kinds of deployment serve it: with a roster the admin port had only metrics.

Parameters of the admin port are percent-decoded now. The client encodes keys, so /v1/owner named the owner of another key than the one asked for if the key held a reserved character.

The resolution of keys, the ids of requests, the throttle's decision, the request for admission and the refusal without a route became functions that both sides use.

--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -7,8 +7,10 @@
 #include "elapsed_clock.h"
 #include "lease_func.h"
 #include "placement_func.h"
+#include "query_parameter.h"
 #include "record_func.h"
 #include "routing_func.h"
+#include "where_query.h"
 
 #include <nlohmann/json.hpp>
 
@@ -21,21 +23,6 @@
 
 constexpr milliseconds adminTimeout{800}; ///< Time limit of a request to another daemon's admin port.
 
-/** Reads a parameter of a path's query; empty if it is missing. Percent escapes are not decoded. */
-std::string queryParameter(const std::string &path, const std::string &name)
-{
-    auto at = path.find('?');
-    while (at != std::string::npos) {
-        const auto end = path.find('&', at + 1);
-        const auto pair = path.substr(at + 1, end == std::string::npos ? end : end - at - 1);
-        if (pair.starts_with(name + "=")) {
-            return pair.substr(name.size() + 1);
-        }
-        at = end;
-    }
-    return {};
-}
-
 http_response announceTarget(control_state &control, const std::string &body)
 {
     const auto from = json::parse(body, nullptr, false);
@@ -211,8 +198,8 @@
 http_response ownerResponse(control_state &control, const std::string &path)
 {
     const auto view = control.shared->routing.load();
-    const pool_id name{queryParameter(path, "pool")};
-    const auto key = queryParameter(path, "key");
+    const pool_id name{queryParameter(path, "pool").value_or("")};
+    const auto key = queryParameter(path, "key").value_or("");
     const auto pool = view->pools.find(name);
     if (pool == view->pools.end() || !pool->second.row.keyed) {
         return jsonResponse(404, R"({"reason":"the pool does not exist or is not keyed"})");
@@ -302,6 +289,9 @@
     if (path == "/v1/owner") {
         co_return ownerResponse(control, request.path);
     }
+    if (path == wherePath) {
+        co_return co_await control.shared->answerWhere(request.path);
+    }
     if (path == "/v1/measures") {
         co_return measuresResponse(control);
     }
--- a/packages/daemon/src/admin.h
+++ b/packages/daemon/src/admin.h
@@ -10,7 +10,7 @@
 /**
  * Handles one request of an operator, a monitoring system, another daemon or the target. Paths: /v1/announce, /v1/self,
  * /v1/status, /v1/show, /v1/owner, /v1/apply, /v1/approve, /v1/proposals, /v1/drain, /v1/leave, /v1/audit,
- * /v1/measures, /metrics.
+ * /v1/measures, /v1/where, /metrics.
  * @param control Control state.
  * @param request Request.
  * @return Response.
--- a/packages/daemon/src/callers/caller_request.cpp
+++ b/packages/daemon/src/callers/caller_request.cpp
@@ -143,6 +143,22 @@
     return part;
 }
 
+std::optional<keyed_route> resolveKey(const route_row &route, const routing_view &view, const http_request &request,
+                                      caller_refusal &rejection)
+{
+    if (auto key = findKey(route, request, rejection)) {
+        return keyed_route{route, std::move(*key)};
+    }
+    auto keyless = keylessPart(route, view);
+    return keyless ? std::optional(keyed_route{std::move(*keyless), {}}) : std::nullopt;
+}
+
+std::string makeRequestId(std::mt19937_64 &random)
+{
+    const auto first = std::to_string(random());
+    return first + "-" + std::to_string(random());
+}
+
 bool isCallerAllowed(const route_row &route, const std::string &address)
 {
     error_code code;
--- a/packages/daemon/src/callers/caller_request.h
+++ b/packages/daemon/src/callers/caller_request.h
@@ -7,6 +7,7 @@
 #include "routing_base.h"
 #include "row_type.h"
 
+#include <random>
 #include <string_view>
 
 namespace quetzalspool {
@@ -50,6 +51,31 @@
  */
 std::optional<route_row> keylessPart(const route_row &route, const routing_view &view);
 
+/** A route as it applies to a request, and the key of the request. */
+struct keyed_route
+{
+    route_row route; ///< Route, with the pools that may take the request.
+    std::string key; ///< Key; empty if the request has none.
+};
+
+/**
+ * Finds the key of a request and the pools of its route that may take it.
+ * @param route Route.
+ * @param view Routing view with its pools.
+ * @param request Request.
+ * @param rejection Receives why the request is refused.
+ * @return Route and key; nothing if the key is missing or malformed and all pools need one.
+ */
+std::optional<keyed_route> resolveKey(const route_row &route, const routing_view &view, const http_request &request,
+                                      caller_refusal &rejection);
+
+/**
+ * Makes an id for a request that has none.
+ * @param random Random number generator.
+ * @return Id.
+ */
+std::string makeRequestId(std::mt19937_64 &random);
+
 /**
  * Checks whether a caller may use a route.
  * @param route Route.
--- a/packages/daemon/src/callers/caller_response.cpp
+++ b/packages/daemon/src/callers/caller_response.cpp
@@ -40,6 +40,11 @@
 
 } // namespace
 
+caller_refusal refusalWithoutRoute(bool hasTables)
+{
+    return hasTables ? caller_refusal{404, "no-route"} : caller_refusal{serviceUnavailable, "no-tables-yet"};
+}
+
 http_response failureResponse(const header_profile &names, const request_outcome &outcome)
 {
     const nlohmann::json body{{"outcome", nameOf(outcome.result)},
--- a/packages/daemon/src/callers/caller_response.h
+++ b/packages/daemon/src/callers/caller_response.h
@@ -12,6 +12,13 @@
 /** Status of requests that were not run and may be retried. */
 constexpr unsigned serviceUnavailable = 503;
 
+/**
+ * Determines why a request without a route is refused.
+ * @param hasTables Whether the daemon has received its routes.
+ * @return Status and reason.
+ */
+caller_refusal refusalWithoutRoute(bool hasTables);
+
 /**
  * Makes the response to a request that got none from a target.
  * @param names Header names.
--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -128,9 +128,7 @@
     const auto target = parseTarget(std::string(parser->get().target()), hostHeader);
     const auto *found = findRoute(*view, target.host, target.path);
     if (found == nullptr) {
-        rejection = hasRoutes(*view, thread.shared->settings.roster.has_value())
-            ? caller_refusal{404, "no-route"}
-            : caller_refusal{serviceUnavailable, "no-tables-yet"};
+        rejection = refusalWithoutRoute(hasRoutes(*view, thread.shared->settings.roster.has_value()));
         co_return std::nullopt;
     }
     auto route = *found;
@@ -149,16 +147,12 @@
     }
     http_request request{std::string(message.method_string()), target.path, copyEndToEndHeaders(message),
                          std::move(message.body())};
-    auto key = findKey(route, request, rejection);
-    if (!key) {
-        auto keyless = keylessPart(route, *view);
-        if (!keyless) {
-            co_return std::nullopt;
-        }
-        route = std::move(*keyless);
-        key = std::string();
+    auto resolved = resolveKey(route, *view, request, rejection);
+    if (!resolved) {
+        co_return std::nullopt;
     }
-    const auto generatedId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
+    route = std::move(resolved->route);
+    const auto generatedId = makeRequestId(thread.random);
     const auto &settings = thread.shared->settings;
     const auto now = clock::now();
     const auto callerDeadline = requestedDeadline(request, thread.shared->names);
@@ -173,7 +167,7 @@
                                 thread.random(),
                                 retryAge,
                                 now};
-    auto routed = makeRoutedRequest(route, std::move(request), std::move(*key), origin);
+    auto routed = makeRoutedRequest(route, std::move(request), std::move(resolved->key), origin);
     routed.host = target.host;
     markCall(*thread.shared, routed, callRank, retryAge);
     // Requests that arrive during a planned stop must end before the process does. Late in the stop, those that might
--- a/packages/daemon/src/overload/call_follower.cpp
+++ b/packages/daemon/src/overload/call_follower.cpp
@@ -51,16 +51,22 @@
     }
 }
 
-std::optional<admission_result> throttleRequest(daemon_shared &shared, const routed_request &request, steady_time now)
+throttle_decision decideThrottle(const daemon_shared &shared, const admission_state &admission, call_throttle &throttle,
+                                 const routed_request &request, steady_time now)
 {
     if (!followsFresh(shared, request)) {
-        return std::nullopt;
+        return {};
     }
-    auto &control = shared.admissionControl;
     const bool urgent = request.kind == request_class::order || request.rank < normalRank;
     const fresh_request fresh{request.returned, std::min(request.goal, request.deadline) - now,
-                              std::chrono::duration<double, std::milli>(expectedServiceMs(control.admission, urgent))};
-    const auto decision = throttleFresh(control.throttle, request.route, fresh, now);
+                              std::chrono::duration<double, std::milli>(expectedServiceMs(admission, urgent))};
+    return throttleFresh(throttle, request.route, fresh, now);
+}
+
+std::optional<admission_result> throttleRequest(daemon_shared &shared, const routed_request &request, steady_time now)
+{
+    auto &control = shared.admissionControl;
+    const auto decision = decideThrottle(shared, control.admission, control.throttle, request, now);
     if (decision.admitted) {
         return std::nullopt;
     }
--- a/packages/daemon/src/overload/call_follower.h
+++ b/packages/daemon/src/overload/call_follower.h
@@ -35,6 +35,19 @@
  */
 void recordCallEnd(daemon_shared &shared, const request_trace &trace, const request_outcome &outcome, steady_time now);
 
+/**
+ * Decides whether a request at the local target is throttled. The caller holds the lock of admission unless it passes
+ * copies.
+ * @param shared Shared state, of which only the settings are used.
+ * @param admission Admission of the local target.
+ * @param throttle Throttle; changed.
+ * @param request Request.
+ * @param now Current time.
+ * @return Decision.
+ */
+throttle_decision decideThrottle(const daemon_shared &shared, const admission_state &admission, call_throttle &throttle,
+                                 const routed_request &request, steady_time now);
+
 /**
  * Refuses a fresh request at the local target if its route is throttled. The caller holds the lock of admission.
  * @param shared Shared state.
--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -446,10 +446,7 @@
                                                  std::shared_ptr<const routed_request> request,
                                                  std::shared_ptr<response_sink> sink, local_attempt_trace &trace)
 {
-    admission_request admissionRequest{
-        0, request->slot, request->kind, request->deadline, request->rank, request->goal, request->pool};
-    admissionRequest.call = request->call && shared.settings.overload.followCalls;
-    admissionRequest.route = request->route;
+    auto admissionRequest = makeAdmissionRequest(shared, *request);
     if (!request->idempotent) {
         auto ended = registerOrder(shared, *request);
         if (ended) {
@@ -488,6 +485,15 @@
 
 } // namespace
 
+admission_request makeAdmissionRequest(const daemon_shared &shared, const routed_request &request)
+{
+    admission_request admissionRequest{
+        0, request.slot, request.kind, request.deadline, request.rank, request.goal, request.pool};
+    admissionRequest.call = request.call && shared.settings.overload.followCalls;
+    admissionRequest.route = request.route;
+    return admissionRequest;
+}
+
 asio::awaitable<request_outcome> attemptLocally(daemon_shared &shared, std::shared_ptr<target_client> targets,
                                                 std::shared_ptr<const routed_request> request,
                                                 std::shared_ptr<response_sink> sink)
--- a/packages/daemon/src/requests/local_attempt.h
+++ b/packages/daemon/src/requests/local_attempt.h
@@ -8,6 +8,14 @@
 
 namespace quetzalspool {
 
+/**
+ * Makes the request for admission of an attempt at the local target.
+ * @param shared Shared state, of which only the settings are used.
+ * @param request Request.
+ * @return What admission depends on, without an id.
+ */
+admission_request makeAdmissionRequest(const daemon_shared &shared, const routed_request &request);
+
 /**
  * Admits a request, hands it to the local target and forwards the response.
  * @param shared Shared state.
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -22,6 +22,7 @@
 #include "roster_sync.h"
 #include "routing_func.h"
 #include "traffic_start.h"
+#include "where_query.h"
 
 #include <algorithm>
 
@@ -313,7 +314,7 @@
     return true;
 }
 
-/** Listens for the target's reports, readiness checks and metrics requests, each on its own address. */
+/** Listens for the target's reports, readiness checks and requests at the admin port, each on its own address. */
 bool startListeners(roster_control &control, last_reason &why)
 {
     const auto &settings = control.shared->settings;
@@ -323,12 +324,15 @@
     http_handler readiness = [&control](http_request request) -> asio::awaitable<http_response> {
         co_return control.port.answerReadiness(request, isReady(control));
     };
-    http_handler metrics = [&control](http_request /*request*/) -> asio::awaitable<http_response> {
+    http_handler admin = [&control](http_request request) -> asio::awaitable<http_response> {
+        if (request.path.substr(0, request.path.find('?')) == wherePath) {
+            co_return co_await control.shared->answerWhere(request.path);
+        }
         co_return http_response{200, {{"Content-Type", "text/plain"}}, formatMetrics(*control.shared->metricsRegistry)};
     };
     return serve(control, settings.roster->reports, target, why)
         && serve(control, settings.roster->readiness, readiness, why)
-        && serve(control, {settings.host, settings.adminPort}, metrics, why);
+        && serve(control, {settings.host, settings.adminPort}, admin, why);
 }
 
 } // namespace
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -7,6 +7,7 @@
 #include "catalog_base.h"
 #include "crash_registry.h"
 #include "header_profile.h"
+#include "http_type.h"
 #include "metrics_func.h"
 #include "mirror_type.h"
 #include "routing_base.h"
@@ -44,6 +45,9 @@
     std::function<asio::awaitable<std::optional<changes_response>>(changes_request)>
         handleChangesRequest; ///< Handles another daemon's request for changes of the store; null if not supported. Set
                               ///< before the threads start.
+    std::function<asio::awaitable<http_response>(std::string)>
+        answerWhere; ///< Answers a query of the admin port, given with its path, where a request would go. Set before
+                     ///< the threads start.
     std::atomic<steady_time> stopDeadline{steady_time::max()}; ///< Latest deadline of a request in a planned stop.
     std::atomic<bool> stopping =
         false; ///< Whether the listeners are being closed, in the last phase of a planned stop.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -8,6 +8,7 @@
 #include "memory_budget_func.h"
 #include "peer_handler.h"
 #include "peer_wire.h"
+#include "where_query.h"
 
 #include <sys/resource.h>
 #include <sys/sysinfo.h>
@@ -132,6 +133,7 @@
     const auto &names = shared.names;
     shared.admissionControl.admission.speed.enabled = settings.learnSpeeds;
     setLimits(shared);
+    shared.answerWhere = [&traffic](std::string path) { return answerWhere(*traffic.states.front(), std::move(path)); };
     for (std::uint32_t index = 0; index < settings.trafficThreads; ++index) {
         auto thread = std::make_unique<traffic_thread>();
         thread->shared = &shared;
--- a/packages/decisions/src/routing_report/routing_report_base.h
+++ b/packages/decisions/src/routing_report/routing_report_base.h
@@ -37,6 +37,7 @@
     double score = 0; ///< Score by which it is compared; the lowest one is preferred.
     std::optional<double> speed; ///< Learned speed relative to its pool, if a report of it is known: 0.25 is four times
                                  ///< slower than the mean.
+    std::optional<milliseconds> reportAge; ///< Age of the last report of its load, if there was one.
     bool allowed = true; ///< Whether the route allows its region.
     bool drained = false; ///< Whether its failure domain is out of service.
     bool ejected = false; ///< Whether it is ejected after consecutive failures.
@@ -63,7 +64,7 @@
     std::size_t omittedCandidates = 0; ///< Candidates that were left out to bound the size of the report.
     std::optional<double> expected; ///< Expected completion time by which the target was chosen, if speeds are learned.
     std::string reason; ///< Why the request would be refused; empty if a target was chosen.
-    milliseconds retryAfter{0}; ///< Time after which the caller should retry then; 0 for none.
+    milliseconds retryAfter{0}; ///< Time after which the caller should retry then; 0 if it is not stated here.
 };
 
 } // namespace quetzalspool
--- a/packages/decisions/src/routing_report/routing_report_cmd.cpp
+++ b/packages/decisions/src/routing_report/routing_report_cmd.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t maxCandidates = 50; ///< Candidates in a report; pools may have thousands of targets.
-constexpr milliseconds noTablesRetryAfter{300}; ///< Suggested retry time while there are no tables.
 
 target_distance distanceOf(const cell_member &member, const balancer_location &location)
 {
@@ -131,9 +130,13 @@
     candidate.distance = distanceOf(member, compared.rules.location);
     candidate.load = compared.rules.bySpeed ? expectedLoad(state, member, now) : currentLoad(state, member, now);
     candidate.score = scoreOf(compared, member);
-    const auto stats = state.targets.find(member.id);
-    if (stats != state.targets.end() && stats->second.pace.reportedAt != steady_time()) {
-        candidate.speed = 1 / learnedSlowness(state, member.id, now);
+    if (const auto stats = state.targets.find(member.id); stats != state.targets.end()) {
+        if (stats->second.pace.reportedAt != steady_time()) {
+            candidate.speed = 1 / learnedSlowness(state, member.id, now);
+        }
+        if (stats->second.loadReportedAt != steady_time()) {
+            candidate.reportAge = std::chrono::duration_cast<milliseconds>(now - stats->second.loadReportedAt);
+        }
     }
     candidate.allowed = allowsRegion(compared.targets.allowed, member.region);
     candidate.drained = isDrained(compared.view.drained, member.domain);
@@ -177,7 +180,6 @@
         const bool known = hasRoutes(view, query.completeTables);
         report.result = known ? report_result::no_route : report_result::no_tables;
         report.reason = known ? "no-route" : "no-tables-yet";
-        report.retryAfter = known ? milliseconds(0) : noTablesRetryAfter;
         return report;
     }
     report.route = route->name;
--- a/packages/decisions/tests/routing_report_test.cpp
+++ b/packages/decisions/tests/routing_report_test.cpp
@@ -254,6 +254,8 @@
     auto report = world.explain(openPool);
     EXPECT_EQ(namesOf(report), "bcad");
     EXPECT_DOUBLE_EQ(candidate(report, "a").load, 0.9);
+    EXPECT_EQ(candidate(report, "a").reportAge, milliseconds(0));
+    EXPECT_FALSE(candidate(report, "b").reportAge);
     EXPECT_EQ(candidate(report, "a").distance, target_distance::local);
     EXPECT_EQ(candidate(report, "b").distance, target_distance::same_domain);
     EXPECT_EQ(candidate(report, "c").distance, target_distance::same_region);
