--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -117,24 +117,12 @@
     co_return !code;
 }
 
-/** Version of the tables of a view; 0 before the first. */
-std::uint64_t tablesVersion(const routing_view &view)
-{
-    return view.table ? view.table->rows.version : static_cast<std::uint64_t>(view.tablesRevision.value);
-}
-
 /** Whether the limits for callers are those of tables that the daemon has not received yet. */
 bool awaitsLimits(const daemon_shared &shared, const routing_view &view)
 {
     return shared.settings.roster && !view.table;
 }
 
-/** Whether the daemon has received no routes yet. */
-bool awaitsRoutes(const daemon_shared &shared, const routing_view &view)
-{
-    return shared.settings.roster ? !view.table : view.routes.empty();
-}
-
 /** Validates the headers, then reads the body and finds the key. */
 asio::awaitable<std::optional<routed_request>> acceptRequest(traffic_thread &thread,
                                                              std::shared_ptr<const routing_view> view,
@@ -146,8 +134,7 @@
     const auto target = parseTarget(std::string(parser->get().target()), hostHeader);
     const auto *found = findRoute(*view, target.host, target.path);
     if (found == nullptr) {
-        rejection = awaitsRoutes(*thread.shared, *view) ? caller_refusal{serviceUnavailable, "no-tables-yet"}
-                                                        : caller_refusal{404, "no-route"};
+        rejection = refusalWithoutRoute(hasRoutes(*view, thread.shared->settings.roster.has_value()));
         co_return std::nullopt;
     }
     auto route = *found;
@@ -166,16 +153,12 @@
     }
     http_request request{std::string(message.method_string()), target.path, copyEndToEndHeaders(message),
                          std::move(message.body())};
-    auto key = findKey(route, request, rejection);
-    if (!key) {
-        auto keyless = keylessPart(route, *view);
-        if (!keyless) {
-            co_return std::nullopt;
-        }
-        route = std::move(*keyless);
-        key = std::string();
+    auto resolved = resolveKey(route, *view, request, rejection);
+    if (!resolved) {
+        co_return std::nullopt;
     }
-    const auto generatedId = std::to_string(thread.random()) + "-" + std::to_string(thread.random());
+    route = std::move(resolved->route);
+    const auto generatedId = makeRequestId(thread.random);
     const auto &settings = thread.shared->settings;
     const auto now = clock::now();
     const auto callerDeadline = requestedDeadline(request, thread.shared->names);
@@ -190,7 +173,7 @@
                                 thread.random(),
                                 retryAge,
                                 now};
-    auto routed = makeRoutedRequest(route, std::move(request), std::move(*key), origin);
+    auto routed = makeRoutedRequest(route, std::move(request), std::move(resolved->key), origin);
     routed.host = target.host;
     markCall(*thread.shared, routed, callRank, retryAge);
     // Requests that arrive during a planned stop must end before the process does. Late in the stop, those that might
