Add: account of the bytes sent between failure domains and regions

Cause: the only figure of the bytes between regions was the sum of the bodies (link_body_bytes). Heads, exchanges of the control threads and calls to the store did not show, nor did the bytes between failure domains. Change: counters sent_bytes_total{kind=,distance=}, two atomic additions for each write of a session, held by the session. The daemon that opens a session knows where the other one is; it tells it in the first request (qs-distance), which daemons of an earlier build ignore. A place that is not known counts as region, as the store's does.

--- a/packages/daemon/src/admin.cpp
+++ b/packages/daemon/src/admin.cpp
@@ -1,6 +1,7 @@
 /** @file admin.cpp HTTP interface for operators, metrics and the target beside the daemon. */
 #include "admin.h"
 
+#include "byte_metrics.h"
 #include "catalog_func.h"
 #include "control.h"
 #include "edits.h"
@@ -324,6 +325,7 @@
         co_return leaveResponse(control);
     }
     if (path == "/metrics") {
+        showSentBytes(*control.shared);
         co_return http_response{
             200, {{"Content-Type", "text/plain; version=0.0.4"}}, formatMetrics(*control.shared->metricsRegistry)};
     }
--- a/packages/daemon/src/cells/control.cpp
+++ b/packages/daemon/src/cells/control.cpp
@@ -171,8 +171,10 @@
 {
     const auto &settings = control.shared->settings;
     control.startedAt = clock::now();
-    control.store = makeStoreClient(settings.store);
-    control.peers = makePeerClient(control.context.get_executor());
+    control.store =
+        makeStoreClient(settings.store, counterOf(control.shared->sentBytes, byte_kind::store, byte_distance::region));
+    control.peers = makePeerClient(control.context.get_executor(), nullptr,
+                                   {control.shared->sentBytes, byte_kind::control, byte_kind::control});
     if (!bindDatagrams(control.socket, settings, why)) {
         return false;
     }
@@ -208,6 +210,15 @@
     control.socket.send_to(asio::buffer(bytes), toAsioEndpoint<udp>(to), 0, code);
     ++control.datagramsSent;
     control.datagramBytes += bytes.size();
+    countBytes(counterOf(control.shared->sentBytes, byte_kind::control, findDistance(control, to)),
+               code ? 0 : bytes.size());
+}
+
+byte_distance findDistance(control_state &control, const endpoint &to)
+{
+    const auto &settings = control.shared->settings;
+    return distanceToAddress(control.distances, *control.shared->routing.load(), {settings.region, settings.domain},
+                             to);
 }
 
 void publishOwnership(control_state &control)
--- a/packages/daemon/src/cells/control.h
+++ b/packages/daemon/src/cells/control.h
@@ -30,6 +30,14 @@
  */
 void sendDatagram(control_state &control, const endpoint &to, const control_message &message);
 
+/**
+ * Finds the distance to the daemon at an address.
+ * @param control Control state.
+ * @param to Peer address of the daemon.
+ * @return The distance; region if the address is not known.
+ */
+byte_distance findDistance(control_state &control, const endpoint &to);
+
 /**
  * Sets the served slots and the lease of admission control to those of the own cell.
  * @param control Control state.
--- a/packages/daemon/src/cells/control_base.h
+++ b/packages/daemon/src/cells/control_base.h
@@ -2,6 +2,7 @@
 #ifndef CONTROL_BASE_H
 #define CONTROL_BASE_H
 
+#include "byte_distance_func.h"
 #include "catalog_base.h"
 #include "cell_base.h"
 #include "peer_client.h"
@@ -36,6 +37,7 @@
     std::map<std::string, revision_number> guards; ///< Revisions of guard keys, which are not replicated.
     store_client store; ///< Client of the store.
     std::shared_ptr<peer_client> peers; ///< Connections for comparing and fetching documents.
+    known_distances distances; ///< Distances to other daemons, for the account of the bytes sent.
     std::map<endpoint, pending_fetch> fetches; ///< Pending fetches by the daemon to fetch from.
     std::vector<fenced_slot> draining; ///< Slots that wait until none of their requests is in flight.
     served_slots publishedSlots; ///< Slots that admission control was last set to serve, and those being released.
--- a/packages/daemon/src/cells/document_gossip.cpp
+++ b/packages/daemon/src/cells/document_gossip.cpp
@@ -122,7 +122,8 @@
         const std::vector<std::string> keys(pending.keys.begin(), pending.keys.end());
         pending.keys.clear();
         auto request = makeFetchRequest(keys);
-        const auto opened = co_await openCall(control.peers, from, std::move(request), peerTimeout);
+        const auto opened =
+            co_await openCall(control.peers, from, std::move(request), peerTimeout, findDistance(control, from));
         if (!opened.call) {
             break;
         }
@@ -247,7 +248,8 @@
 asio::awaitable<bool> compareCatalogs(control_state &control, endpoint peer)
 {
     auto request = makeCompareRequest(control.catalog);
-    const auto opened = co_await openCall(control.peers, peer, std::move(request), peerTimeout);
+    const auto opened =
+        co_await openCall(control.peers, peer, std::move(request), peerTimeout, findDistance(control, peer));
     if (!opened.call) {
         co_return false;
     }
--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -210,4 +210,9 @@
     endResponse(*responder);
 }
 
+bool isControlPath(const std::string &path)
+{
+    return path != attemptPath && path != cancelPath;
+}
+
 } // namespace quetzalspool
--- a/packages/daemon/src/requests/peer_handler.h
+++ b/packages/daemon/src/requests/peer_handler.h
@@ -17,6 +17,13 @@
 asio::awaitable<void> handlePeerRequest(traffic_thread &thread, peer_request request,
                                         std::shared_ptr<peer_responder> responder);
 
+/**
+ * Tells whether a path belongs to the exchanges between control threads; all others belong to requests of callers.
+ * @param path Path of a request.
+ * @return Whether it does.
+ */
+bool isControlPath(const std::string &path);
+
 } // namespace quetzalspool
 
 #endif // PEER_HANDLER_H
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -3,6 +3,7 @@
 
 #include "allowed_regions_func.h"
 #include "balance_func.h"
+#include "byte_distance_func.h"
 #include "completion_choice_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
@@ -95,8 +96,9 @@
     choice.scope = keepInScope(*choice.view, allowed, members);
     const auto reserved = choice.view->reserved.find(request.pool);
     const bool yields = !allowed.restricted && reserved != choice.view->reserved.end();
-    choice.member = chooseMemberOf(thread, members, state.tried,
-                                   yields ? std::span<const region_id>(reserved->second) : std::span<const region_id>());
+    choice.member =
+        chooseMemberOf(thread, members, state.tried,
+                       yields ? std::span<const region_id>(reserved->second) : std::span<const region_id>());
     if (choice.member == nullptr && choice.scope == target_scope::open && allowed.restricted) {
         choice.scope = target_scope::not_allowed; // All targets of the allowed regions are leaving.
     }
@@ -120,6 +122,12 @@
     return outcome;
 }
 
+byte_distance distanceTo(const traffic_thread &thread, const cell_member &member)
+{
+    const auto &settings = thread.shared->settings;
+    return distanceBetween({settings.region, settings.domain}, placeOf(member));
+}
+
 /** Whether the slot of an attempt has been assigned to another owner since. */
 bool ownerChanged(const traffic_thread &thread, const routed_request &request)
 {
@@ -143,8 +151,8 @@
                                 {"qs-attempt", request->attempt},
                                 {"qs-run", std::to_string(member->incarnation.value)}},
                                ""};
-    const auto opened =
-        co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(cancelRequest), cancelTimeout);
+    const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(cancelRequest),
+                                          cancelTimeout, distanceTo(thread, *member));
     if (!opened.call) {
         co_return false;
     }
@@ -241,7 +249,8 @@
     if (settings.overload.followCalls || settings.learnSpeeds) {
         message.headers.emplace_back(routeHeader, request->route);
     }
-    const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout);
+    const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout,
+                                          distanceTo(thread, *member));
     if (!opened.call) {
         request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", noOwnerRetryAfter};
         outcome.reachedOwner = false;
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -2,6 +2,7 @@
 #include "roster_control.h"
 
 #include "admission_func.h"
+#include "byte_metrics.h"
 #include "cold_control.h"
 #include "crash_sync.h"
 #include "datagrams.h"
@@ -201,6 +202,8 @@
             error_code code;
             // A datagram that cannot be sent immediately is lost, like any other lost datagram.
             control.socket.send_to(asio::buffer(bytes), toAsioEndpoint<udp>({at.host, at.peers}), 0, code);
+            const auto distance = distanceBetween(placeOf(control.state.self.member), placeOf(known.node->member));
+            countBytes(counterOf(control.shared->sentBytes, byte_kind::control, distance), code ? 0 : bytes.size());
             return;
         }
     }
@@ -324,6 +327,7 @@
         co_return control.port.answerReadiness(request, isReady(control));
     };
     http_handler metrics = [&control](http_request /*request*/) -> asio::awaitable<http_response> {
+        showSentBytes(*control.shared);
         co_return http_response{200, {{"Content-Type", "text/plain"}}, formatMetrics(*control.shared->metricsRegistry)};
     };
     return serve(control, settings.roster->reports, target, why)
@@ -350,6 +354,10 @@
         receiveLoad(control, bytes, from);
     };
     asio::co_spawn(control.context, receiveDatagrams(control.socket, control.received, handler), asio::detached);
+    const auto &sent = control.shared->sentBytes;
+    control.peers =
+        makePeerClient(control.context.get_executor(), nullptr, {sent, byte_kind::control, byte_kind::control});
+    control.port.countSent(counterOf(sent, byte_kind::store, byte_distance::region));
     control.port.setRelay(makeRelay(control));
     control.port.observeCalls([&control](const store_call &call) {
         countCall(*control.shared->metricsRegistry, call);
@@ -372,6 +380,12 @@
     return true;
 }
 
+byte_distance findDistance(roster_control &control, const endpoint &to)
+{
+    return distanceToAddress(control.distances, *control.shared->routing.load(), placeOf(control.state.self.member),
+                             to);
+}
+
 void beginStop(roster_control &control)
 {
     control.stopping = true;
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -6,6 +6,7 @@
 #define ROSTER_CONTROL_H
 
 #include "async_condition.h"
+#include "byte_distance_func.h"
 #include "exchange_base.h"
 #include "log_func.h"
 #include "mirror_type.h"
@@ -70,6 +71,7 @@
     std::array<char, 8192> received{}; ///< The datagram being received.
     std::shared_ptr<peer_client> peers =
         makePeerClient(context.get_executor()); ///< For relayed store calls and for polling upstream daemons.
+    known_distances distances; ///< Distances to other daemons, for the account of the bytes sent.
     std::mt19937_64 random{std::random_device{}()}; ///< For choosing relays.
     std::vector<std::shared_ptr<mirrored_prefix>> mirroredPrefixes; ///< In the same order in all daemons.
     change_exchange exchange; ///< Changes received from and sent to other daemons.
@@ -104,6 +106,14 @@
  */
 bool startRosterControl(roster_control &control, last_reason &why);
 
+/**
+ * Finds the distance to the daemon at an address.
+ * @param control Control state.
+ * @param to Peer address of the daemon.
+ * @return The distance; region if the address is not known.
+ */
+byte_distance findDistance(roster_control &control, const endpoint &to);
+
 /**
  * Starts a planned stop: the daemon reports not ready, and other daemons choose other targets.
  * @param control Control state.
--- a/packages/daemon/src/roster/roster_exchange.cpp
+++ b/packages/daemon/src/roster/roster_exchange.cpp
@@ -84,7 +84,8 @@
 {
     const auto requestedAt = clock::now();
     auto request = makeChangesRequest(control, at);
-    const auto opened = co_await openCall(control.peers, at, std::move(request), connectTimeout);
+    const auto opened =
+        co_await openCall(control.peers, at, std::move(request), connectTimeout, findDistance(control, at));
     if (!opened.call) {
         co_return poll_result::unresponsive;
     }
--- a/packages/daemon/src/roster/roster_port.h
+++ b/packages/daemon/src/roster/roster_port.h
@@ -7,6 +7,7 @@
 #include "http_type.h"
 #include "lease_store.h"
 #include "roster_type.h"
+#include "sent_bytes.h"
 #include "snapshot_type.h"
 
 namespace quetzalspool {
@@ -41,6 +42,8 @@
         answerTarget; ///< Handles a request of the target.
     std::function<http_response(const http_request &, bool ready)> answerReadiness; ///< Responds to a readiness check.
     std::function<void(store_relay)> setRelay; ///< Sets the relay by which the store client can use other daemons.
+    std::function<void(const byte_counter &)> countSent; ///< Sets the counter of the bytes sent to the store; to be
+                                                         ///< called before the first call.
     std::function<void(std::function<void(const store_call &)>)>
         observeCalls; ///< Sets an observer that is called after each store call.
 };
--- a/packages/daemon/src/roster/roster_relay.cpp
+++ b/packages/daemon/src/roster/roster_relay.cpp
@@ -54,7 +54,8 @@
                           {"qs-content-type", findHeader(request.headers, "Content-Type")},
                           {"qs-deadline-ms", std::to_string(timeout.count())}},
                          request.body};
-    const auto opened = co_await openCall(control.peers, at, std::move(message), connectTimeout);
+    const auto opened =
+        co_await openCall(control.peers, at, std::move(message), connectTimeout, findDistance(control, at));
     if (!opened.call) {
         co_return std::nullopt;
     }
--- a/packages/daemon/src/shared_base.h
+++ b/packages/daemon/src/shared_base.h
@@ -10,6 +10,7 @@
 #include "metrics_func.h"
 #include "mirror_type.h"
 #include "routing_base.h"
+#include "sent_bytes.h"
 #include "settings_type.h"
 
 #include <atomic>
@@ -49,6 +50,7 @@
         false; ///< Whether the listeners are being closed, in the last phase of a planned stop.
     std::atomic<std::uint64_t> requestsInFlight =
         0; ///< Requests of callers, from their first byte on, and of peers in progress.
+    std::shared_ptr<sent_bytes> sentBytes = std::make_shared<sent_bytes>(); ///< Bytes sent to daemons and the store.
     std::atomic<std::uint64_t> crossRegionBytes = 0; ///< Bytes of request and response bodies sent between regions.
 };
 
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -151,12 +151,14 @@
         thread->targetClient = makeTargetClient({names.notRun, names.composeRequestIds ? "" : names.requestId,
                                                  names.acceptUnframedResponses, names.targetLimit, names.targetLeaving,
                                                  names.targetCold, settings.learnSpeeds ? names.targetLoad : ""});
-        thread->peerClient = makePeerClient(thread->context.get_executor(), shared.memory);
+        thread->peerClient = makePeerClient(thread->context.get_executor(), shared.memory, {shared.sentBytes});
+        thread->storePool =
+            makeHttpConnectionPool(counterOf(shared.sentBytes, byte_kind::store, byte_distance::region));
         thread->peerServer = startPeerServer(std::move(*peerAcceptor),
                                              [&at](peer_request request, std::shared_ptr<peer_responder> responder) {
                                                  return handlePeerRequest(at, std::move(request), std::move(responder));
                                              },
-                                             {shared.memory->limit, shared.memory});
+                                             {shared.memory->limit, shared.memory, shared.sentBytes, isControlPath});
         asio::co_spawn(thread->context, acceptCallers(*thread), asio::detached);
         traffic.states.push_back(std::move(thread));
     }
--- a/packages/http/src/http_client.cpp
+++ b/packages/http/src/http_client.cpp
@@ -17,6 +17,7 @@
 struct http_connection_pool
 {
     std::map<endpoint, std::vector<std::unique_ptr<beast::tcp_stream>>> idle; ///< Idle connections by server.
+    byte_counter sent; ///< Counts the bytes sent; null for none.
 };
 
 namespace {
@@ -92,9 +93,11 @@
     return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
 
-std::shared_ptr<http_connection_pool> makeHttpConnectionPool()
+std::shared_ptr<http_connection_pool> makeHttpConnectionPool(byte_counter sent)
 {
-    return std::make_shared<http_connection_pool>();
+    auto pool = std::make_shared<http_connection_pool>();
+    pool->sent = std::move(sent);
+    return pool;
 }
 
 asio::awaitable<std::optional<http_response>> sendRequest(std::shared_ptr<http_connection_pool> pool, endpoint to,
@@ -110,7 +113,7 @@
     }
     stream->expires_after(timeout);
     const auto message = toBeast(request, to);
-    co_await http::async_write(*stream, message, redirectError(code));
+    countBytes(pool->sent, co_await http::async_write(*stream, message, redirectError(code)));
     if (code) {
         co_return failed(why, "send " + request.path, toString(to), code.message());
     }
@@ -130,7 +133,7 @@
 }
 
 asio::awaitable<void> streamResponse(endpoint to, http_request request, milliseconds idleTimeout,
-                                     std::function<bool(std::string_view)> onChunk, last_reason &why)
+                                     std::function<bool(std::string_view)> onChunk, last_reason &why, byte_counter sent)
 {
     error_code code;
     auto stream = co_await connectTo(to, idleTimeout, code);
@@ -139,7 +142,7 @@
         co_return;
     }
     const auto message = toBeast(request, to);
-    co_await http::async_write(*stream, message, redirectError(code));
+    countBytes(sent, co_await http::async_write(*stream, message, redirectError(code)));
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
--- a/packages/http/src/http_client.h
+++ b/packages/http/src/http_client.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "http_type.h"
+#include "sent_bytes.h"
 
 #include <functional>
 #include <memory>
@@ -15,9 +16,10 @@
 
 /**
  * Makes an empty connection pool.
+ * @param sent Counts the bytes sent on its connections; null for none.
  * @return The pool.
  */
-std::shared_ptr<http_connection_pool> makeHttpConnectionPool();
+std::shared_ptr<http_connection_pool> makeHttpConnectionPool(byte_counter sent = nullptr);
 
 /**
  * Sends a request and reads the whole response.
@@ -38,10 +40,12 @@
  * @param idleTimeout Longest wait for the next chunk.
  * @param onChunk Called with each chunk; returning false closes the connection.
  * @param why Receives the reason why the response ended, unless onChunk ended it.
+ * @param sent Counts the bytes sent; null for none.
  * @return An awaitable.
  */
 asio::awaitable<void> streamResponse(endpoint to, http_request request, milliseconds idleTimeout,
-                                     std::function<bool(std::string_view)> onChunk, last_reason &why);
+                                     std::function<bool(std::string_view)> onChunk, last_reason &why,
+                                     byte_counter sent = nullptr);
 
 } // namespace quetzalspool
 
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -165,11 +165,13 @@
 }
 
 /** Sends the next bytes of the parts of a request's body. */
-ssize_t readRequestBody(h2_stream &stream, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags)
+ssize_t readRequestBody(h2_session &session, h2_stream &stream, std::uint8_t *buffer, std::size_t length,
+                        std::uint32_t *flags)
 {
     auto &part = stream.unsentParts[stream.sentParts];
     const auto count = std::min(part.size(), length);
     std::memcpy(buffer, part.data(), count);
+    session.account.pendingBodies += count;
     part.remove_prefix(count);
     stream.sentParts += part.empty() ? 1 : 0;
     if (stream.sentParts == stream.unsentParts.size()) {
@@ -184,7 +186,7 @@
 {
     auto &stream = *static_cast<h2_stream *>(source->ptr);
     if (stream.sentParts < stream.unsentParts.size()) {
-        return readRequestBody(stream, buffer, length, flags);
+        return readRequestBody(sessionOf(user), stream, buffer, length, flags);
     }
     const auto available = stream.outgoing.size() - stream.outgoingSent;
     const bool needsPermit = stream.bulkOrder != 0 && available > 0;
@@ -197,6 +199,7 @@
         recordFrameSent(sessionOf(user), stream, count, elapsed_clock::now());
     }
     std::memcpy(buffer, stream.outgoing.data() + stream.outgoingSent, count);
+    sessionOf(user).account.pendingBodies += count;
     stream.outgoingSent += count;
     if (stream.outgoingSent == stream.outgoing.size()) {
         stream.outgoing.clear();
@@ -225,6 +228,17 @@
         && nghttp2_session_want_write(session.session) == 0;
 }
 
+/** Counts sent bytes, as soon as it is known where. */
+void countSent(session_account &account, std::uint64_t bytes)
+{
+    account.pendingTotal += bytes;
+    if (account.known) {
+        const auto bodies = std::min(std::exchange(account.pendingBodies, 0), account.pendingTotal);
+        countBytes(account.bodies, bodies);
+        countBytes(account.others, std::exchange(account.pendingTotal, 0) - bodies);
+    }
+}
+
 asio::awaitable<void> writeLoop(std::shared_ptr<h2_session> session)
 {
     std::string batch;
@@ -241,6 +255,7 @@
         error_code code;
         co_await asio::async_write(session->socket, asio::buffer(batch), redirectError(code));
         session->bytesSent += batch.size();
+        countSent(session->account, batch.size());
         if (code) {
             closeSession(session);
         }
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -6,6 +6,7 @@
 #include "async_condition.h"
 #include "bulk_window_base.h"
 #include "peer_type.h"
+#include "sent_bytes.h"
 
 #include <deque>
 #include <functional>
@@ -52,6 +53,16 @@
     { }
 };
 
+/** Where the bytes that a session sends are counted. */
+struct session_account
+{
+    byte_counter bodies; ///< Bytes of bodies; null to count nothing.
+    byte_counter others; ///< All other bytes; null to count nothing.
+    bool known = false; ///< Whether the counters are chosen. A server learns them with the first request.
+    std::uint64_t pendingBodies = 0; ///< Bytes of bodies that were sent and are not counted yet.
+    std::uint64_t pendingTotal = 0; ///< All bytes that were sent and are not counted yet.
+};
+
 /** An HTTP/2 session. Used by one thread only. */
 struct h2_session : std::enable_shared_from_this<h2_session>
 {
@@ -78,6 +89,7 @@
     std::shared_ptr<memory_meter> memory; ///< Memory that received bodies are charged to; null for none.
     std::uint64_t bytesReceived = 0; ///< Bytes received.
     std::uint64_t bytesSent = 0; ///< Bytes sent.
+    session_account account; ///< Where they are counted.
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams; ///< Open streams.
     std::function<void(std::shared_ptr<h2_stream>)> onRequest; ///< Called at the server for each whole request.
 };
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -43,6 +43,7 @@
     std::map<endpoint, std::shared_ptr<peer_connection>> connections; ///< Connections by peer port of the daemon.
     std::set<std::shared_ptr<h2_session>> sessions; ///< Open sessions, also those that were replaced after a GOAWAY.
     std::shared_ptr<memory_meter> memory; ///< Memory that received bytes are charged to; null for none.
+    client_account account; ///< Where the bytes sent are counted.
     std::uint64_t closedBytes = 0; ///< Bytes sent and received by closed sessions.
     steady_time nextIdleCheck{}; ///< Time of the next check for idle sessions.
     bool keepaliveRunning = false; ///< Whether the keepalive loop is running.
@@ -71,7 +72,7 @@
 }
 
 asio::awaitable<void> openConnection(std::shared_ptr<peer_client> client, std::shared_ptr<peer_connection> connection,
-                                     endpoint to, milliseconds timeout)
+                                     endpoint to, milliseconds timeout, byte_distance distance)
 {
     connection->connecting = true;
     // The timer's handler shares the socket: it may already be queued when the connection is made, and can't be
@@ -98,6 +99,9 @@
         enableKeepalive(*socket);
         connection->session = std::make_shared<h2_session>(std::move(*socket));
         connection->session->memory = client->memory;
+        const auto &account = client->account;
+        connection->session->account = {counterOf(account.sent, account.bodies, distance),
+                                        counterOf(account.sent, account.others, distance), true};
         startSession(connection->session, false);
         asio::co_spawn(client->executor, runSession(client, connection->session), asio::detached);
     }
@@ -168,7 +172,7 @@
 }
 
 std::shared_ptr<peer_call> submitRequest(const std::shared_ptr<h2_session> &session, const peer_request &request,
-                                         const endpoint &to)
+                                         const endpoint &to, byte_distance distance)
 {
     auto call = std::make_shared<peer_call>();
     call->session = session;
@@ -176,6 +180,10 @@
     std::vector<http_header> headers{
         {":method", "POST"}, {":scheme", "http"}, {":authority", to.host}, {":path", request.path}};
     headers.insert(headers.end(), request.headers.begin(), request.headers.end());
+    const bool first = nghttp2_session_get_next_stream_id(session->session) == 1;
+    if (first && distance != byte_distance::region) {
+        headers.emplace_back(distanceHeader, nameOf(distance));
+    }
     const auto nameValues = toNameValues(headers);
     call->stream->charge.chargeTo(session->memory);
     call->stream->request = request.body;
@@ -197,16 +205,18 @@
 
 } // namespace
 
-std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor, std::shared_ptr<memory_meter> memory)
+std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor, std::shared_ptr<memory_meter> memory,
+                                            client_account account)
 {
     auto client = std::make_shared<peer_client>();
+    client->account = std::move(account);
     client->memory = std::move(memory);
     client->executor = std::move(executor);
     return client;
 }
 
 asio::awaitable<opened_call> openCall(std::shared_ptr<peer_client> client, endpoint to, peer_request request,
-                                      milliseconds connectTimeout)
+                                      milliseconds connectTimeout, byte_distance distance)
 {
     closeIdleSessions(*client, elapsed_clock::now());
     auto &entry = client->connections[to];
@@ -224,7 +234,7 @@
     }
     if (!isUsable(*connection)) {
         if (!connection->connecting) {
-            co_await openConnection(client, connection, to, connectTimeout);
+            co_await openConnection(client, connection, to, connectTimeout, distance);
         }
         const auto until = elapsed_clock::now() + connectTimeout;
         while (connection->connecting && elapsed_clock::now() < until) {
@@ -238,7 +248,7 @@
         }
         co_return opened;
     }
-    opened.call = submitRequest(connection->session, request, to);
+    opened.call = submitRequest(connection->session, request, to, distance);
     if (!opened.call) {
         failed(opened.why, "open a stream", toString(to), "the session accepts no more streams");
     } else if (!client->keepaliveRunning) {
--- a/packages/peer/src/peer_client.h
+++ b/packages/peer/src/peer_client.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "peer_type.h"
+#include "sent_bytes.h"
 
 #include <memory>
 
@@ -15,14 +16,24 @@
 /** A request and its response. */
 struct peer_call;
 
+/** Where the bytes sent by a client are counted. */
+struct client_account
+{
+    std::shared_ptr<sent_bytes> sent; ///< Counters; null for none.
+    byte_kind bodies = byte_kind::request; ///< Kind of the bodies.
+    byte_kind others = byte_kind::head; ///< Kind of all other bytes.
+};
+
 /**
  * Makes a client. Sessions are opened when they are needed.
  * @param executor Executor of the client.
  * @param memory Memory that received bytes are charged to; null for none.
+ * @param account Where the bytes sent are counted.
  * @return The client.
  */
 std::shared_ptr<peer_client> makePeerClient(asio::any_io_executor executor,
-                                            std::shared_ptr<memory_meter> memory = nullptr);
+                                            std::shared_ptr<memory_meter> memory = nullptr,
+                                            client_account account = {});
 
 /** Result of opening a call. */
 struct opened_call
@@ -37,10 +48,11 @@
  * @param to Peer port of the other daemon.
  * @param request Request.
  * @param connectTimeout Time limit for connecting.
+ * @param distance Distance to the other daemon. Counts for the session, and the other daemon is told it once.
  * @return The call, or why it could not be opened.
  */
 asio::awaitable<opened_call> openCall(std::shared_ptr<peer_client> client, endpoint to, peer_request request,
-                                      milliseconds connectTimeout);
+                                      milliseconds connectTimeout, byte_distance distance = byte_distance::region);
 
 /**
  * Waits for the response head.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -49,9 +49,22 @@
     server->sessions.erase(session);
 }
 
+/** Chooses the counters of a session by its first request. A client that names no distance counts as in the region. */
+void chooseAccount(const peer_server_limits &limits, session_account &account, const h2_stream &first)
+{
+    const auto distance = distanceNamed(findHeader(first.headers, distanceHeader));
+    const bool control = limits.isControl && limits.isControl(first.path);
+    account.bodies = counterOf(limits.sent, control ? byte_kind::control : byte_kind::response, distance);
+    account.others = counterOf(limits.sent, control ? byte_kind::control : byte_kind::head, distance);
+    account.known = true;
+}
+
 void dispatchRequest(const std::shared_ptr<peer_server> &server, const std::shared_ptr<h2_session> &session,
                      const std::shared_ptr<h2_stream> &stream)
 {
+    if (!session->account.known) {
+        chooseAccount(server->limits, session->account, *stream);
+    }
     auto responder = std::make_shared<peer_responder>();
     responder->session = session;
     responder->stream = stream;
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "peer_type.h"
+#include "sent_bytes.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,9 @@
 {
     std::size_t bodyBytes = 8388608; ///< Most bytes of a body; a request with more is refused.
     std::shared_ptr<memory_meter> memory; ///< Memory that received bodies are charged to; null for none.
+    std::shared_ptr<sent_bytes> sent; ///< Counters of the bytes sent; null for none.
+    std::function<bool(const std::string &path)> isControl; ///< Whether a request is an exchange of control threads,
+                                                            ///< whose sessions carry nothing else; may be empty.
 };
 
 /**
--- a/packages/peer/src/peer_type.h
+++ b/packages/peer/src/peer_type.h
@@ -17,6 +17,9 @@
     shared_body body; ///< Body.
 };
 
+constexpr const char *distanceHeader =
+    "qs-distance"; ///< Distance between the two daemons, in the first request of a session.
+
 /** Status and headers of a response, whose body is streamed. */
 struct peer_response_head
 {
--- a/packages/store/src/store.cpp
+++ b/packages/store/src/store.cpp
@@ -104,11 +104,12 @@
 
 } // namespace
 
-store_client makeStoreClient(endpoint at)
+store_client makeStoreClient(endpoint at, byte_counter sent)
 {
     store_client store;
     store.at = std::move(at);
-    store.pool = makeHttpConnectionPool();
+    store.pool = makeHttpConnectionPool(sent);
+    store.sent = std::move(sent);
     return store;
 }
 
@@ -181,7 +182,7 @@
         stream->pending.append(part);
         return processLines(*stream, onEvents);
     };
-    co_await streamResponse(store.at, std::move(request), watchIdleLimit, onData, why);
+    co_await streamResponse(store.at, std::move(request), watchIdleLimit, onData, why, store.sent);
 }
 
 } // namespace quetzalspool
--- a/packages/store/src/store_func.h
+++ b/packages/store/src/store_func.h
@@ -12,6 +12,7 @@
 {
     endpoint at; ///< Address of the gateway.
     std::shared_ptr<http_connection_pool> pool; ///< Reused connections.
+    byte_counter sent; ///< Counts the bytes sent; null for none.
     milliseconds timeout{1500}; ///< Time limit for one call.
     std::uint64_t calls = 0; ///< Number of calls, for metrics.
     revision_number highest; ///< Highest known revision; a lower one means that the store was restored from a backup.
@@ -21,9 +22,10 @@
 /**
  * Creates a client.
  * @param at Address of the gateway.
+ * @param sent Counts the bytes sent; null for none.
  * @return The client.
  */
-store_client makeStoreClient(endpoint at);
+store_client makeStoreClient(endpoint at, byte_counter sent = nullptr);
 
 /**
  * Reads all keys with a prefix.
--- a/packages/telemetry/src/metrics.cpp
+++ b/packages/telemetry/src/metrics.cpp
@@ -82,6 +82,12 @@
     into.counters[name] += amount;
 }
 
+void setCounter(metrics &into, const std::string &name, std::uint64_t value)
+{
+    const std::lock_guard lock(into.mutex);
+    into.counters[name] = value;
+}
+
 void setGauge(metrics &into, const std::string &name, double value)
 {
     const std::lock_guard lock(into.mutex);
--- a/packages/telemetry/src/metrics_func.h
+++ b/packages/telemetry/src/metrics_func.h
@@ -25,6 +25,14 @@
  */
 void countMetric(metrics &into, const std::string &name, std::uint64_t amount = 1);
 
+/**
+ * Sets a counter that is kept elsewhere; creates it if it does not exist.
+ * @param into Metrics registry.
+ * @param name Name with labels.
+ * @param value Value, not below the one before.
+ */
+void setCounter(metrics &into, const std::string &name, std::uint64_t value);
+
 /**
  * Sets a gauge; creates it if it does not exist.
  * @param into Metrics registry.
