--- a/packages/daemon/src/cells/control_base.h
+++ b/packages/daemon/src/cells/control_base.h
@@ -2,6 +2,7 @@
 #ifndef CONTROL_BASE_H
 #define CONTROL_BASE_H
 
+#include "byte_distance_func.h"
 #include "catalog_base.h"
 #include "cell_base.h"
 #include "peer_client.h"
@@ -38,6 +39,7 @@
     std::shared_ptr<peer_client> peers; ///< Connections for comparing and fetching documents.
     steady_time storeKnownAt{}; ///< When this daemon last knew all rows in the store: start of a complete read, or
                                 ///< arrival of a watch's changes. Rows that it reads next were stored later.
+    known_distances distances; ///< Distances to other daemons, for the account of the bytes sent.
     std::map<endpoint, pending_fetch> fetches; ///< Pending fetches by the daemon to fetch from.
     std::vector<fenced_slot> draining; ///< Slots that wait until none of their requests is in flight.
     served_slots publishedSlots; ///< Slots that admission control was last set to serve, and those being released.
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -2,6 +2,7 @@
 #include "request_router.h"
 
 #include "balance_func.h"
+#include "byte_distance_func.h"
 #include "completion_choice_func.h"
 #include "dedup_base.h"
 #include "elapsed_clock.h"
@@ -53,16 +54,6 @@
     eligible_targets targets; ///< Targets that may serve the request; refers to the view.
 };
 
-std::string makeToken(traffic_thread &thread)
-{
-    static const char digits[] = "0123456789abcdef";
-    std::string token(24, '0');
-    for (auto &digit : token) {
-        digit = digits[thread.random() % 16];
-    }
-    return token;
-}
-
 route_choice chooseMember(traffic_thread &thread, const route_state &state)
 {
     route_choice choice;
@@ -94,6 +85,12 @@
     return outcome;
 }
 
+byte_distance distanceTo(const traffic_thread &thread, const cell_member &member)
+{
+    const auto &settings = thread.shared->settings;
+    return distanceBetween({settings.region, settings.domain}, placeOf(member));
+}
+
 /** Whether the slot of an attempt has been assigned to another owner since. */
 bool ownerChanged(const traffic_thread &thread, const routed_request &request)
 {
@@ -117,8 +114,8 @@
                                 {"qs-attempt", request->attempt},
                                 {"qs-run", std::to_string(member->incarnation.value)}},
                                ""};
-    const auto opened =
-        co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(cancelRequest), cancelTimeout);
+    const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(cancelRequest),
+                                          cancelTimeout, distanceTo(thread, *member));
     if (!opened.call) {
         co_return false;
     }
@@ -215,7 +212,8 @@
     if (settings.overload.followCalls || settings.learnSpeeds) {
         message.headers.emplace_back(routeHeader, request->route);
     }
-    const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout);
+    const auto opened = co_await openCall(thread.peerClient, peerEndpoint(*member), std::move(message), connectTimeout,
+                                          distanceTo(thread, *member));
     if (!opened.call) {
         request_outcome outcome{attempt_result::not_run, refusal::none, "daemon-unreachable", unreachableRetryAfter};
         outcome.reachedOwner = false;
@@ -370,7 +368,7 @@
         if (choice.member != nullptr) {
             // Each attempt has its own copy: the coroutine watching an abandoned attempt may still read it.
             state.request = std::make_shared<routed_request>(*state.request);
-            state.request->attempt = makeToken(thread);
+            state.request->attempt = makeToken(thread.random());
             state.request->slot = choice.slot;
             state.request->crashes = suspicion.crashes;
             const bool lastTarget = state.handOvers + 1 >= state.request->maxTargets;
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -5,7 +5,9 @@
 #include "asio_type.h"
 #include "async_condition.h"
 #include "bulk_window_base.h"
+#include "header_history.h"
 #include "peer_type.h"
+#include "sent_bytes.h"
 
 #include <deque>
 #include <functional>
@@ -52,6 +54,16 @@
     { }
 };
 
+/** Where the bytes that a session sends are counted. */
+struct session_account
+{
+    byte_counter bodies; ///< Bytes of bodies; null to count nothing.
+    byte_counter others; ///< All other bytes; null to count nothing.
+    bool known = false; ///< Whether the counters are chosen. A server learns them with the first request.
+    std::uint64_t pendingBodies = 0; ///< Bytes of bodies that were sent and are not counted yet.
+    std::uint64_t pendingTotal = 0; ///< All bytes that were sent and are not counted yet.
+};
+
 /** An HTTP/2 session. Used by one thread only. */
 struct h2_session : std::enable_shared_from_this<h2_session>
 {
@@ -78,6 +90,8 @@
     std::shared_ptr<memory_meter> memory; ///< Memory that received bodies are charged to; null for none.
     std::uint64_t bytesReceived = 0; ///< Bytes received.
     std::uint64_t bytesSent = 0; ///< Bytes sent.
+    session_account account; ///< Where they are counted.
+    header_history headers; ///< Headers sent, for their compression.
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams; ///< Open streams.
     std::function<void(std::shared_ptr<h2_stream>)> onRequest; ///< Called at the server for each whole request.
 };
@@ -127,11 +141,12 @@
 std::string consumeReceived(const std::shared_ptr<h2_session> &session, h2_stream &stream);
 
 /**
- * Converts headers to name-value pairs of nghttp2.
+ * Converts headers that a session is about to send to name-value pairs of nghttp2.
+ * @param history Headers that the session sent before.
  * @param headers Headers; they must outlive the result.
  * @return Name-value pairs, which refer to the headers.
  */
-std::vector<nghttp2_nv> toNameValues(const std::vector<http_header> &headers);
+std::vector<nghttp2_nv> toNameValues(header_history &history, const std::vector<http_header> &headers);
 
 /**
  * Makes a data provider that sends the outgoing body of a stream.
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -49,9 +49,22 @@
     server->sessions.erase(session);
 }
 
+/** Chooses the counters of a session by its first request. A client that names no distance counts as in the region. */
+void chooseAccount(const peer_server_limits &limits, session_account &account, const h2_stream &first)
+{
+    const auto distance = distanceNamed(findHeader(first.headers, distanceHeader));
+    const bool control = limits.isControl && limits.isControl(first.path);
+    account.bodies = counterOf(limits.sent, control ? byte_kind::control : byte_kind::response, distance);
+    account.others = counterOf(limits.sent, control ? byte_kind::control : byte_kind::head, distance);
+    account.known = true;
+}
+
 void dispatchRequest(const std::shared_ptr<peer_server> &server, const std::shared_ptr<h2_session> &session,
                      const std::shared_ptr<h2_stream> &stream)
 {
+    if (!session->account.known) {
+        chooseAccount(server->limits, session->account, *stream);
+    }
     auto responder = std::make_shared<peer_responder>();
     responder->session = session;
     responder->stream = stream;
@@ -125,20 +138,37 @@
     });
 }
 
-void sendResponseHead(peer_responder &responder, unsigned status, std::vector<http_header> headers)
+namespace {
+
+/** Sends a response head; without a source of a body, it ends the response. */
+void submitHead(peer_responder &responder, unsigned status, std::vector<http_header> headers,
+                const nghttp2_data_provider *source)
 {
     if (responder.session->transportClosed || responder.stream->closed) {
         return;
     }
     headers.insert(headers.begin(), {":status", std::to_string(status)});
-    const auto nameValues = toNameValues(headers);
-    const auto source = makeDataProvider(*responder.stream);
+    const auto nameValues = toNameValues(responder.session->headers, headers);
     responder.responseHeadSent = true;
     nghttp2_submit_response(responder.session->session, responder.stream->id, nameValues.data(), nameValues.size(),
-                            &source);
+                            source);
     flush(responder.session);
 }
 
+} // namespace
+
+void sendResponseHead(peer_responder &responder, unsigned status, std::vector<http_header> headers)
+{
+    const auto source = makeDataProvider(*responder.stream);
+    submitHead(responder, status, std::move(headers), &source);
+}
+
+void sendEmptyResponse(peer_responder &responder, unsigned status, std::vector<http_header> headers)
+{
+    responder.stream->outgoingComplete = true;
+    submitHead(responder, status, std::move(headers), nullptr);
+}
+
 void sendAsBulk(peer_responder &responder)
 {
     if (responder.stream->bulkOrder == 0) {
--- a/packages/peer/src/peer_server.h
+++ b/packages/peer/src/peer_server.h
@@ -4,6 +4,7 @@
 
 #include "asio_type.h"
 #include "peer_type.h"
+#include "sent_bytes.h"
 
 #include <functional>
 #include <memory>
@@ -24,6 +25,9 @@
 {
     std::size_t bodyBytes = 8388608; ///< Most bytes of a body; a request with more is refused.
     std::shared_ptr<memory_meter> memory; ///< Memory that received bodies are charged to; null for none.
+    std::shared_ptr<sent_bytes> sent; ///< Counters of the bytes sent; null for none.
+    std::function<bool(const std::string &path)> isControl; ///< Whether a request is an exchange of control threads,
+                                                            ///< whose sessions carry nothing else; may be empty.
 };
 
 /**
@@ -67,6 +71,14 @@
  */
 void sendResponseHead(peer_responder &responder, unsigned status, std::vector<http_header> headers);
 
+/**
+ * Sends a response without a body, in one frame.
+ * @param responder Responder.
+ * @param status Status code.
+ * @param headers Headers, names in lower case.
+ */
+void sendEmptyResponse(peer_responder &responder, unsigned status, std::vector<http_header> headers);
+
 /**
  * Marks the rest of the response body as bulk: it yields to all other traffic on the instance's link.
  * @param responder Responder.
