--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -67,8 +67,7 @@
     }
     connection->held = total;
     connection->lastProgress = clock::now();
-    const auto length =
-        co_await connection->stream.async_read_some(buffer.prepare(bodyReadAhead), redirectError(code));
+    const auto length = co_await connection->stream.async_read_some(buffer.prepare(bodyReadAhead), redirectError(code));
     connection->held = 0;
     buffer.commit(length);
     if (connection->evicted) {
