Fix: requests from other daemons make room in a full memory

deployment_memory.unreadResponsesStayWithinTheMemory: with the memory of the daemon beside the target full of unread responses, every request that another daemon forwarded was refused as overloaded. Only requests of the daemon's own callers evicted stalled ones, and the responses that another daemon's callers do not read could not be given up at all.

A request from another daemon now makes room too. Such evictions count with resource "forwarded".

--- a/packages/daemon/src/callers/caller_eviction.cpp
+++ b/packages/daemon/src/callers/caller_eviction.cpp
@@ -52,24 +52,72 @@
     return admitsBytes({memory.limit, memory.reserved}, memory.used, more, total);
 }
 
-} // namespace
-
-asio::awaitable<bool> makeMemoryRoom(traffic_thread &thread, std::uint64_t more, std::uint64_t total)
+/** Gives up the response to another daemon that has made no progress for longest. Returns whether there was one. */
+bool abortUnread(traffic_thread &thread)
 {
-    if (hasRoom(thread, more, total)) {
-        co_return true;
+    const std::vector<const unsent_response *> unsent(thread.unsentResponses.begin(), thread.unsentResponses.end());
+    std::vector<memory_holder> holders;
+    holders.reserve(unsent.size());
+    for (const auto *response : unsent) {
+        holders.push_back({0, response->lastProgress});
     }
+    const auto now = clock::now();
+    const auto chosen = chooseEviction(holders, now);
+    if (!chosen) {
+        return false;
+    }
+    const auto responder = unsent[*chosen]->responder;
+    const auto idle = std::chrono::duration_cast<milliseconds>(now - unsent[*chosen]->lastProgress);
+    abortResponse(*responder);
+    countMetric(*thread.shared->metricsRegistry, "callers_evicted_total{resource=\"forwarded\"}");
+    if (consumeTokens(thread.evictionLog, now)) {
+        logEvent(log_level::warn, "caller-evicted",
+                 {{"resource", "forwarded"},
+                  {"idle_ms", std::to_string(idle.count())},
+                  {"memory_bytes", std::to_string(thread.shared->memory->used.load())},
+                  {"lines_dropped", std::to_string(std::exchange(thread.evictionLog.dropped, 0))}});
+    }
+    return true;
+}
+
+/**
+ * Evicts a caller of a thread that holds memory; if there is none, gives up a response that another daemon does not
+ * read. Returns whether this releases any.
+ */
+bool evictHolder(traffic_thread &thread)
+{
     candidates holding;
     for (const auto &connection : thread.callers) {
         if (connection->held > 0 && !connection->evicted) {
             holding.emplace_back(memory_holder{connection->held, connection->lastProgress}, connection);
         }
     }
-    const auto released = evictOne(thread, holding, "memory");
-    holding.clear();
-    for (int turn = 0; released > 0 && turn < releaseTurns && !hasRoom(thread, more, total); ++turn) {
+    return evictOne(thread, holding, "memory") > 0 || abortUnread(thread);
+}
+
+/** Evicts a caller and waits until it has released its memory. To be called on the thread. */
+asio::awaitable<void> evictAndRelease(traffic_thread &thread, std::uint64_t more, std::uint64_t total)
+{
+    const bool released = evictHolder(thread);
+    for (int turn = 0; released && turn < releaseTurns && !hasRoom(thread, more, total); ++turn) {
         co_await asio::post(thread.context, asio::use_awaitable);
     }
+}
+
+} // namespace
+
+asio::awaitable<bool> makeMemoryRoom(traffic_thread &thread, std::uint64_t more, std::uint64_t total)
+{
+    if (hasRoom(thread, more, total)) {
+        co_return true;
+    }
+    co_await evictAndRelease(thread, more, total);
+    for (auto *other : thread.others) {
+        if (hasRoom(thread, more, total)) {
+            break;
+        }
+        co_await asio::co_spawn(other->context, evictAndRelease(*other, more, total), asio::use_awaitable);
+    }
     const bool room = hasRoom(thread, more, total);
     if (!room) {
         countMetric(*thread.shared->metricsRegistry, "memory_refusals_total");
--- a/packages/daemon/src/callers/caller_eviction.h
+++ b/packages/daemon/src/callers/caller_eviction.h
@@ -11,7 +11,8 @@
 constexpr std::uint64_t connectionBytes = 8192;
 
 /**
- * Makes room in the memory of the process, if needed by evicting callers that have made no progress for longest.
+ * Makes room in the memory of the process, if needed by evicting callers that have made no progress for longest: one of
+ * this thread, then one of each other thread while there is no room.
  * @param thread Traffic thread.
  * @param more Bytes that a request needs now.
  * @param total Bytes that the request has then taken.
--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -1,6 +1,7 @@
 /** @file peer_handler.cpp Handlers of requests from other daemons. */
 #include "peer_handler.h"
 
+#include "caller_eviction.h"
 #include "document_wire.h"
 #include "elapsed_clock.h"
 #include "local_attempt.h"
@@ -28,14 +29,43 @@
     }
 }
 
+/** Marks a response as one that another daemon has to read, while a part of it is sent. */
+struct unsent_mark
+{
+    unsent_mark(traffic_thread &markedAt, std::shared_ptr<peer_responder> responder)
+        : thread(markedAt)
+        , response{std::move(responder), clock::now()}
+    {
+        thread.unsentResponses.insert(&response);
+    }
+    ~unsent_mark()
+    {
+        thread.unsentResponses.erase(&response);
+    }
+    unsent_mark(const unsent_mark &) = delete;
+    unsent_mark &operator=(const unsent_mark &) = delete;
+
+    traffic_thread &thread; ///< Traffic thread.
+    unsent_response response; ///< Response.
+};
+
+asio::awaitable<bool> sendMarkedChunk(traffic_thread &thread, std::shared_ptr<peer_responder> responder,
+                                      std::string chunk)
+{
+    const unsent_mark mark(thread, responder);
+    co_return co_await sendBodyChunk(responder, std::move(chunk));
+}
+
 /** Makes a sink that sends a response to another daemon. A body of unknown length becomes a bulk response once it
  * exceeds the threshold.
  */
-std::shared_ptr<response_sink> makePeerSink(daemon_shared &shared, const std::shared_ptr<const routed_request> &request,
+std::shared_ptr<response_sink> makePeerSink(traffic_thread &thread,
+                                            const std::shared_ptr<const routed_request> &request,
                                             const std::shared_ptr<peer_responder> &responder)
 {
     auto sink = std::make_shared<response_sink>();
     const auto bytes = std::make_shared<std::uint64_t>(0);
+    auto &shared = *thread.shared;
     sink->writeHead = [&shared, request, responder](unsigned status, std::vector<http_header> headers,
                                                     std::optional<std::uint64_t> length) -> asio::awaitable<bool> {
         if (length.value_or(0) > bulkThreshold) {
@@ -47,12 +77,12 @@
         sendResponseHead(*responder, status, std::move(encoded));
         co_return !isCancelled(*responder);
     };
-    sink->writeChunk = [responder, bytes](std::string chunk) {
+    sink->writeChunk = [&thread, responder, bytes](std::string chunk) {
         *bytes += chunk.size();
         if (*bytes > bulkThreshold) {
             sendAsBulk(*responder);
         }
-        return sendBodyChunk(responder, std::move(chunk));
+        return sendMarkedChunk(thread, responder, std::move(chunk));
     };
     sink->finish = [responder](bool complete) { complete ? endResponse(*responder) : abortResponse(*responder); };
     sink->isCancelled = [responder] { return isCancelled(*responder); };
@@ -96,7 +126,9 @@
     if (decoded) {
         held->fingerprint = fingerprintOf(*held, thread.shared->names);
         recordNews(thread.shared->crashRegistry, {held->fingerprint, held->crashes}, clock::now());
-        const auto sink = makePeerSink(*thread.shared, held, responder);
+        // The attempt refuses the request if there is no room.
+        co_await makeMemoryRoom(thread, 0, 0);
+        const auto sink = makePeerSink(thread, held, responder);
         outcome = co_await attemptLocally(*thread.shared, thread.targetClient, held, sink);
     }
     if (outcome.result != attempt_result::answered) {
--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -20,10 +20,20 @@
 /** Connection of a caller. */
 struct caller_connection;
 
+/** A response to another daemon while a part of it waits to be sent. */
+struct unsent_response
+{
+    std::shared_ptr<peer_responder> responder; ///< Where it is written.
+    steady_time lastProgress{}; ///< When a part was last accepted.
+};
+
 /** One traffic thread: its sockets, connections and load-balancing statistics. */
 struct traffic_thread
 {
     daemon_shared *shared = nullptr; ///< Shared state.
+    std::vector<traffic_thread *> others; ///< Other traffic threads of the process. Set before the threads start.
+    std::set<const unsent_response *> unsentResponses; ///< Responses that other daemons have to read. Declared before
+                                                       ///< the context, whose coroutines remove their own at its end.
     asio::io_context context{1}; ///< Run by this thread only.
     std::shared_ptr<tcp::acceptor> callerAcceptor; ///< Listening socket for callers.
     std::set<std::shared_ptr<caller_connection>> callers; ///< Open connections of callers.
--- a/packages/daemon/src/traffic_start.cpp
+++ b/packages/daemon/src/traffic_start.cpp
@@ -160,6 +160,13 @@
         asio::co_spawn(thread->context, acceptCallers(*thread), asio::detached);
         traffic.states.push_back(std::move(thread));
     }
+    for (auto &state : traffic.states) {
+        for (auto &other : traffic.states) {
+            if (other != state) {
+                state->others.push_back(other.get());
+            }
+        }
+    }
     return true;
 }
 
