Codechange: test slots whose next owner is drained meanwhile

Cause: no test failed when a released slot was assigned to a target that was drained after the move was planned. Change: a domain is drained, and up to 200 ms later a second one; no slot may be assigned into it afterwards.

--- a/packages/decisions/tests/cell_drain_test.cpp
+++ b/packages/decisions/tests/cell_drain_test.cpp
@@ -149,6 +149,32 @@
     }
 }
 
+// A slot whose next owner is drained before it gets the slot would be moved twice, with two interruptions.
+TEST(cellDrains, slotsOnTheirWayDoNotEnterADomainThatIsDrainedMeanwhile)
+{
+    constexpr milliseconds writeTime{40}; // A write that was sent before the drain is stored within this time.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        auto simulation = makeSettledCell(seed, 6, 3);
+        setDrains(simulation, {domainOf(0)});
+        simulation.run(cell_simulation::stepLength * static_cast<int>(seed));
+        setDrains(simulation, {domainOf(0), domainOf(1)});
+        simulation.run(writeTime);
+        const auto before = storedSlots(simulation);
+        const auto end = simulation.now + seconds(2);
+        while (simulation.now < end) {
+            simulation.run(cell_simulation::stepLength);
+            for (std::size_t row = 0; row < before.size(); ++row) {
+                const auto &slot = storedSlots(simulation)[row];
+                const auto *owner = findMember(simulation.stored.record, slot.owner);
+                ASSERT_NE(owner, nullptr) << "seed " << seed;
+                EXPECT_TRUE(slot.fence == before[row].fence || owner->domain == domainOf(2))
+                    << "seed " << seed << ", slot " << row << " was assigned to " << owner->id.value;
+            }
+        }
+        EXPECT_EQ(slotsServedIn(simulation, domainOf(2)), cell_simulation::slotCount) << "seed " << seed;
+    }
+}
+
 // The next coordinator has no memory of the moves that the lost one had planned.
 TEST(cellDrains, theLossOfTheCoordinatorDoesNotStopTheMoves)
 {
