Change: a request's id is sent once where the caller's header repeats it

Cause: where targets get the caller's request id, a forwarded request carried it twice, as qs-id and as the header; an id of 24 digits is 21 bytes, the longest part of a usual head besides the path. Change: a server names a protocol level in the first response of a session (qs-level). To one of level 1, qs-id is left out if the header has the same id, and the other daemon reads it from there. A daemon of an earlier build names no level and gets all headers; the level is forgotten with the session, since the daemon may be replaced.

--- a/packages/daemon/src/requests/peer_handler.cpp
+++ b/packages/daemon/src/requests/peer_handler.cpp
@@ -89,7 +89,7 @@
 {
     recordSender(*thread.shared, message);
     applyReminder(*thread.shared, message);
-    auto request = decodeRequest(std::move(message), clock::now());
+    auto request = decodeRequest(std::move(message), thread.shared->names, clock::now());
     request_outcome outcome{attempt_result::not_run, refusal::none, "bad-message"};
     const bool decoded = request.has_value();
     const auto held = std::make_shared<routed_request>(decoded ? std::move(*request) : routed_request());
--- a/packages/daemon/src/requests/peer_wire.cpp
+++ b/packages/daemon/src/requests/peer_wire.cpp
@@ -84,6 +84,12 @@
     return callerHeaders;
 }
 
+/** Id of a request as its caller's header names it; empty if there is none or targets get another one. */
+std::string callerId(const std::vector<http_header> &headers, const header_profile &names)
+{
+    return names.composeRequestIds ? std::string() : findHeader(headers, names.requestId);
+}
+
 } // namespace
 
 std::string makeToken(std::uint64_t draw)
@@ -99,19 +105,20 @@
     return token;
 }
 
-peer_request encodeRequest(const routed_request &request, steady_time now)
+peer_request encodeRequest(const routed_request &request, const header_profile &names, steady_time now)
 {
     const auto left = std::chrono::duration_cast<milliseconds>(request.deadline - now);
     const auto untilGoal = std::chrono::duration_cast<milliseconds>(std::min(request.goal, request.deadline) - now);
     peer_request encoded{attemptPath,
                          {{"qs-method", request.http.method},
                           {"qs-path", request.http.path},
-                          {"qs-id", request.id},
                           {"qs-attempt", request.attempt},
                           {"qs-pool", request.pool.value},
                           {"qs-goal-ms", std::to_string(untilGoal.count())},
                           {"qs-deadline-ms", std::to_string(left.count())}},
                          request.http.body};
+    const bool repeated = !request.id.empty() && request.id == callerId(request.http.headers, names);
+    (repeated ? encoded.derivable : encoded.headers).emplace_back("qs-id", request.id);
     if (request.kind == request_class::order) {
         encoded.headers.emplace_back("qs-class", "order");
     }
@@ -140,12 +147,15 @@
     return encoded;
 }
 
-std::optional<routed_request> decodeRequest(peer_request request, steady_time now)
+std::optional<routed_request> decodeRequest(peer_request request, const header_profile &names, steady_time now)
 {
     routed_request decoded;
     decoded.http = {findHeader(request.headers, "qs-method"), findHeader(request.headers, "qs-path"),
                     callerHeaders(request.headers), std::move(request.body)};
     decoded.id = findHeader(request.headers, "qs-id");
+    if (decoded.id.empty()) {
+        decoded.id = callerId(decoded.http.headers, names);
+    }
     decoded.attempt = findHeader(request.headers, "qs-attempt");
     decoded.pool.value = findHeader(request.headers, "qs-pool");
     decoded.kind = findHeader(request.headers, "qs-class") == "order" ? request_class::order : request_class::lookup;
--- a/packages/daemon/src/requests/peer_wire.h
+++ b/packages/daemon/src/requests/peer_wire.h
@@ -2,6 +2,7 @@
 #ifndef PEER_WIRE_H
 #define PEER_WIRE_H
 
+#include "header_profile.h"
 #include "leaving_target_base.h"
 #include "outcome_type.h"
 #include "peer_type.h"
@@ -31,18 +32,20 @@
 /**
  * Encodes a request for the daemon beside its target.
  * @param request Request.
+ * @param names Names of the caller's headers. An id that the header there repeats is derivable.
  * @param now Current time; the deadline is sent as the time that remains.
  * @return Message.
  */
-peer_request encodeRequest(const routed_request &request, steady_time now);
+peer_request encodeRequest(const routed_request &request, const header_profile &names, steady_time now);
 
 /**
  * Decodes a request from another daemon.
  * @param request Message.
+ * @param names Names of the caller's headers.
  * @param now Current time.
  * @return The request, or nothing if required headers are missing.
  */
-std::optional<routed_request> decodeRequest(peer_request request, steady_time now);
+std::optional<routed_request> decodeRequest(peer_request request, const header_profile &names, steady_time now);
 
 /**
  * Encodes a leaving target as the value of a header.
--- a/packages/daemon/src/requests/request_router.cpp
+++ b/packages/daemon/src/requests/request_router.cpp
@@ -232,7 +232,7 @@
                                                std::shared_ptr<const routed_request> request,
                                                std::shared_ptr<response_sink> sink)
 {
-    auto message = encodeRequest(*request, clock::now());
+    auto message = encodeRequest(*request, thread.shared->names, clock::now());
     const auto &settings = thread.shared->settings;
     message.headers.emplace_back(senderHeader, toString({settings.host, settings.peersPort}));
     addLeavingHeader(*thread.shared, *member, message.headers);
--- a/packages/peer/src/h2_session.cpp
+++ b/packages/peer/src/h2_session.cpp
@@ -97,6 +97,8 @@
         stream->status = static_cast<unsigned>(std::atoi(text.c_str()));
     } else if (key == ":path") {
         stream->path = std::move(text);
+    } else if (key == levelHeader) {
+        sessionOf(user).peerLevel = static_cast<unsigned>(std::atoi(text.c_str()));
     } else if (!key.starts_with(':')) {
         stream->headers.emplace_back(std::move(key), std::move(text));
     }
--- a/packages/peer/src/h2_session.h
+++ b/packages/peer/src/h2_session.h
@@ -92,6 +92,8 @@
     std::uint64_t bytesSent = 0; ///< Bytes sent.
     session_account account; ///< Where they are counted.
     header_history headers; ///< Headers sent, for their compression.
+    unsigned peerLevel = 0; ///< At the client: protocol level that the server has named.
+    bool levelNamed = false; ///< At the server: whether it has named its level.
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams; ///< Open streams.
     std::function<void(std::shared_ptr<h2_stream>)> onRequest; ///< Called at the server for each whole request.
 };
--- a/packages/peer/src/peer_client.cpp
+++ b/packages/peer/src/peer_client.cpp
@@ -180,6 +180,9 @@
     std::vector<http_header> headers{
         {":method", "POST"}, {":scheme", "http"}, {":authority", to.host}, {":path", request.path}};
     headers.insert(headers.end(), request.headers.begin(), request.headers.end());
+    if (session->peerLevel < protocolLevel) {
+        headers.insert(headers.end(), request.derivable.begin(), request.derivable.end());
+    }
     const bool first = nghttp2_session_get_next_stream_id(session->session) == 1;
     if (first && distance != byte_distance::region) {
         headers.emplace_back(distanceHeader, nameOf(distance));
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -148,6 +148,9 @@
         return;
     }
     headers.insert(headers.begin(), {":status", std::to_string(status)});
+    if (!std::exchange(responder.session->levelNamed, true)) {
+        headers.emplace_back(levelHeader, std::to_string(protocolLevel));
+    }
     const auto nameValues = toNameValues(responder.session->headers, headers);
     responder.responseHeadSent = true;
     nghttp2_submit_response(responder.session->session, responder.stream->id, nameValues.data(), nameValues.size(),
--- a/packages/peer/src/peer_type.h
+++ b/packages/peer/src/peer_type.h
@@ -15,8 +15,13 @@
     std::string path; ///< Path: the operation.
     std::vector<http_header> headers; ///< Headers, names in lower case.
     shared_body body; ///< Body.
+    std::vector<http_header> derivable{}; ///< Headers that only daemons of a lower protocol level need.
 };
 
+constexpr const char *levelHeader = "qs-level"; ///< Protocol level of the server, in the first response of a session.
+constexpr unsigned protocolLevel = 1; ///< Level of this build; 0 is that of builds that name none. From 1 on, a daemon
+                                      ///< reads the id of a request from the caller's header if there is no other.
+
 constexpr const char *distanceHeader =
     "qs-distance"; ///< Distance between the two daemons, in the first request of a session.
 
