--- a/packages/daemon/tests/earlier_build_test.cpp
+++ b/packages/daemon/tests/earlier_build_test.cpp
@@ -161,11 +161,11 @@
 {
     const steady_time now{std::chrono::hours(1)};
     header_profile names;
-    names.requestId = "X-Request-Id";
+    names.requestId = "X-Caller-Ref";
     names.composeRequestIds = false;
     auto request = variousRequests(now).front();
     request.id = "abc";
-    request.http.headers = {{"Idempotency-Key", "abc"}, {"X-REQUEST-ID", "abc"}, {"X-Request-Id", "other"}};
+    request.http.headers = {{"Idempotency-Key", "abc"}, {"X-CALLER-REF", "abc"}, {"X-Caller-Ref", "other"}};
     auto message = encodeRequest(request, names, now);
     EXPECT_EQ(message.derivable, (std::vector<http_header>{{"qs-id", "abc"}}));
     const auto read = decodeRequest(message, names, now);
@@ -176,7 +176,7 @@
 
     request.http.headers = {{"Idempotency-Key", "abc"}};
     EXPECT_TRUE(encodeRequest(request, names, now).derivable.empty()) << "the header is another one";
-    request.http.headers = {{"X-Request-Id", "abc"}};
+    request.http.headers = {{"X-Caller-Ref", "abc"}};
     request.id = "generated";
     EXPECT_TRUE(encodeRequest(request, names, now).derivable.empty()) << "the id is another one";
     request.id = "abc";
--- a/packages/daemon/tests/head_bytes_test.cpp
+++ b/packages/daemon/tests/head_bytes_test.cpp
@@ -42,7 +42,7 @@
 header_profile platformNames()
 {
     header_profile names;
-    names.requestId = "X-Request-Id";
+    names.requestId = "X-Caller-Ref";
     names.composeRequestIds = false;
     return names;
 }
@@ -58,7 +58,7 @@
                      {"User-Agent", "order-client/2.4"},
                      {"Accept", "application/json"},
                      {"Content-Type", "application/json"},
-                     {"X-Request-Id", hexToken(number)}},
+                     {"X-Caller-Ref", hexToken(number)}},
                     std::string(bodyBytes, 'q')};
     request.id = hexToken(number);
     request.attempt = makeToken(static_cast<std::uint64_t>(number + 1) * 0x9e3779b97f4a7c15U);
@@ -109,8 +109,8 @@
         const auto number = static_cast<int>(request->slot->slot.value);
         auto headers = encodeResponseHeaders({{"Content-Type", "application/json"},
                                               {"Server", "orders/1.9"},
-                                              {"X-Request-Id", request->id},
-                                              {"X-Server-Load", std::to_string(number % 8) + " 0 8"}},
+                                              {"X-Caller-Ref", request->id},
+                                              {"X-Target-Load", std::to_string(number % 8) + " 0 8"}},
                                              bodyBytes, number % 8 / 8.0, 90 + number % 20);
         sendResponseHead(*responder, 200, std::move(headers));
         co_await sendBodyChunk(responder, std::string(bodyBytes, 'r'));
@@ -128,7 +128,7 @@
             const auto opened = co_await openCall(client, at, std::move(message), seconds(1));
             const auto response = co_await readResponse(opened.call, elapsed_clock::now() + seconds(5));
             EXPECT_TRUE(response && response->body.size() == bodyBytes);
-            EXPECT_EQ(findHeader(response->headers, "x-request-id"), request.id);
+            EXPECT_EQ(findHeader(response->headers, "x-caller-ref"), request.id);
         }
         co_await sleepFor(milliseconds(20)); // The last write is counted when it has completed.
     }
