Change: requests for a slot that is about to be granted are kept instead of refused

After a move, the daemon of the new owner knows from the record that the slot is its own up to 870 ms before its target has been granted it. It refused all requests for the slot meanwhile (not-owner), and they were sent again and again.

Admission is given the slots that the record assigns to the target. A request for one of them that is not served yet is kept until the grant is in force, and then admitted or queued like a new one. It is refused (not-owner, as before) once it could not meet its goal even if the grant came at once. At most as many requests are kept as may be queued. They are refused at once when the assignment is lost, the daemon stops, the target leaves or is unresponsive, its domain is drained, or the daemon has no lease: no grant can be expected then.

A newly granted slot opens 10 ms after the answer to the report, since the target refuses requests that it receives before that answer. The kept requests are decided right then and not at the next tick (50 ms).

--- a/packages/daemon/src/requests/local_attempt.cpp
+++ b/packages/daemon/src/requests/local_attempt.cpp
@@ -114,10 +114,7 @@
         co_await pending->changed.waitUntil(clock::now() + cancelCheckInterval);
         if (!pending->result && sink->isCancelled()) {
             const std::lock_guard lock(shared.admissionControl.mutex);
-            auto &queue = shared.admissionControl.admission.queue;
-            const auto before = queue.size();
-            std::erase_if(queue, [&](const auto &waiting) { return waiting.request.id == admissionRequest.id; });
-            if (queue.size() != before) {
+            if (removeWaiting(shared.admissionControl.admission, admissionRequest.id)) {
                 shared.admissionControl.waiters.erase(admissionRequest.id);
                 co_return admission_result{false, false, refusal::cancelled, milliseconds(0)};
             }
--- a/packages/daemon/src/roster/roster_control.cpp
+++ b/packages/daemon/src/roster/roster_control.cpp
@@ -32,6 +32,8 @@
 using clock = elapsed_clock;
 
 constexpr milliseconds tickInterval{50}; ///< Interval at which due actions are checked.
+constexpr milliseconds grantTransferTime{10}; ///< From the answer to a report until the target knows of its new grant;
+                                              ///< it refuses requests that it receives earlier.
 constexpr milliseconds loadReportInterval{500}; ///< Interval between load reports.
 constexpr double initialServiceMs = 200; ///< Service time in milliseconds, assumed until one is measured.
 constexpr milliseconds defaultLeaveTime{2000}; ///< Default time that a target serves after its leave was acknowledged.
@@ -115,11 +117,14 @@
     return slots;
 }
 
-/** Opens and closes slots for admission, and updates the target's lease and leaving state. */
-void publishAdmission(roster_control &control, steady_time now)
+/** Opens and closes slots for admission, and updates the target's lease and leaving state. Returns whether the slots
+ * changed. */
+bool publishAdmission(roster_control &control, steady_time now)
 {
     const auto &target = control.state.target;
     auto granted = grantedRanges(control.state);
+    auto awaited = awaitedRanges(control.state, now);
+    const bool changed = granted != control.publishedRanges || awaited != control.awaitedRanges;
     auto &admissionControl = control.shared->admissionControl;
     const std::lock_guard lock(admissionControl.mutex);
     auto &admission = admissionControl.admission;
@@ -127,9 +132,21 @@
     setLeaving(admission, target.leaving || target.left || admission.saysLeaving, now);
     setDrained(admission, ownDomainDrainedSince(control), control.state.drained.keyedLimit, now);
     if (granted != control.publishedRanges) {
-        setServed(admission, {expandSlots(granted), {}}, target.servesUntil, milliseconds(0), now);
+        setServed(admission, {expandSlots(granted), {}}, target.servesUntil, grantTransferTime, now);
         control.publishedRanges = std::move(granted);
     }
+    if (awaited != control.awaitedRanges) {
+        setAssigned(admission, expandSlots(awaited));
+        control.awaitedRanges = std::move(awaited);
+    }
+    return changed;
+}
+
+/** Decides on kept requests as soon as newly granted slots are open, without waiting for the next tick. */
+asio::awaitable<void> decideWhenOpen(roster_control &control)
+{
+    co_await sleepFor(grantTransferTime);
+    decideQueued(control.shared->admissionControl, clock::now());
 }
 
 void publish(roster_control &control)
@@ -139,7 +156,10 @@
         control.state.dirty = false;
         publishView(control, now);
     }
-    publishAdmission(control, now);
+    if (publishAdmission(control, now)) {
+        decideQueued(control.shared->admissionControl, now);
+        asio::co_spawn(control.context, decideWhenOpen(control), asio::detached);
+    }
     wakeLongPolls(control);
 }
 
--- a/packages/daemon/src/roster/roster_control.h
+++ b/packages/daemon/src/roster/roster_control.h
@@ -66,6 +66,8 @@
     std::shared_ptr<const route_table> tables; ///< Current route tables; null before the first were read.
     revision_number tablesRevision; ///< Revision of the tables in the store.
     std::vector<std::pair<pool_id, slot_range>> publishedRanges; ///< Slot ranges open for admission.
+    std::vector<std::pair<pool_id, slot_range>> awaitedRanges; ///< Slot ranges whose requests admission keeps until
+                                                               ///< the next grant.
     udp::socket socket{context}; ///< Socket for load reports.
     std::array<char, 8192> received{}; ///< The datagram being received.
     std::shared_ptr<peer_client> peers =
--- a/packages/decisions/src/admission/admission_base.h
+++ b/packages/decisions/src/admission/admission_base.h
@@ -138,6 +138,10 @@
     std::uint32_t transferring = 0; ///< Requests in flight whose response is being transferred.
     std::uint32_t normalTransfers = 0; ///< Normal (not urgent) requests among those.
     std::vector<queued_request> queue; ///< Queued requests, ordered by class, rank and deadline.
+    std::map<std::pair<pool_id, slot_number>, fence_number>
+        assigned; ///< Slots that the target owns or will own with its next grant; requests for those that it does not
+                  ///< serve yet are kept.
+    std::vector<queued_request> kept; ///< Requests kept until the grant of their slot is in force, oldest first.
     std::vector<queued_request> displaced; ///< Displaced from the full queue by more urgent ones, to be refused.
     steady_time lastUrgentAt{}; ///< Arrival of the latest request with a rank below `normalRank`.
     std::uint32_t urgentInFlight = 0; ///< Urgent requests in flight.
--- a/packages/decisions/src/admission/admission_cmd.cpp
+++ b/packages/decisions/src/admission/admission_cmd.cpp
@@ -35,9 +35,26 @@
     return {false, false, reason, retryAfter};
 }
 
+/** Whether the slot of a request is assigned to the target, and the grant that lets it be served is not in force yet.
+ */
+bool awaitsGrant(const admission_state &state, const admission_request &request, steady_time now)
+{
+    if (!request.slot || state.leaving) {
+        return false;
+    }
+    const std::pair key(request.slot->pool, request.slot->slot);
+    const auto assigned = state.assigned.find(key);
+    if (assigned == state.assigned.end() || assigned->second != request.slot->fence) {
+        return false;
+    }
+    const auto served = state.slots.find(key);
+    return served == state.slots.end() || served->second.fence != request.slot->fence
+        || (!served->second.draining && now < served->second.opensAt);
+}
+
 refusal checkSlot(const admission_state &state, const admission_request &request, steady_time now)
 {
-    if (!request.slot) {
+    if (!request.slot || awaitsGrant(state, request, now)) {
         return refusal::none;
     }
     const auto found = state.slots.find({request.slot->pool, request.slot->slot});
@@ -219,6 +236,23 @@
     return {false, true};
 }
 
+/** Whether a request whose slot is not granted yet can still meet its goal if the grant comes now. */
+bool canWaitForGrant(const admission_state &state, const admission_request &request, steady_time now)
+{
+    const milliseconds least(std::llround(expectedServiceMs(state, isUrgent(request), request.call) * minServiceShare));
+    return now + least <= latestResponse(state, request);
+}
+
+/** Keeps a request until the grant of its slot is in force. */
+admission_result keep(admission_state &state, const admission_request &request, steady_time now)
+{
+    if (state.kept.size() >= state.limits.queue || !canWaitForGrant(state, request, now)) {
+        return refuse(state, refusal::not_owner, ownerRetryAfter);
+    }
+    state.kept.push_back({request, now});
+    return {false, true};
+}
+
 /** First queued request that does not wait for a suspect. */
 std::vector<queued_request>::iterator nextToStart(admission_state &state)
 {
@@ -226,16 +260,9 @@
                         [&](const auto &waiting) { return !waitsForSuspect(state, waiting.request); });
 }
 
-} // namespace
-
-admission_result admit(admission_state &state, const admission_request &request, steady_time now)
+/** Starts, queues or refuses a request that the target may serve. */
+admission_result admitChecked(admission_state &state, const admission_request &request, steady_time now)
 {
-    if (const auto reason = checkRequest(state, request, now); reason != refusal::none) {
-        return refuse(state, reason, retryAfterFor(state, reason));
-    }
-    if (request.slot) {
-        ++state.demand[request.slot->slot];
-    }
     updateOverrun(state.speed, now);
     state.lastUrgentAt = request.rank < normalRank ? now : state.lastUrgentAt;
     if (const auto held = heldFor(state, request, now); held > milliseconds(0)) {
@@ -250,6 +277,46 @@
     return enqueue(state, request, now);
 }
 
+/** Decides on the requests kept for a grant: those whose slot is served now are admitted like new ones. */
+void advanceKept(admission_state &state, std::vector<decided_request> &decided, steady_time now)
+{
+    std::erase_if(state.kept, [&](const queued_request &waiting) {
+        const auto &request = waiting.request;
+        auto reason = checkRequest(state, request, now);
+        if (reason == refusal::none && awaitsGrant(state, request, now)) {
+            if (canWaitForGrant(state, request, now)) {
+                return false;
+            }
+            reason = refusal::not_owner;
+        }
+        const auto result = reason == refusal::none ? admitChecked(state, request, now)
+                                                    : refuse(state, reason, retryAfterFor(state, reason));
+        if (!result.queued) {
+            decided.push_back({request.id, result});
+        }
+        return true;
+    });
+}
+
+} // namespace
+
+admission_result admit(admission_state &state, const admission_request &request, steady_time now)
+{
+    if (const auto reason = checkRequest(state, request, now); reason != refusal::none) {
+        return refuse(state, reason, retryAfterFor(state, reason));
+    }
+    if (request.slot) {
+        ++state.demand[request.slot->slot];
+    }
+    return awaitsGrant(state, request, now) ? keep(state, request, now) : admitChecked(state, request, now);
+}
+
+bool removeWaiting(admission_state &state, std::uint64_t id)
+{
+    const auto isWanted = [id](const queued_request &waiting) { return waiting.request.id == id; };
+    return std::erase_if(state.queue, isWanted) + std::erase_if(state.kept, isWanted) > 0;
+}
+
 refusal checkHandOver(const admission_state &state, const admission_request &request, steady_time now)
 {
     if (now >= request.deadline) {
@@ -322,6 +389,7 @@
     }
     state.displaced.clear();
     updateOverrun(state.speed, now);
+    advanceKept(state, decided, now);
     std::size_t before = 0;
     std::erase_if(state.queue, [&](const queued_request &waiting) {
         auto reason = checkRequest(state, waiting.request, now);
@@ -373,6 +441,14 @@
     state.slots = std::move(next);
 }
 
+void setAssigned(admission_state &state, const std::vector<fenced_slot> &slots)
+{
+    state.assigned.clear();
+    for (const auto &slot : slots) {
+        state.assigned[{slot.pool, slot.slot}] = slot.fence;
+    }
+}
+
 void beginTarget(admission_state &state, steady_time now)
 {
     // The first target of this run may have named a limit to the previous run of this daemon.
@@ -449,9 +525,11 @@
 
 void clearQueuedSuspects(admission_state &state, const request_fingerprint &fingerprint)
 {
-    for (auto &waiting : state.queue) {
-        if (waiting.request.suspect == fingerprint) {
-            waiting.request.suspect.reset();
+    for (auto *requests : {&state.queue, &state.kept}) {
+        for (auto &waiting : *requests) {
+            if (waiting.request.suspect == fingerprint) {
+                waiting.request.suspect.reset();
+            }
         }
     }
 }
--- a/packages/decisions/src/admission/admission_func.h
+++ b/packages/decisions/src/admission/admission_func.h
@@ -38,6 +38,14 @@
 void finishRequest(admission_state &state, const admission_request &request, bool progress, milliseconds took,
                    steady_time now);
 
+/**
+ * Removes a queued request, or one that is kept until the grant of its slot is in force.
+ * @param state Admission.
+ * @param id Id of the request.
+ * @return Whether it was still waiting.
+ */
+bool removeWaiting(admission_state &state, std::uint64_t id);
+
 /** A request that has left the queue. */
 struct decided_request
 {
@@ -46,7 +54,9 @@
 };
 
 /**
- * Admits queued requests that can start now, and refuses those that were displaced or can't run in time.
+ * Admits queued requests that can start now, and refuses those that were displaced or can't run in time. Requests kept
+ * for a grant are queued or admitted once it is in force, and refused once they can't meet their goal or the slot is no
+ * longer assigned to the target.
  * @param state Admission.
  * @param now Present time.
  * @return Requests removed from the queue, with their results.
@@ -84,6 +94,14 @@
 void setServed(admission_state &state, const served_slots &served, steady_time leaseUntil, milliseconds grace,
                steady_time now);
 
+/**
+ * Replaces the slots assigned to the target. A slot that is assigned and not served yet is granted to the target within
+ * a second: a request for it that is kept meanwhile costs no messages, while a refused one is sent again and again.
+ * @param state Admission.
+ * @param slots Slots, including those that are served; empty if no further grants are expected.
+ */
+void setAssigned(admission_state &state, const std::vector<fenced_slot> &slots);
+
 /**
  * Forgets what the target before has said: another incarnation has announced itself.
  * @param state Admission.
--- a/packages/decisions/src/roster/roster_cmd.cpp
+++ b/packages/decisions/src/roster/roster_cmd.cpp
@@ -425,6 +425,16 @@
     return served;
 }
 
+std::vector<std::pair<pool_id, slot_range>> awaitedRanges(const roster_state &state, steady_time now)
+{
+    const auto &target = state.target;
+    const bool unresponsive = now - target.lastReportAt >= state.timing.holdPeriod;
+    if (state.stopping || target.leaving || unresponsive || !mayGrant(state, now) || mustLeaveDomain(state)) {
+        return {};
+    }
+    return grantableRanges(state);
+}
+
 std::optional<target_grant> applyReport(roster_state &state, const target_report &report, steady_time now)
 {
     auto &target = state.target;
--- a/packages/decisions/src/roster/roster_func.h
+++ b/packages/decisions/src/roster/roster_func.h
@@ -213,6 +213,15 @@
  */
 std::vector<std::pair<pool_id, slot_range>> grantedRanges(const roster_state &state);
 
+/**
+ * Lists the ranges whose requests may be kept until the next grant to the local target.
+ * @param state Roster.
+ * @param now Current time.
+ * @return The grantable ranges; none while no grant can be expected: without a lease, from an unresponsive target, or
+ * if the target has to release all slots.
+ */
+std::vector<std::pair<pool_id, slot_range>> awaitedRanges(const roster_state &state, steady_time now);
+
 /**
  * Checks whether requests may be sent to a node.
  * @param state Roster.
