--- a/packages/decisions/src/scope/allowed_regions_cmd.cpp
+++ b/packages/decisions/src/scope/allowed_regions_cmd.cpp
@@ -57,10 +57,10 @@
     for (const auto &route : routes) {
         for (const auto &pool : route.regions.empty() ? std::set<pool_id>() : poolsOf(route)) {
             auto &reserved = found[pool];
-            std::copy_if(
-                route.regions.begin(), route.regions.end(), std::back_inserter(reserved), [&](const auto &region) {
-                    return std::find(reserved.begin(), reserved.end(), region) == reserved.end();
-                });
+            std::copy_if(route.regions.begin(), route.regions.end(), std::back_inserter(reserved),
+                         [&](const auto &region) {
+                             return std::find(reserved.begin(), reserved.end(), region) == reserved.end();
+                         });
         }
     }
     return found;
