Change: the old owner of a moving slot serves until its target's next report

From when the daemon of the old owner knew of a planned move, it refused the requests for the slot, although its target held the slot until it read the answer to its next report, up to 870 ms later. Nobody served the slot in that time.

grantedRanges() lists what the last grant contained, also if it is to be moved. The answer to the next report omits the slot, and from then on the daemon passes on no request for it. The transfer is written only after the target confirmed the release, as before; a range whose transfer may have been written is not served.

--- a/packages/decisions/src/roster/roster_cmd.cpp
+++ b/packages/decisions/src/roster/roster_cmd.cpp
@@ -33,6 +33,28 @@
            });
 }
 
+/** Ranges of the current incarnation that no write may have transferred to another owner. */
+std::vector<std::pair<pool_id, slot_range>> ownedRanges(const roster_state &state)
+{
+    std::vector<std::pair<pool_id, slot_range>> owned;
+    const auto &target = state.target;
+    if (target.incarnation.id.empty() || target.left) {
+        return owned;
+    }
+    for (const auto &[pool, stored] : state.records) {
+        if (pool != state.self.member.target.pool || state.lease.unreadOwners.contains(pool)) {
+            continue;
+        }
+        for (const auto &range : stored.record.ranges) {
+            if (range.owner == state.self.member.id && range.incarnation == target.incarnation
+                && !isWithheld(state, pool, range) && isEntitled(state, pool, range)) {
+                owned.emplace_back(pool, range);
+            }
+        }
+    }
+    return owned;
+}
+
 /** When all grants of a previous run of this daemon must have ended. */
 steady_time previousRunGrantsEnd(const roster_state &state)
 {
@@ -394,28 +416,16 @@
 
 std::vector<std::pair<pool_id, slot_range>> grantableRanges(const roster_state &state)
 {
-    std::vector<std::pair<pool_id, slot_range>> served;
-    const auto &target = state.target;
-    if (target.incarnation.id.empty() || target.left) {
-        return served;
-    }
-    for (const auto &[pool, stored] : state.records) {
-        if (pool != state.self.member.target.pool || state.lease.unreadOwners.contains(pool)) {
-            continue;
-        }
-        for (const auto &range : stored.record.ranges) {
-            if (range.owner == state.self.member.id && range.incarnation == target.incarnation
-                && range.nextOwner.value.empty() && !isWithheld(state, pool, range) && isEntitled(state, pool, range)) {
-                served.emplace_back(pool, range);
-            }
-        }
-    }
-    return served;
+    auto ranges = ownedRanges(state);
+    std::erase_if(ranges, [](const auto &row) { return !row.second.nextOwner.value.empty(); });
+    return ranges;
 }
 
 std::vector<std::pair<pool_id, slot_range>> grantedRanges(const roster_state &state)
 {
-    auto served = grantableRanges(state);
+    // Ranges that are to be moved are served until the answer to the next report omits them: the target holds them
+    // until it reads that answer, and nobody else can serve them before.
+    auto served = ownedRanges(state);
     std::erase_if(served, [&](const auto &row) {
         const auto &range = row.second;
         return std::none_of(state.target.granted.begin(), state.target.granted.end(), [&](const auto &granted) {
--- a/packages/decisions/src/roster/roster_func.h
+++ b/packages/decisions/src/roster/roster_func.h
@@ -207,7 +207,8 @@
 std::vector<std::pair<pool_id, slot_range>> grantableRanges(const roster_state &state);
 
 /**
- * Lists the grantable ranges that the last grant to the local target contained.
+ * Lists the ranges that the last grant to the local target contained and that are not transferred to another owner. A
+ * range that is to be moved is among them until the answer to the next report of the target omits it.
  * @param state Roster.
  * @return Ranges whose requests may be passed to the target.
  */
--- a/packages/decisions/tests/roster_moves_test.cpp
+++ b/packages/decisions/tests/roster_moves_test.cpp
@@ -118,6 +118,20 @@
     return hot.moves.size() > before;
 }
 
+bool contains(const std::vector<slot_range> &ranges, std::uint32_t slot)
+{
+    return std::any_of(ranges.begin(), ranges.end(),
+                       [&](const auto &range) { return range.first <= slot && slot <= range.last; });
+}
+
+/** Whether the daemon of a node passes requests for a slot to its target. */
+bool isServedBy(const fake_node &node, std::uint32_t slot)
+{
+    const auto granted = grantedRanges(node.roster);
+    return std::any_of(granted.begin(), granted.end(),
+                       [&](const auto &row) { return row.second.first <= slot && slot <= row.second.last; });
+}
+
 void expectRareMoves(const std::vector<steady_time> &moves)
 {
     for (std::size_t index = 1; index < moves.size(); ++index) {
@@ -159,6 +173,40 @@
     }
 }
 
+// The daemon of the old owner refused requests from when it knew of the move, although its target held the slot until
+// the answer to its next report, up to 870 ms later.
+TEST(rosterMoves, theOldOwnerServesUntilItsTargetReports)
+{
+    milliseconds sum{0};
+    std::int64_t moves = 0;
+    // No answer to a report is lost during the moves of these seeds.
+    for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7}) {
+        hot_pool hot(seed, {1, 1, 1, 1, 1, 1}, true);
+        hot.run(seconds(10));
+        const auto owner = hot.ownerOf(hotSlot);
+        hot.speeds[owner] = 0.25;
+        milliseconds unserved{0};
+        for (milliseconds passed{0}; passed < seconds(6); passed += milliseconds(10)) {
+            if (passed % reportInterval == milliseconds(0)) {
+                hot.report();
+            }
+            runFor(hot.simulation, milliseconds(10));
+            const auto &former = hot.simulation.nodes[owner];
+            const bool held = contains(former.target.heldRanges, hotSlot);
+            EXPECT_EQ(isServedBy(former, hotSlot), held) << "seed " << seed << " after " << passed.count() << " ms";
+            const bool served = std::any_of(hot.simulation.nodes.begin(), hot.simulation.nodes.end(),
+                                            [](const auto &node) { return isServedBy(node, hotSlot); });
+            unserved += served ? milliseconds(0) : milliseconds(10);
+        }
+        EXPECT_NE(hot.ownerOf(hotSlot), owner);
+        EXPECT_EQ(hot.simulation.violation, "");
+        EXPECT_LE(unserved, milliseconds(1100)) << "a confirmation of the release, and one interval of reports";
+        sum += unserved;
+        ++moves;
+    }
+    std::cout << "figure mean time without an owner that serves: " << sum.count() / moves << " ms\n";
+}
+
 // The comparison by usual speeds must not keep a hot slot on an owner that became slow for another reason.
 TEST(rosterMoves, aHotSlotLeavesAnOwnerThatBecameSlow)
 {
