Fix: the kernel buffers little of a response that its caller does not read

The kernel grew the send buffer of each caller that reads nothing to megabytes. These bytes are not in the account of memory, and as long as the buffers filled, which took up to 10 s beside 1,200 callers, those callers counted as making progress and were not evicted: ordinary requests were refused as overloaded for that time.

Sockets of callers now get TCP_NOTSENT_LOWAT of 128 KiB. It limits unsent bytes only, not those in flight, so callers that read are not slowed by it.

--- a/packages/daemon/src/callers/caller_server.cpp
+++ b/packages/daemon/src/callers/caller_server.cpp
@@ -16,6 +16,7 @@
 
 #include <boost/beast/http.hpp>
 #include <limits>
+#include <netinet/tcp.h>
 
 namespace quetzalspool {
 
@@ -30,6 +31,8 @@
 constexpr std::uint32_t requestLineLimit = 8192; ///< Bytes of a request line, which the limit of headers doesn't count.
 constexpr std::size_t bodyReadAhead = 16384; ///< Bytes of a body per read.
 constexpr std::uint64_t requestBytes = 16384; ///< Bytes charged for a request beside its body.
+constexpr int unsentBytes = 131072; ///< Bytes of a response that the kernel keeps beyond those in flight. Without this
+                                    ///< limit it takes megabytes for each caller that does not read.
 constexpr std::size_t readAheadLimit = 131072; ///< Maximum bytes buffered beyond the longest head.
 
 using caller_parser = http::request_parser<shared_body_http>;
@@ -393,7 +396,9 @@
     connection->charge.chargeTo(thread.shared->memory);
     connection->charge.add(connectionBytes);
     error_code code;
+    using unsent_limit = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
     connection->stream.socket().set_option(tcp::no_delay(true), code);
+    connection->stream.socket().set_option(unsent_limit(unsentBytes), code);
     const auto remote = connection->stream.socket().remote_endpoint(code);
     connection->address = remote.address().to_string();
     thread.callers.insert(connection);
