Add: the client shows where a request would go

Cause: GET /v1/where had no command. Exit codes: 0 also for a refusal that is explained, 3 without a route, 1 without tables or without an answer. A daemon of an earlier version, which answers with 404 or with its metrics, counts as one that doesn't answer.

--- a/apps/quetzalspool/client_type.h
+++ b/apps/quetzalspool/client_type.h
@@ -5,6 +5,7 @@
 #include "base_type.h"
 
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace quetzalspool {
 
@@ -19,6 +20,14 @@
     exit_unknown = 5, ///< The outcome is unknown: the change may have been made.
 };
 
+/** A request that `where` asks about. */
+struct asked_request
+{
+    std::string host; ///< Host; empty for none.
+    std::string method = "GET"; ///< Method.
+    std::optional<std::string> key; ///< Key that replaces the one in the path.
+};
+
 /** Command-line options. */
 struct client_options
 {
@@ -30,6 +39,7 @@
     std::string operatorName; ///< Name of the operator.
     std::string key; ///< Key of the operator.
     std::string reason; ///< Reason for the change, recorded in the audit log.
+    asked_request asked; ///< Request of `where`.
     std::vector<std::string> arguments; ///< The command and its arguments.
 };
 
@@ -60,6 +70,20 @@
  */
 int explainRequest(const std::string &id, const std::vector<std::string> &files);
 
+/**
+ * Formats the explanation where a request would go.
+ * @param answer Response of the daemon.
+ * @return Text of several lines.
+ */
+std::string formatWhere(const nlohmann::json &answer);
+
+/**
+ * Shows where a request would go. The path is the argument of the command.
+ * @param options Command-line options.
+ * @return exit_refused if no route matches, exit_failed if the daemon has no tables or doesn't answer.
+ */
+int showWhere(const client_options &options);
+
 /**
  * Runs the command named by the first argument.
  * @param options Command-line options.
--- a/apps/quetzalspool/commands.cpp
+++ b/apps/quetzalspool/commands.cpp
@@ -1,4 +1,5 @@
 /** @file commands.cpp Commands of the client that use the admin port. */
+#include "client_output.h"
 #include "client_type.h"
 #include "row_func.h"
 #include "settings_type.h"
@@ -16,48 +17,12 @@
 constexpr std::chrono::seconds applyWaitLimit{30};
 constexpr milliseconds applyWaitStep{200};
 
-int fail(const last_reason &why)
-{
-    std::cerr << "quetzalspool: " << describe(why) << "\n";
-    return exit_failed;
-}
-
 int usage(const std::string &text)
 {
     std::cerr << "quetzalspool: " << text << "; see quetzalspool --help\n";
     return exit_usage;
 }
 
-/** Formats a JSON value as the text of a table cell. */
-std::string cellText(const json &value)
-{
-    return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
-/** Prints an array of objects as a table with the given members as columns. */
-void printTable(const json &rows, const std::vector<std::string> &columns)
-{
-    std::vector<std::size_t> widths;
-    for (const auto &column : columns) {
-        auto width = column.size();
-        for (const auto &row : rows) {
-            width = std::max(width, cellText(row.value(column, json(""))).size());
-        }
-        widths.push_back(width);
-    }
-    const auto pad = [](std::string text, std::size_t width) { return text.append(width - text.size() + 2, ' '); };
-    for (std::size_t at = 0; at < columns.size(); ++at) {
-        std::cout << pad(columns[at], widths[at]);
-    }
-    std::cout << "\n";
-    for (const auto &row : rows) {
-        for (std::size_t at = 0; at < columns.size(); ++at) {
-            std::cout << pad(cellText(row.value(columns[at], json(""))), widths[at]);
-        }
-        std::cout << "\n";
-    }
-}
-
 void printChanges(const json &changes)
 {
     for (const auto &change : changes) {
@@ -77,20 +42,6 @@
     }
 }
 
-int exitCodeFor(unsigned status)
-{
-    if (status == 200) {
-        return exit_success;
-    }
-    if (status == 202) {
-        return exit_pending;
-    }
-    if (status == 504) {
-        return exit_unknown;
-    }
-    return status >= 500 ? exit_failed : exit_refused;
-}
-
 /** Reads the tables file as the rows of an edit. Rows missing from the file stay unchanged at the daemons. */
 std::optional<json> readRows(const std::string &file, last_reason &why)
 {
@@ -177,7 +128,7 @@
               {"bases", fetchBaseRevisions(options, *rows, why)}};
     const auto preview = requestDaemon(options.daemon, "POST", "/v1/apply", body, why);
     if (!preview) {
-        return fail(why);
+        return reportFailure(why);
     }
     if (!options.json || preview->status != 200) {
         printChanges(preview->body.value("changes", json::array()));
@@ -231,7 +182,7 @@
                     {"bases", fetchBaseRevisions(options, rows, why)}};
     const auto response = requestDaemon(options.daemon, "POST", "/v1/apply", body, why);
     if (!response) {
-        return fail(why);
+        return reportFailure(why);
     }
     std::cout << response->body.dump() << "\n";
     return exitCodeFor(response->status);
@@ -244,7 +195,7 @@
     last_reason why;
     const auto response = requestDaemon(options.daemon, method, path, body, why);
     if (!response) {
-        return fail(why);
+        return reportFailure(why);
     }
     if (options.json || columns.empty() || response->status != 200) {
         std::cout << response->body.dump() << "\n";
@@ -259,7 +210,7 @@
     last_reason why;
     const auto response = requestDaemon(options.daemon, "GET", "/v1/status", {}, why);
     if (!response) {
-        return fail(why);
+        return reportFailure(why);
     }
     if (options.json) {
         std::cout << response->body.dump() << "\n";
@@ -290,21 +241,6 @@
     return exit_success;
 }
 
-/** Percent-encodes the characters that are reserved in a query. */
-std::string percentEncode(const std::string &text)
-{
-    static const char digits[] = "0123456789ABCDEF";
-    std::string out;
-    for (const unsigned char c : text) {
-        if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
-            out += static_cast<char>(c);
-        } else {
-            out += {'%', digits[c >> 4U], digits[c & 15U]};
-        }
-    }
-    return out;
-}
-
 } // namespace
 
 int runCommand(const client_options &options)
@@ -330,6 +266,9 @@
                              "/v1/owner?pool=" + percentEncode(arguments[1]) + "&key=" + percentEncode(arguments[2]),
                              {}, "", {});
     }
+    if (command == "where" && hasArguments(1)) {
+        return showWhere(options);
+    }
     if (command == "status" && hasArguments(0)) {
         return status(options);
     }
--- a/apps/quetzalspool/main.cpp
+++ b/apps/quetzalspool/main.cpp
@@ -13,8 +13,9 @@
 
 constexpr const char *description =
     "Operates quetzalspool through the admin port of any daemon.\n"
-    "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | status | "
-    "measures | drain INSTANCE | audit | check SETTINGS | load HOST:PORT... | explain ID [LOG...]\n"
+    "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | where PATH "
+    "| "
+    "status | measures | drain INSTANCE | audit | check SETTINGS | load HOST:PORT... | explain ID [LOG...]\n"
     "Exit codes: 0 done, 1 failed, 2 usage or invalid file, 3 refused, 4 not yet in force everywhere or waiting for "
     "approval, 5 outcome unknown.";
 
@@ -76,6 +77,14 @@
     TCLAP::SwitchArg wait("w", "wait", "apply: wait until every daemon has applied the change.", line);
     TCLAP::SwitchArg dryRun("n", "dry-run", "apply: only show the difference.", line);
     TCLAP::SwitchArg yes("y", "yes", "apply: skip the confirmation prompt.", line);
+    TCLAP::ValueArg<std::string> host("", "host", "where: host of the request.", false, "", "HOST", line);
+    TCLAP::ValueArg<std::string> askedKey("", "key", "where: key, instead of the one in the path.", false, "", "KEY",
+                                          line);
+    TCLAP::ValueArg<std::string> method("", "method", "where: method of the request.", false, "GET", "METHOD", line);
+    TCLAP::ValueArg<std::string> from("", "from",
+                                      "where: admin port of the daemon that receives the request; "
+                                      "otherwise that of --daemon.",
+                                      false, "", "HOST:PORT", line);
     TCLAP::ValueArg<double> rate("", "rate", "load: requests started per second.", false, 100, "N", line);
     TCLAP::ValueArg<int> seconds("", "seconds", "load: duration in seconds.", false, 5, "S", line);
     TCLAP::ValueArg<std::string> path("", "path", "load: path of lookups, with {key}.", false, "/formulas/{key}",
@@ -106,9 +115,10 @@
         return explain(arguments.getValue());
     }
     client_options options;
-    const auto at = parseEndpoint(daemon.getValue());
+    const auto &asked = from.isSet() ? from : daemon;
+    const auto at = parseEndpoint(asked.getValue());
     if (!at) {
-        std::cerr << "quetzalspool: --daemon must be an IP address and a port\n";
+        std::cerr << "quetzalspool: --" << asked.getName() << " must be an IP address and a port\n";
         return exit_usage;
     }
     options.daemon = *at;
@@ -128,6 +138,9 @@
     options.wait = wait.getValue();
     options.dryRun = dryRun.getValue();
     options.yes = yes.getValue();
+    options.asked.host = host.getValue();
+    options.asked.method = method.getValue();
+    options.asked.key = askedKey.isSet() ? std::optional(askedKey.getValue()) : std::nullopt;
     options.arguments = arguments.getValue();
     return runCommand(options);
 }
