Fix: the merged commands of the client build together

Cause: the command domain used a function that the command where had moved to a shared file under another name. Change: the name, and the layout of the help text. Measured: the client builds.

--- a/apps/quetzalspool/commands.cpp
+++ b/apps/quetzalspool/commands.cpp
@@ -215,7 +215,7 @@
     last_reason why;
     const auto domains = fetchDomains(options, why);
     if (!domains) {
-        return fail(why);
+        return reportFailure(why);
     }
     auto list = json::array();
     for (const auto &entry : *domains) {
--- a/apps/quetzalspool/main.cpp
+++ b/apps/quetzalspool/main.cpp
@@ -13,7 +13,8 @@
 
 constexpr const char *description =
     "Operates quetzalspool through the admin port of any daemon.\n"
-    "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | where PATH | "
+    "Commands: apply FILE | diff FILE | remove ROW | approve PROPOSAL | proposals | show | owner POOL KEY | where PATH "
+    "| "
     "status | measures | drain INSTANCE | domain [drain NAME | restore NAME] | audit | check SETTINGS | "
     "load HOST:PORT... | explain ID [LOG...]\n"
     "Exit codes: 0 done, 1 failed, 2 usage or invalid file, 3 refused, 4 not yet in force everywhere or waiting for "
