--- a/packages/decisions/tests/overload_test.cpp
+++ b/packages/decisions/tests/overload_test.cpp
@@ -183,8 +183,8 @@
     EXPECT_EQ(result.throttled, 0);
 }
 
-// Targets that slow down for tenths of a second make requests and calls late in calm. There is capacity for all of them,
-// so a throttle would only refuse what could be served.
+// Targets that slow down for tenths of a second make requests and calls late in calm. There is capacity for all of
+// them, so a throttle would only refuse what could be served.
 TEST(overload, lateResponsesInCalmAreNotThrottled)
 {
     auto setup = exampleSetup(1);
--- a/packages/decisions/tests/speed_simulation.cpp
+++ b/packages/decisions/tests/speed_simulation.cpp
@@ -154,7 +154,8 @@
     const auto &admission = targets[simulated.target].admission;
     const bool urgent = isUrgent(simulated.request);
     const speed_report report{std::round(expectedServiceMs(admission, urgent)),
-                              std::round(loadPerSlot(admission, now) * 100) / 100, {urgent}};
+                              std::round(loadPerSlot(admission, now) * 100) / 100,
+                              {urgent}};
     events.emplace(now + linkTime, [this, id, answered, report] { conclude(id, answered, report); });
 }
 
