--- a/apps/quetzalspool/commands.cpp
+++ b/apps/quetzalspool/commands.cpp
@@ -241,7 +241,7 @@
     }
     const auto domains = fetchDomains(options, why);
     if (domains && !domains->contains(name)) {
-        std::cerr << "quetzalspool: no instance is in the failure domain \"" << name << "\"\n";
+        std::cerr << "quetzalspool: warning: failure domain \"" << name << "\" is unknown; the change is made anyway\n";
     }
     auto confirmed = options;
     confirmed.yes = true;
--- a/apps/quetzalspool/where.cpp
+++ b/apps/quetzalspool/where.cpp
@@ -165,7 +165,7 @@
     if (!answer.is_object() || !answer.contains("result")) {
         // An earlier daemon answers with 404 or, with a roster, with its metrics.
         const auto reason = answer.is_object() ? answer.value("reason", "") : std::string();
-        why.text = reason.empty() ? "the daemon does not answer such queries" : reason;
+        why.text = reason.empty() ? "the daemon does not support /v1/where; it may be an earlier version" : reason;
         return reportFailure(why);
     }
     if (options.json) {
--- a/packages/daemon/src/cells/document_wire.cpp
+++ b/packages/daemon/src/cells/document_wire.cpp
@@ -17,7 +17,7 @@
  */
 using document_row = std::tuple<std::string, std::int64_t, std::string, std::int64_t>;
 
-constexpr milliseconds maxAge = std::chrono::hours(24 * 365 * 10); ///< Larger ages are damaged; they would overflow.
+constexpr milliseconds maxAge = std::chrono::hours(24 * 365 * 10); ///< Larger ages are invalid: they would overflow.
 
 template <typename Value>
 std::string pack(const Value &value)
--- a/packages/daemon/src/overload/call_follower.cpp
+++ b/packages/daemon/src/overload/call_follower.cpp
@@ -43,7 +43,7 @@
         return;
     }
     const bool answered = outcome.result == attempt_result::answered;
-    // A late response is no sign of lacking capacity: targets slow down for tenths of a second also in calm.
+    // A late response does not show a lack of capacity: targets also slow down briefly under normal load.
     if (!answered) {
         countMetric(*shared.metricsRegistry, "calls_refused_total");
         const std::lock_guard lock(shared.admissionControl.mutex);
--- a/packages/daemon/src/requests/peer_wire.cpp
+++ b/packages/daemon/src/requests/peer_wire.cpp
@@ -94,8 +94,7 @@
 
 std::string makeToken(std::uint64_t draw)
 {
-    // The Huffman codes of HPACK for these have 5 or 6 bits, that of j has 7. The others of 6 bits have meanings in
-    // ids.
+    // 32 symbols with short Huffman codes in HPACK: 5 or 6 bits, and 7 for j. Other symbols of 6 bits are separators.
     static const char symbols[] = "0123456789abcdefghijlmnoprstuA-_";
     std::string token;
     for (std::size_t at = 0; at < tokenLength; ++at) {
--- a/packages/daemon/src/requests/where_query.cpp
+++ b/packages/daemon/src/requests/where_query.cpp
@@ -1,4 +1,4 @@
-/** @file where_query.cpp Queries of the admin port where a request would go. */
+/** @file where_query.cpp Admin queries that explain how a request would be routed. */
 #include "where_query.h"
 
 #include "admission_func.h"
@@ -248,7 +248,8 @@
         }
     }
     const bool explained = report.result == report_result::chosen || report.result == report_result::refused;
-    return jsonResponse(explained ? 200 : answer.refusal->status, out.dump());
+    return jsonResponse(explained ? 200 : answer.refusal->status,
+                        out.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 /** Explanation made by another thread. */
@@ -342,7 +343,7 @@
         co_await sleepFor(answerPollInterval);
     }
     if (!pending->done) {
-        co_return jsonResponse(503, R"({"reason":"the traffic thread is busy"})");
+        co_return jsonResponse(503, R"({"reason":"the daemon did not answer within 700 ms; try again"})");
     }
     co_return formatAnswer(thread.shared->settings, pending->answer);
 }
--- a/packages/daemon/src/requests/where_query.h
+++ b/packages/daemon/src/requests/where_query.h
@@ -1,4 +1,4 @@
-/** @file where_query.h Queries of the admin port where a request would go. */
+/** @file where_query.h Admin queries that explain how a request would be routed. */
 #ifndef WHERE_QUERY_H
 #define WHERE_QUERY_H
 
--- a/packages/daemon/src/roster/roster_exchange.cpp
+++ b/packages/daemon/src/roster/roster_exchange.cpp
@@ -27,6 +27,8 @@
 constexpr unsigned statusOk = 200; ///< Status of a response with changes.
 constexpr milliseconds coalescePause{50}; ///< Pause after changes, so that several arrive together.
 constexpr std::size_t maxPackedForms = 8; ///< Compressed updates kept for followers that know different revisions.
+constexpr milliseconds divergedPause{500}; ///< Pause before the next snapshot if one did not make the mirrors equal:
+                                           ///< without it, a daemon asks for all values as fast as the link allows.
 constexpr milliseconds noUpstreamDelay{200}; ///< Delay before the next attempt if no upstream daemon is available.
 
 /** Whether a response is of a lost era, or of a daemon that knows of no eras: its revisions can't be compared. */
@@ -190,7 +192,11 @@
             continue;
         }
         onChange();
-        if (result == poll_result::changed) {
+        const bool diverged = std::any_of(control.mirroredPrefixes.begin(), control.mirroredPrefixes.end(),
+                                          [](const auto &mirrored) { return mirrored->mirror.diverged; });
+        if (diverged) {
+            co_await sleepFor(divergedPause);
+        } else if (result == poll_result::changed) {
             co_await sleepFor(coalescePause);
         }
     }
--- a/packages/daemon/src/traffic_base.h
+++ b/packages/daemon/src/traffic_base.h
@@ -24,7 +24,7 @@
 struct unsent_response
 {
     std::shared_ptr<peer_responder> responder; ///< Where it is written.
-    steady_time lastProgress{}; ///< When a part was last accepted.
+    steady_time lastProgress{}; ///< When the sending of this part began.
 };
 
 /** One traffic thread: its sockets, connections and load-balancing statistics. */
--- a/packages/decisions/src/cells/catalog_base.h
+++ b/packages/decisions/src/cells/catalog_base.h
@@ -19,7 +19,8 @@
     std::string key; ///< Key, without the store's prefix.
     revision_number revision; ///< Revision of its last change.
     std::shared_ptr<const std::string> value; ///< Content.
-    steady_time since{}; ///< Earliest time at which this revision may have been stored; the epoch if unknown.
+    steady_time since{}; ///< Time from which the age of this revision counts: the last complete read before it, or the
+                         ///< arrival of the watch event, which may be later than the write. The epoch if unknown.
 };
 
 /** Documents, and a digest of their keys and revisions. */
--- a/packages/decisions/src/mirror/mirror_cmd.cpp
+++ b/packages/decisions/src/mirror/mirror_cmd.cpp
@@ -36,6 +36,17 @@
     });
 }
 
+/**
+ * Whether a mirror has nothing that is newer than an update. Otherwise digests can't be compared: a daemon applies its
+ * own writes before its upstream knows them, and no copy from there makes the digests equal.
+ */
+bool knowsNothingNewer(const mirrored_keys &keys, revision_number revision)
+{
+    return keys.revision <= revision && std::none_of(keys.values.begin(), keys.values.end(), [&](const auto &entry) {
+               return entry.second.revision > revision;
+           });
+}
+
 } // namespace
 
 bool applyChange(mirrored_keys &keys, const key_change &change)
@@ -135,7 +146,6 @@
         keys.diverged = true;
         return {};
     }
-    const bool isCurrent = update.revision >= keys.revision;
     std::vector<key_change> applied;
     if (update.snapshot) {
         applied = applyListing(keys, keys.prefix, update.changes, update.revision);
@@ -147,7 +157,7 @@
         }
         advanceRevision(keys, update.revision);
     }
-    keys.diverged = isCurrent && mirrorDigest(keys) != update.digest;
+    keys.diverged = knowsNothingNewer(keys, update.revision) && mirrorDigest(keys) != update.digest;
     return applied;
 }
 
--- a/packages/decisions/src/mirror/mirror_type.h
+++ b/packages/decisions/src/mirror/mirror_type.h
@@ -57,8 +57,8 @@
     std::map<std::string, mirrored_value> values; ///< Existing keys and tombstones.
     std::map<std::string, value_history> histories; ///< Histories of large values.
     std::size_t tombstones = 0; ///< Number of tombstones among the values.
-    bool diverged = false; ///< Whether the digest of an update at least as new as this mirror differed; the next
-                           ///< request then asks for a snapshot.
+    bool diverged = false; ///< Whether the digest of an update differed although this mirror has nothing newer; the
+                           ///< next request then asks for a snapshot.
 };
 
 /** Changes under one prefix since a revision. */
--- a/packages/decisions/src/overload/call_throttle_base.h
+++ b/packages/decisions/src/overload/call_throttle_base.h
@@ -26,7 +26,7 @@
 /** Throttle of the local target's routes. */
 struct call_throttle
 {
-    std::deque<steady_time> failedCalls; ///< When calls of the target were refused or late, oldest first, of the last
+    std::deque<steady_time> failedCalls; ///< When calls of the target were refused or lost, oldest first, of the last
                                          ///< seconds; each explains one failed request.
     std::map<std::string, route_throttle> routes; ///< Routes by name of which requests failed because of calls; a
                                                   ///< route that is fully admitted again has no entry.
--- a/packages/decisions/src/overload/call_throttle_func.h
+++ b/packages/decisions/src/overload/call_throttle_func.h
@@ -4,7 +4,7 @@
  * Load: a target works on a request and calls another service, which is overloaded and refuses the call; the request
  * fails and its work is lost. The daemon beside the calling target sees both and admits only the share of fresh
  * requests whose calls are served: it follows the failures by additive increase and multiplicative decrease. Failures
- * without a refused or late call in their time don't count, so a target that fails for another reason is not throttled.
+ * without a refused call in their time don't count, so a target that fails for another reason is not throttled.
  */
 #ifndef CALL_THROTTLE_FUNC_H
 #define CALL_THROTTLE_FUNC_H
@@ -14,7 +14,7 @@
 namespace quetzalspool {
 
 /**
- * Records that a call of the local target was refused, got no response, or was late.
+ * Records that a call of the local target was refused or got no response.
  * @param throttle Throttle; updated.
  * @param now Present time.
  */
--- a/packages/decisions/src/scope/eligible_targets_cmd.cpp
+++ b/packages/decisions/src/scope/eligible_targets_cmd.cpp
@@ -52,7 +52,7 @@
     const auto choose = rules.bySpeed ? chooseByCompletion : chooseTarget;
     const auto *chosen = choose(state, targets.members, tried, rules.location, random, now);
     if (chosen == nullptr && targets.scope == target_scope::open && targets.allowed.restricted) {
-        targets.scope = target_scope::not_allowed; // All targets of the allowed regions are leaving.
+        targets.scope = target_scope::not_allowed; // All targets of the allowed regions are leaving or were tried.
     }
     return chosen;
 }
--- a/packages/peer/src/header_history.h
+++ b/packages/peer/src/header_history.h
@@ -35,8 +35,9 @@
 
 /**
  * Decides whether a header goes into the dynamic table, and records it. The first values of a name do, so that the name
- * is in the table; once values keep differing, another one does when it is sent again. Otherwise it is sent as a
- * literal with the name's index.
+ * is in the table, and so does a value that was sent before. After 16 new values in a row, values are no longer
+ * recorded, so that only one equal to the previous one is recognized. Others are sent as a literal with the name's
+ * index.
  * @param history What was sent before.
  * @param name Name.
  * @param value Value.
--- a/packages/trace/src/table/reasons.h
+++ b/packages/trace/src/table/reasons.h
@@ -42,7 +42,7 @@
     reason_row{"deadline-passed", "the deadline passed before the request could be sent to the target", ""},
     reason_row{"cancelled", "the caller cancelled before the hand-over to the target", ""},
     reason_row{"quarantined", "targets crashed one after another while they ran this request", "target-crashed"},
-    reason_row{"throttled", "requests of the route failed at the target because their calls were refused or late",
+    reason_row{"throttled", "requests of the route failed at the target because their calls were refused or lost",
                "route-throttled"},
     reason_row{"cancelled-before-hand-over", "the entry daemon cancelled the attempt before it was sent to the target",
                ""},
