Add: a test of mirrors that know newer writes than their upstream

Change: own writes that the upstream lacks are no divergence, keys that differ at its revision are one.

--- a/packages/decisions/tests/mirror_test.cpp
+++ b/packages/decisions/tests/mirror_test.cpp
@@ -214,6 +214,30 @@
     EXPECT_TRUE(std::find(after.begin(), after.end(), before.front()) == after.end());
 }
 
+// A daemon applies its own writes at once. It took the upstream that did not know them yet for one with other keys, and
+// asked it for all values as fast as the link allowed.
+TEST(mirror, ownWritesThatTheUpstreamDoesNotKnowYetAreNoDivergence)
+{
+    mirrored_keys upstream{"a/"};
+    applyChange(upstream, put("a/1", 5));
+    applyChange(upstream, put("a/2", 6));
+    advanceRevision(upstream, {6});
+    mirrored_keys keys{"a/"};
+    applyUpdate(keys, changesAfter(upstream, {}));
+    applyChange(keys, put("a/2", 8));
+    applyUpdate(keys, changesAfter(upstream, keys.revision));
+    EXPECT_FALSE(keys.diverged);
+    applyUpdate(keys, changesAfter(upstream, {}));
+    EXPECT_FALSE(keys.diverged) << "nor after a snapshot";
+    EXPECT_EQ(resumeRevision(keys), revision_number{6});
+    applyChange(upstream, put("a/2", 8));
+    advanceRevision(upstream, {9});
+    upstream.values.erase("a/1");
+    upstream.values["a/3"] = {"missed", {4}, false};
+    applyUpdate(keys, changesAfter(upstream, keys.revision));
+    EXPECT_TRUE(keys.diverged) << "the upstream knows all that this mirror does, and the keys differ";
+}
+
 TEST(rosterLease, peerConfirmationAppliesToTheSameEntryOnly)
 {
     const steady_time now{std::chrono::seconds(1000)};
