Review: the last server of a sharded service never gets its keys

RECOVER is broken: when all but one of the servers of a service divided by key have left, the answer to the last one's heartbeat has some 6.6 kB; servers take 4 KiB at most. None of its requests is served any more. At fault, as far as known: formatGrant in platform/src/report_codec.cpp writes all rows, and the owners are dealt in some 256 runs that are hardly joined again.

--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds releaseInterval{80}; ///< While keys are being released; 100 ms at most.
 constexpr milliseconds stateCheckInterval{10}; ///< Interval of the checks for a changed state of a server.
 constexpr milliseconds heartbeatLimit{1000}; ///< A later response does not acknowledge a heartbeat.
+constexpr std::size_t heartbeatAnswerLimit = 4096; ///< A larger answer does not acknowledge a heartbeat.
 constexpr milliseconds processCheckInterval{50}; ///< Interval of the checks whether processes have ended.
 constexpr milliseconds readyInterval{1000}; ///< Interval of the readiness checks.
 constexpr milliseconds connectLimit{1000}; ///< Time that a client allows for a connection.
@@ -244,6 +245,9 @@
                 continue;
             }
             at->daemon = 0;
+            if (at->leaves) {
+                continue;
+            }
             ++at->ownEnds;
             note(in,
                  {{"event", "daemon-ended-by-itself"},
@@ -350,7 +354,11 @@
 {
     const auto sentAt = clock::now();
     const auto answer = co_await post(in, server->control, "/api/Instances.Heartbeat/" + server->id, body.dump());
-    const bool acknowledged = answer && answer->result_int() == 200;
+    const bool good = answer && answer->result_int() == 200;
+    const bool acknowledged = good && answer->body().size() <= heartbeatAnswerLimit;
+    if (good && !acknowledged) {
+        note(in, {{"event", "heartbeat-answer-too-large"}, {"server", server->id}, {"bytes", answer->body().size()}});
+    }
     if (acknowledged && applies && server->sharded) {
         applyKeys(in, *server, json::parse(answer->body()), sentAt);
     }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -131,6 +131,7 @@
     std::uint16_t control = 0; ///< Port for heartbeats.
     std::uint16_t app = 0; ///< Port of the server.
     pid_t daemon = 0; ///< Process of the daemon; 0 while it does not run.
+    bool leaves = false; ///< Whether the machine is taken away: its process is not started again.
     int ownEnds = 0; ///< How often the process ended by itself.
     std::shared_ptr<app_server> server; ///< Server.
 };
