--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -8,11 +8,11 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
-#include <random>
 #include <regex>
 #include <spawn.h>
 #include <sstream>
 #include <sys/wait.h>
+#include <unistd.h>
 
 extern char **environ;
 
@@ -29,8 +29,9 @@
 constexpr milliseconds readyInterval{1000}; ///< Interval of the readiness checks.
 constexpr milliseconds connectLimit{1000}; ///< Time that a client allows for a connection.
 constexpr milliseconds startDelay{300}; ///< Machines start within this time.
-constexpr unsigned firstPort = 12000; ///< Range from which ports are drawn.
-constexpr unsigned lastPort = 31000; ///< Its end.
+constexpr unsigned firstPort = 12000; ///< First port of the first block.
+constexpr unsigned portBlocks = 95; ///< Blocks of ports, one for a process.
+constexpr unsigned portsPerBlock = 200; ///< Ports of a block.
 constexpr const char *binary = "target/apps/quetzalspoold"; ///< Program of the deploy file.
 
 /** Fills in a template of settings, with the part of its syntax that the deploy file's template uses. */
@@ -64,18 +65,20 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-/** Finds free ports below those that the kernel gives to outgoing connections. */
+/**
+ * Finds free ports below those that the kernel gives to outgoing connections. Each process searches a block of its own:
+ * daemons share a port if two of them listen on it.
+ */
 std::vector<std::uint16_t> findPorts(asio::io_context &context, std::size_t count)
 {
-    static std::mt19937 random{std::random_device{}()};
-    std::uniform_int_distribution<unsigned> draw(firstPort, lastPort);
+    static unsigned next = firstPort + static_cast<unsigned>(getpid()) % portBlocks * portsPerBlock;
     std::vector<std::uint16_t> ports;
     while (ports.size() < count) {
-        const auto port = static_cast<std::uint16_t>(draw(random));
+        const auto port = static_cast<std::uint16_t>(next++);
         tcp::acceptor acceptor(context, tcp::v4());
         error_code code;
         acceptor.bind({asio::ip::address_v4::loopback(), port}, code);
-        if (!code && std::find(ports.begin(), ports.end(), port) == ports.end()) {
+        if (!code) {
             ports.push_back(port);
         }
     }
