Review: a server that has left gets a request after a kill in an outage of the store

DRAIN is broken: a leave is acknowledged before the daemon's marker in the store says so (handleTargetRequest, platform_port.cpp). If the daemon is killed while the store is down, its next run takes a late heartbeat for that of a ready server.

--- a/review/standin-2/case_departed.cpp
+++ b/review/standin-2/case_departed.cpp
@@ -1,7 +1,11 @@
-/** @file case_departed.cpp A server announces its exit; its daemon is killed twice; the server gets requests again. */
+/**
+ * @file case_departed.cpp A server announces its exit; its daemon is killed twice, or once while the store is down; the
+ * server gets requests again.
+ */
 #include "world.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace review {
 
@@ -18,6 +22,8 @@
 constexpr milliseconds runTime{1500}; ///< From the first restart to the second kill.
 constexpr milliseconds heartbeatDelay{500}; ///< From the second restart to the arrival of the late heartbeat.
 constexpr milliseconds contact{3300}; ///< From the second restart to the requests: the machine is in touch again.
+constexpr milliseconds outage{4500}; ///< Time for which the store is down, in the second sequence.
+constexpr milliseconds leaveInOutage{300}; ///< From the begin of the outage to the exit's announcement.
 constexpr int requestsAtTheEnd = 10; ///< Requests of the client beside the server.
 
 bool isRunBy(const world &in, const std::string &id, const std::string &server)
@@ -52,8 +58,34 @@
     startDaemon(in, at);
 }
 
+/** The daemon is killed twice, without any other disruption. */
+asio::awaitable<void> killTwice(world &in, machine &at)
+{
+    co_await sleepFor(killAfter);
+    if (in.trouble) {
+        co_await restart(in, at);
+    }
+    co_await sleepFor(runTime);
+    if (in.trouble) {
+        co_await restart(in, at);
+    }
+}
+
+/** The daemon is killed once while the store is down. */
+asio::awaitable<void> killInOutage(world &in, machine &at)
+{
+    co_await sleepFor(killAfter);
+    if (in.trouble) {
+        co_await restart(in, at);
+    }
+    co_await sleepFor(outage - leaveInOutage - killAfter - restartDelay);
+    in.store.busy = false;
+    note(in, {{"event", "store-back"}});
+}
+
 asio::awaitable<verdict> play(world &in)
 {
+    const bool withOutage = std::getenv("OUTAGE") != nullptr;
     auto &at = addMachine(in, "m1", "z1", "ledger");
     addMachine(in, "m2", "z2", "ledger");
     addMachine(in, "m3", "z1", "desk");
@@ -70,6 +102,11 @@
     co_await sleepFor(calm);
     const auto server = at.server;
     const auto first = co_await sendRequest(in, at);
+    if (withOutage && in.trouble) {
+        in.store.busy = true;
+        note(in, {{"event", "store-busy"}});
+        co_await sleepFor(leaveInOutage);
+    }
     // The server sends this heartbeat now; it arrives late, as heartbeats may.
     const auto late = nextHeartbeat(*server);
     const bool left = co_await sendLeave(in, server);
@@ -77,13 +114,10 @@
     if (!left || !isRunBy(in, first, server->id)) {
         co_return verdict::could_not_run;
     }
-    co_await sleepFor(killAfter);
-    if (in.trouble) {
-        co_await restart(in, at);
-    }
-    co_await sleepFor(runTime);
-    if (in.trouble) {
-        co_await restart(in, at);
+    if (withOutage) {
+        co_await killInOutage(in, at);
+    } else {
+        co_await killTwice(in, at);
     }
     co_await sleepFor(heartbeatDelay);
     const bool taken = co_await sendHeartbeat(in, server, late);
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -172,6 +172,9 @@
     const auto era = store.era;
     for (;;) {
         expireLeases(store);
+        if (store.busy) {
+            co_return answer(503, json::object());
+        }
         if (after > store.revision || era != store.era) {
             co_return answer(410, json::object());
         }
@@ -192,7 +195,7 @@
 {
     const std::string target(request.target());
     co_await sleepFor(answerTime);
-    if (store.away) {
+    if (store.away || store.busy) {
         co_return answer(503, json::object());
     }
     expireLeases(store);
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -65,6 +65,7 @@
     std::int64_t revision = 1; ///< Revision of the store.
     std::int64_t era = 0; ///< Rises each time the store comes back from a copy.
     bool away = false; ///< Whether it answers nothing.
+    bool busy = false; ///< Whether it answers 503 to each call and does nothing.
 };
 
 /** Keys that a server holds or has held. */
