--- a/review/standin-2/case_departed.cpp
+++ b/review/standin-2/case_departed.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds restartDelay{300}; ///< Time after which the platform starts a killed process again.
 constexpr milliseconds runTime{1500}; ///< From the first restart to the second kill.
 constexpr milliseconds heartbeatDelay{500}; ///< From the second restart to the arrival of the late heartbeat.
+constexpr milliseconds heartbeatDelayInOutage{
+    1500}; ///< The same from the end of the outage: the configuration is known.
 constexpr milliseconds contact{3300}; ///< From the second restart to the requests: the machine is in touch again.
 constexpr milliseconds outage{4500}; ///< Time for which the store is down, in the second sequence.
 constexpr milliseconds leaveInOutage{300}; ///< From the begin of the outage to the exit's announcement.
@@ -119,10 +121,11 @@
     } else {
         co_await killTwice(in, at);
     }
-    co_await sleepFor(heartbeatDelay);
+    const auto delay = withOutage ? heartbeatDelayInOutage : heartbeatDelay;
+    co_await sleepFor(delay);
     const bool taken = co_await sendHeartbeat(in, server, late);
     note(in, {{"event", "late-heartbeat"}, {"server", server->id}, {"acknowledged", taken}});
-    co_await sleepFor(contact - heartbeatDelay);
+    co_await sleepFor(contact - delay);
     for (int number = 0; number < requestsAtTheEnd; ++number) {
         co_await sendRequest(in, at);
         co_await sleepFor(pause);
--- a/review/standin-2/case_lists.cpp
+++ b/review/standin-2/case_lists.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds serverWork{2500}; ///< Time that the long request takes.
 constexpr milliseconds beginLimit{1000}; ///< Time in which it must begin.
 constexpr milliseconds drainTime{300}; ///< From the drain to the heartbeat without lists: the server has released.
+constexpr int oddHeartbeats = 5; ///< Heartbeats without lists.
+constexpr milliseconds oddInterval{150}; ///< Time between two of them.
 constexpr milliseconds afterwards{4000}; ///< Time in which the keys may be given to another server.
 
 /** The first server of the sharded service that holds keys. */
@@ -68,12 +70,13 @@
     server->draining = true;
     note(in, {{"event", "drain"}, {"server", server->id}, {"key", key}});
     co_await sleepFor(drainTime);
-    if (in.trouble) {
+    for (int number = 0; in.trouble && number < oddHeartbeats; ++number) {
         auto odd = nextHeartbeat(*server);
         odd.erase("holds");
         odd.erase("freed");
         const bool taken = co_await sendHeartbeat(in, server, odd, false);
         note(in, {{"event", "heartbeat-without-lists"}, {"server", server->id}, {"acknowledged", taken}});
+        co_await sleepFor(oddInterval);
     }
     co_await sleepFor(afterwards);
     note(in, {{"event", "sum"}, {"keys_given_while_at_work", in.doubleOwners}});
--- a/review/standin-2/server.cpp
+++ b/review/standin-2/server.cpp
@@ -84,17 +84,12 @@
     beast::flat_buffer buffer;
     error_code code;
     stream.socket().set_option(tcp::no_delay(true), code);
-    for (bool first = true;; first = false) {
+    for (;;) {
         request_message request;
         co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, code));
         if (code) {
             co_return;
         }
-        const auto late = first || !server->lateBytes ? std::string() : server->lateBytes();
-        if (!late.empty()) {
-            note(in, {{"event", "late-bytes"}, {"server", server->id}, {"bytes", late}});
-            co_await asio::async_write(stream, asio::buffer(late), asio::redirect_error(asio::use_awaitable, code));
-        }
         const auto response = co_await run(in, server, request);
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, code));
         if (code) {
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -169,13 +169,12 @@
     const auto prefix = parameter(target, "path_prefix");
     const auto after = std::stoll("0" + parameter(target, "after"));
     const auto until = clock::now() + milliseconds(std::stoll("0" + parameter(target, "wait_ms")));
-    const auto era = store.era;
     for (;;) {
         expireLeases(store);
         if (store.busy) {
             co_return answer(503, json::object());
         }
-        if (after > store.revision || era != store.era) {
+        if (after > store.revision) {
             co_return answer(410, json::object());
         }
         json body{{"events", json::array()}, {"store_revision", store.revision}};
@@ -195,7 +194,7 @@
 {
     const std::string target(request.target());
     co_await sleepFor(answerTime);
-    if (store.away || store.busy) {
+    if (store.busy) {
         co_return answer(503, json::object());
     }
     expireLeases(store);
@@ -232,12 +231,7 @@
         if (code) {
             co_return;
         }
-        const auto eraBefore = store.era;
         auto response = co_await handleCall(store, std::move(request));
-        if (store.away || store.era != eraBefore) {
-            co_return; // The answer is lost.
-        }
-        response.set("Store-Era", std::to_string(store.era));
         co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, code));
     }
 }
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -248,9 +248,6 @@
                 continue;
             }
             at->daemon = 0;
-            if (at->leaves) {
-                continue;
-            }
             ++at->ownEnds;
             note(in,
                  {{"event", "daemon-ended-by-itself"},
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -15,7 +15,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
-#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -63,8 +62,6 @@
     std::map<std::int64_t, std::pair<milliseconds, clock::time_point>> leases; ///< Time to live and end of each lease.
     std::vector<json> events; ///< All changes, oldest first.
     std::int64_t revision = 1; ///< Revision of the store.
-    std::int64_t era = 0; ///< Rises each time the store comes back from a copy.
-    bool away = false; ///< Whether it answers nothing.
     bool busy = false; ///< Whether it answers 503 to each call and does nothing.
 };
 
@@ -113,8 +110,6 @@
     bool draining = false; ///< Whether its heartbeats say that it drains.
     bool sharded = false; ///< Whether its service is divided by key.
     held_keys keys; ///< Its keys, if so.
-    /** Bytes that it sends after a complete answer, when the next request has arrived; may be empty. */
-    std::function<std::string()> lateBytes;
 };
 
 /** A machine with a daemon and a server. */
@@ -132,7 +127,6 @@
     std::uint16_t control = 0; ///< Port for heartbeats.
     std::uint16_t app = 0; ///< Port of the server.
     pid_t daemon = 0; ///< Process of the daemon; 0 while it does not run.
-    bool leaves = false; ///< Whether the machine is taken away: its process is not started again.
     int ownEnds = 0; ///< How often the process ended by itself.
     std::shared_ptr<app_server> server; ///< Server.
 };
